--- /dev/null
+++ b/consensus/raft.go
@@ -0,0 +1,457 @@
+package consensus
+
+import (
+	"math/rand/v2"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Role is a replica's part in the current term.
+type Role uint8
+
+// The roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role's name in lower case.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Config holds what a Raft needs to start.
+type Config struct {
+	ID ReplicaID
+	// ElectionTicks is the least number of ticks without a leader after which
+	// a replica campaigns; the actual number is drawn from [n, 2n).
+	ElectionTicks int
+	// HeartbeatTicks is the number of ticks between a leader's heartbeats.
+	HeartbeatTicks int
+	// MaxAppendBytes bounds the entries' data in one message, though one
+	// entry is always sent.
+	MaxAppendBytes int
+	// Seed determines the replica's election timeouts.
+	Seed uint64
+	// HardState, Snapshot and Entries are what storage held at the start.
+	HardState HardState
+	Snapshot  Snapshot
+	Entries   []Entry
+}
+
+// progress is what a leader knows about one follower.
+type progress struct {
+	match uint64
+	next  uint64
+	// lastReplyTick is the leader's tick at the follower's last reply.
+	lastReplyTick int
+	// matchAtHeartbeat is match at the previous heartbeat's reply: no growth
+	// since then and a short log mean that an append was lost.
+	matchAtHeartbeat uint64
+	// snapshotTick is the tick at which a snapshot was sent, 0 for none.
+	snapshotTick int
+	round        uint64
+}
+
+type pendingRead struct {
+	context uint64
+	index   uint64
+	round   uint64
+}
+
+// Raft is one replica's state. Its methods must not be called concurrently.
+type Raft struct {
+	config     Config
+	random     *rand.Rand
+	log        log
+	snapshot   Snapshot
+	membership Membership
+
+	term     uint64
+	vote     ReplicaID
+	role     Role
+	leader   ReplicaID
+	reported HardState
+
+	tick            int
+	sinceHeard      int
+	sinceHeartbeat  int
+	electionTimeout int
+
+	votes     map[ReplicaID]bool
+	followers map[ReplicaID]*progress
+	// transferee is the replica that leadership is being handed to.
+	transferee   ReplicaID
+	transferTick int
+	// membershipIndex is the last membership entry in the log; the next change
+	// waits until it is applied, so that any two quorums in use overlap.
+	membershipIndex uint64
+	round           uint64
+	reads           []pendingRead
+
+	messages        []Message
+	readStates      []ReadState
+	rejectedReads   []uint64
+	pendingSnapshot *Snapshot
+}
+
+// New returns a replica that continues from what storage held.
+func New(config Config) *Raft {
+	r := &Raft{
+		config:     config,
+		random:     rand.New(rand.NewPCG(config.Seed, uint64(config.ID))),
+		snapshot:   config.Snapshot,
+		membership: config.Snapshot.Membership,
+		term:       config.HardState.Term,
+		vote:       config.HardState.Vote,
+		reported:   config.HardState,
+		followers:  map[ReplicaID]*progress{},
+	}
+	r.log.restore(config.Snapshot.Index, config.Snapshot.Term)
+	r.log.entries = append(r.log.entries, config.Entries...)
+	r.log.stable = r.log.lastIndex()
+	r.log.committed = max(r.log.committed, min(config.HardState.Commit, r.log.lastIndex()))
+	r.resetElectionTimeout()
+	return r
+}
+
+// ID returns the replica's identity.
+func (r *Raft) ID() ReplicaID { return r.config.ID }
+
+// Role returns the replica's part in the current term.
+func (r *Raft) Role() Role { return r.role }
+
+// Term returns the current term.
+func (r *Raft) Term() uint64 { return r.term }
+
+// Leader returns the leader of the current term, or None if it is not known.
+func (r *Raft) Leader() ReplicaID { return r.leader }
+
+// Commit returns the last committed index.
+func (r *Raft) Commit() uint64 { return r.log.committed }
+
+// Membership returns the members after all applied entries.
+func (r *Raft) Membership() Membership { return r.membership }
+
+// LogSize returns the number of entries kept since the newest snapshot.
+func (r *Raft) LogSize() int { return len(r.log.entries) }
+
+// Match returns the last entry that a leader knows to be durable at the
+// replica, and the number of ticks since the replica's last reply.
+func (r *Raft) Match(id ReplicaID) (index uint64, silentTicks int) {
+	if id == r.config.ID {
+		return r.log.stable, 0
+	}
+	follower, ok := r.followers[id]
+	if !ok {
+		return 0, r.tick
+	}
+	return follower.match, r.tick - follower.lastReplyTick
+}
+
+// Tick advances the replica's logical clock by one.
+func (r *Raft) Tick() {
+	r.tick++
+	r.sinceHeard++
+	if r.role == Leader {
+		r.tickLeader()
+		return
+	}
+	if r.sinceHeard >= r.electionTimeout {
+		r.campaign(PreCandidate, false)
+	}
+}
+
+func (r *Raft) tickLeader() {
+	r.sinceHeartbeat++
+	if r.transferee != None && r.tick-r.transferTick >= r.config.ElectionTicks {
+		r.transferee = None
+	}
+	if r.sinceHeard >= r.config.ElectionTicks {
+		r.sinceHeard = 0
+		if !r.quorumActive() {
+			r.becomeFollower(r.term, None)
+			return
+		}
+	}
+	if r.sinceHeartbeat >= r.config.HeartbeatTicks {
+		r.broadcastHeartbeat()
+	}
+}
+
+// quorumActive tells whether a quorum of voters has replied within an election
+// timeout. A leader for which it does not hold gives up, so that a replica
+// that is cut off stops believing in its leadership.
+func (r *Raft) quorumActive() bool {
+	active := 0
+	for _, member := range r.membership.Members {
+		if !member.Voter {
+			continue
+		}
+		_, silent := r.Match(member.ID)
+		if member.ID == r.config.ID || silent <= r.config.ElectionTicks {
+			active++
+		}
+	}
+	return active >= r.quorum()
+}
+
+func (r *Raft) quorum() int { return r.membership.Voters()/2 + 1 }
+
+func (r *Raft) isVoter() bool {
+	member, ok := r.membership.Member(r.config.ID)
+	return ok && member.Voter
+}
+
+func (r *Raft) resetElectionTimeout() {
+	r.sinceHeard = 0
+	r.electionTimeout = r.config.ElectionTicks + r.random.IntN(r.config.ElectionTicks)
+}
+
+func (r *Raft) becomeFollower(term uint64, leader ReplicaID) {
+	if term > r.term {
+		r.term, r.vote = term, None
+	}
+	if r.role == Leader {
+		r.rejectReads()
+	}
+	r.role, r.leader, r.transferee = Follower, leader, None
+	r.resetElectionTimeout()
+}
+
+func (r *Raft) rejectReads() {
+	for _, read := range r.reads {
+		r.rejectedReads = append(r.rejectedReads, read.context)
+	}
+	r.reads = nil
+}
+
+// campaign asks the other voters for their votes. In a pre-campaign nobody
+// changes its term, so that a replica which was cut off does not depose a
+// working leader when it returns.
+func (r *Raft) campaign(role Role, transfer bool) {
+	r.resetElectionTimeout()
+	if !r.isVoter() {
+		return
+	}
+	r.role, r.leader = role, None
+	r.votes = map[ReplicaID]bool{r.config.ID: true}
+	kind, term := MessagePreVote, r.term+1
+	if role == Candidate {
+		r.term, r.vote = r.term+1, r.config.ID
+		kind, term = MessageVote, r.term
+	}
+	for _, member := range r.membership.Members {
+		if member.Voter && member.ID != r.config.ID {
+			r.send(Message{
+				Kind: kind, To: member.ID, Term: term, Transfer: transfer,
+				Index: r.log.lastIndex(), LogTerm: r.log.lastTerm(),
+			})
+		}
+	}
+	r.countVotes()
+}
+
+func (r *Raft) countVotes() {
+	granted, refused := 0, 0
+	for _, vote := range r.votes {
+		if vote {
+			granted++
+		} else {
+			refused++
+		}
+	}
+	switch {
+	case granted >= r.quorum() && r.role == PreCandidate:
+		r.campaign(Candidate, false)
+	case granted >= r.quorum() && r.role == Candidate:
+		r.becomeLeader()
+	case refused >= r.quorum():
+		r.becomeFollower(r.term, None)
+	}
+}
+
+func (r *Raft) becomeLeader() {
+	r.role, r.leader, r.transferee = Leader, r.config.ID, None
+	r.sinceHeard, r.sinceHeartbeat = 0, 0
+	r.followers = map[ReplicaID]*progress{}
+	r.syncFollowers()
+	// Entries of earlier terms may hold a membership change that is not
+	// applied yet; treating the whole log as one is the safe answer.
+	r.membershipIndex = r.log.lastIndex()
+	r.appendOwn(EntryNormal, nil)
+	r.broadcastAppend()
+}
+
+// syncFollowers makes the leader's followers those of the membership.
+func (r *Raft) syncFollowers() {
+	for id := range r.followers {
+		if r.membership.find(id) < 0 {
+			delete(r.followers, id)
+		}
+	}
+	for _, member := range r.membership.Members {
+		if member.ID == r.config.ID || r.followers[member.ID] != nil {
+			continue
+		}
+		r.followers[member.ID] = &progress{
+			next: r.log.lastIndex() + 1, lastReplyTick: r.tick,
+		}
+	}
+}
+
+func (r *Raft) appendOwn(kind EntryKind, data []byte) uint64 {
+	index := r.log.lastIndex() + 1
+	r.log.entries = append(r.log.entries, Entry{Term: r.term, Index: index, Kind: kind, Data: data})
+	return index
+}
+
+// Propose appends a command to the log and returns the index and term under
+// which it will be committed, if ever. It returns false if the replica is not
+// the leader or is handing its leadership over.
+func (r *Raft) Propose(data []byte) (index, term uint64, ok bool) {
+	if r.role != Leader || r.transferee != None {
+		return 0, 0, false
+	}
+	return r.appendOwn(EntryNormal, data), r.term, true
+}
+
+// ProposeMembership appends a membership change. It returns false if the
+// replica is not the leader, another change is not applied yet, or the change
+// would remove the last voter.
+func (r *Raft) ProposeMembership(change MembershipChange) bool {
+	if r.role != Leader || r.transferee != None || r.membershipIndex > r.log.applied {
+		return false
+	}
+	if r.membership.apply(change).Voters() == 0 {
+		return false
+	}
+	data, err := cbor.Marshal(change)
+	if err != nil {
+		panic("consensus: a membership change must encode: " + err.Error())
+	}
+	r.membershipIndex = r.appendOwn(EntryMembership, data)
+	return true
+}
+
+// ReadIndex asks for a confirmation, by a quorum, that this replica is the
+// leader now. The answer comes as a ReadState or a rejected read with the
+// context. Reads that wait together share one round of heartbeats.
+func (r *Raft) ReadIndex(context uint64) {
+	if r.role != Leader {
+		r.rejectedReads = append(r.rejectedReads, context)
+		return
+	}
+	// The round after the one under way is the first that is sent wholly
+	// after this call.
+	r.reads = append(r.reads, pendingRead{context: context, round: r.round + 1})
+	if len(r.reads) == 1 {
+		r.broadcastHeartbeat()
+	}
+}
+
+// TransferLeadership hands leadership to the replica as soon as it holds the
+// whole log. It returns false if that replica cannot take it.
+func (r *Raft) TransferLeadership(to ReplicaID) bool {
+	member, ok := r.membership.Member(to)
+	if r.role != Leader || !ok || !member.Voter || to == r.config.ID {
+		return false
+	}
+	r.transferee, r.transferTick = to, r.tick
+	r.finishTransfer(to)
+	return true
+}
+
+func (r *Raft) finishTransfer(id ReplicaID) {
+	if r.transferee == id && r.followers[id].match == r.log.lastIndex() {
+		r.send(Message{Kind: MessageTimeoutNow, To: id, Term: r.term})
+	}
+}
+
+// Compact drops the log up to the snapshot, which the caller has made of the
+// applied state at index, and returns the snapshot to be persisted.
+func (r *Raft) Compact(index uint64, data []byte) (Snapshot, bool) {
+	term, ok := r.log.term(index)
+	if !ok || index <= r.log.snapshotIndex || index != r.log.applied {
+		return Snapshot{}, false
+	}
+	r.snapshot = Snapshot{Index: index, Term: term, Membership: r.membership, Data: data}
+	r.log.compact(index, term)
+	return r.snapshot, true
+}
+
+func (r *Raft) send(message Message) {
+	message.From = r.config.ID
+	r.messages = append(r.messages, message)
+}
+
+// HasReady tells whether Ready would return anything to do.
+func (r *Raft) HasReady() bool {
+	return len(r.messages) > 0 || len(r.readStates) > 0 || len(r.rejectedReads) > 0 ||
+		r.pendingSnapshot != nil || r.log.stable < r.log.lastIndex() ||
+		r.log.applied < r.log.committed || r.hardState() != r.reported
+}
+
+func (r *Raft) hardState() HardState {
+	return HardState{Term: r.term, Vote: r.vote, Commit: r.log.committed}
+}
+
+// Ready returns what is to be done. Advance must be called afterwards, before
+// any other method.
+func (r *Raft) Ready() Ready {
+	if r.role == Leader {
+		r.broadcastAppend()
+	}
+	ready := Ready{
+		Entries:       r.log.slice(r.log.stable, r.log.lastIndex()),
+		Snapshot:      r.pendingSnapshot,
+		Messages:      r.messages,
+		ReadStates:    r.readStates,
+		RejectedReads: r.rejectedReads,
+	}
+	// Only entries that are durable here are applied: an entry handed out
+	// below in this Ready is persisted by the caller first.
+	ready.Committed = r.log.slice(r.log.applied, r.log.committed)
+	if state := r.hardState(); state != r.reported {
+		ready.HardState = &state
+	}
+	return ready
+}
+
+// Advance tells the replica that the Ready has been carried out.
+func (r *Raft) Advance(ready Ready) {
+	r.messages, r.readStates, r.rejectedReads, r.pendingSnapshot = nil, nil, nil, nil
+	if ready.HardState != nil {
+		r.reported = *ready.HardState
+	}
+	if count := len(ready.Entries); count > 0 {
+		r.log.stable = ready.Entries[count-1].Index
+	}
+	for _, entry := range ready.Committed {
+		r.log.applied = entry.Index
+		if entry.Kind == EntryMembership {
+			r.applyMembership(entry.Data)
+		}
+	}
+	if r.role == Leader {
+		r.advanceCommit()
+	}
+}
+
+func (r *Raft) applyMembership(data []byte) {
+	var change MembershipChange
+	if err := cbor.Unmarshal(data, &change); err != nil {
+		panic("consensus: a committed membership change must decode: " + err.Error())
+	}
+	r.membership = r.membership.apply(change)
+	if r.role != Leader {
+		return
+	}
+	if !r.isVoter() {
+		r.becomeFollower(r.term, None)
+		return
+	}
+	r.syncFollowers()
+}
--- /dev/null
+++ b/server/control.go
@@ -0,0 +1,323 @@
+// Package server runs the cores of package control and package node in
+// processes: it gives them time, storage, the transport and their HTTP
+// interfaces.
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/dillchute/dillchute/config"
+	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/control"
+	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/eventloop"
+	"github.com/dillchute/dillchute/protocol"
+	"github.com/dillchute/dillchute/state"
+	"github.com/dillchute/dillchute/storage"
+	"github.com/dillchute/dillchute/transport"
+)
+
+const (
+	heartbeatTicks  = 2
+	maxAppendBytes  = 4 << 20
+	reconcileMillis = 200
+	// platformInterval is the time between reads of the platform's list.
+	platformInterval = time.Second
+	platformTimeout  = 2 * time.Second
+	joinInterval     = time.Second
+	shutdownTimeout  = 5 * time.Second
+	// transferWait is how long a planned stop waits for another leader.
+	transferWait = 2 * time.Second
+)
+
+// Control runs one control replica.
+type Control struct {
+	settings  config.Control
+	logger    *zerolog.Logger
+	store     *storage.Store
+	core      *control.Core
+	loop      *eventloop.Loop
+	transport *transport.Transport
+	start     time.Time
+	// join lists the members to ask for admission.
+	join []string
+
+	nextID  uint64
+	waiting map[uint64]chan control.Reply
+	led     bool
+	status  atomic.Pointer[controlStatus]
+}
+
+// controlStatus is what metrics and health checks read without the loop.
+type controlStatus struct {
+	leading, ready      bool
+	term, commit        uint64
+	logEntries          int
+	nodes, engines      int
+	revision            uint64
+	pending, unfinished map[string]int
+	counters            map[string]state.Counters
+}
+
+// NewControl opens the replica's data folder. With join it asks those members
+// to be taken in as a learner.
+func NewControl(settings config.Control, join []string, logger *zerolog.Logger) (*Control, error) {
+	store, contents, err := storage.Open(settings.DataFolder, settings.Cluster)
+	if err != nil {
+		return nil, err
+	}
+	core, err := control.New(control.Config{
+		Consensus: consensus.Config{
+			ID: contents.Identity.Replica, ElectionTicks: settings.ElectionTicks, HeartbeatTicks: heartbeatTicks,
+			MaxAppendBytes: maxAppendBytes, Seed: uint64(time.Now().UnixNano()),
+			HardState: contents.HardState, Snapshot: contents.Snapshot, Entries: contents.Entries,
+		},
+		Address: settings.Address, TickMillis: settings.Tick.Milliseconds(), LeaseMillis: settings.Lease.Milliseconds(),
+		ReconcileMillis: reconcileMillis, ReplaceMillis: settings.ReplaceAfter.Milliseconds(),
+		SnapshotBytes: settings.SnapshotBytes,
+	})
+	if err != nil {
+		store.Close()
+		return nil, storage.ErrDamaged.Wrap(err, "restore the snapshot")
+	}
+	c := &Control{
+		settings: settings, logger: logger, store: store, core: core, loop: eventloop.New(),
+		start: time.Now(), join: join, waiting: map[uint64]chan control.Reply{},
+	}
+	c.status.Store(&controlStatus{})
+	c.transport = transport.New(logger, c.receive)
+	return c, nil
+}
+
+func (c *Control) clock() control.Clock {
+	return control.Clock{Monotonic: time.Since(c.start).Milliseconds(), Wall: time.Now().UnixMilli()}
+}
+
+func (c *Control) receive(message protocol.Message) {
+	c.loop.Call(func() { c.core.Receive(c.clock(), message) })
+}
+
+// Run serves on the listener until the context ends, then hands leadership
+// over and stops. It returns an error if storage or the listener fails.
+func (c *Control) Run(ctx context.Context, listener net.Listener) error {
+	defer c.store.Close()
+	defer c.transport.Close()
+	event.ControlStarted.On(c.logger).Str("address", c.settings.Address).Uint("replica", uint64(c.core.Raft().ID())).Send()
+	loopContext, stopLoop := context.WithCancel(context.Background())
+	defer stopLoop()
+	httpServer := newHTTPServer(c.routes())
+	serverFailed := serveHTTP(httpServer, listener, c.logger)
+	go c.pollPlatform(ctx)
+	go c.askToJoin(ctx)
+	go func() {
+		select {
+		case <-ctx.Done():
+			event.ControlStopping.On(c.logger).Send()
+			c.handOver()
+		case <-serverFailed:
+		}
+		stopLoop()
+	}()
+	err := c.loop.Run(loopContext, c.settings.Tick, c.tick, c.flush)
+	stopHTTP(httpServer)
+	return err
+}
+
+func (c *Control) tick() {
+	c.core.Tick(c.clock())
+	c.noteLeadership()
+	c.updateStatus()
+}
+
+func (c *Control) noteLeadership() {
+	leads := c.core.Raft().Role() == consensus.Leader
+	if leads == c.led {
+		return
+	}
+	c.led = leads
+	kind := event.LeadershipLost
+	if leads {
+		kind = event.LeadershipGained
+	}
+	kind.On(c.logger).Uint("term", c.core.Raft().Term()).Send()
+}
+
+// flush persists, applies and sends what the calls of a batch have produced.
+// One sync serves all entries of the batch.
+func (c *Control) flush() error {
+	for c.core.HasReady() {
+		ready := c.core.Ready()
+		if err := c.store.Save(ready); err != nil {
+			event.StorageFailed.On(c.logger).Err(err).Send()
+			return err
+		}
+		if err := c.core.Advance(ready); err != nil {
+			event.ApplyFailed.On(c.logger).Err(err).Send()
+			return err
+		}
+		if snapshot := c.core.TakeSnapshot(); snapshot != nil {
+			if err := c.store.SaveSnapshot(*snapshot); err != nil {
+				event.StorageFailed.On(c.logger).Err(err).Send()
+				return err
+			}
+			event.SnapshotSaved.On(c.logger).Uint("index", snapshot.Index).Uint("bytes", uint64(len(snapshot.Data))).Send()
+		}
+	}
+	for _, outgoing := range c.core.TakeMessages() {
+		c.transport.Send(outgoing.Address, outgoing.Message)
+	}
+	for _, reply := range c.core.TakeReplies() {
+		if waiting, ok := c.waiting[reply.ID]; ok {
+			delete(c.waiting, reply.ID)
+			waiting <- reply
+		}
+	}
+	return nil
+}
+
+// ask runs the function, which starts a request under the ID, in the loop and
+// waits for the reply. It returns false if the context or the loop ends first.
+func (c *Control) ask(ctx context.Context, start func(id uint64)) (control.Reply, bool) {
+	answered := make(chan control.Reply, 1)
+	var id uint64
+	queued := c.loop.Call(func() {
+		c.nextID++
+		id = c.nextID
+		c.waiting[id] = answered
+		start(id)
+	})
+	if !queued {
+		return control.Reply{}, false
+	}
+	select {
+	case reply := <-answered:
+		return reply, true
+	case <-c.loop.Done():
+		return control.Reply{}, false
+	case <-ctx.Done():
+		c.loop.Call(func() { delete(c.waiting, id) })
+		return control.Reply{}, false
+	}
+}
+
+// handOver gives leadership to another voter before a planned stop.
+func (c *Control) handOver() {
+	deadline := time.Now().Add(transferWait)
+	for time.Now().Before(deadline) {
+		led := make(chan bool, 1)
+		queued := c.loop.Call(func() {
+			led <- c.core.Raft().Role() == consensus.Leader && c.core.TransferLeadership(consensus.None)
+		})
+		if !queued || !<-led {
+			return
+		}
+		time.Sleep(c.settings.Tick)
+	}
+}
+
+// platformEngine is an engine in the platform's list.
+type platformEngine struct {
+	ID      string `json:"id"`
+	Zone    string `json:"zone"`
+	Region  string `json:"region"`
+	Group   string `json:"group"`
+	Address string `json:"address"`
+	Slots   int    `json:"slots"`
+	Leaving bool   `json:"leaving"`
+}
+
+func (c *Control) pollPlatform(ctx context.Context) {
+	if c.settings.PlatformURL == "" {
+		return
+	}
+	ticker := time.NewTicker(platformInterval)
+	defer ticker.Stop()
+	for {
+		if c.status.Load().leading {
+			c.readPlatform(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *Control) readPlatform(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	var listed []platformEngine
+	if err := getJSON(limited, c.settings.PlatformURL+"/v1/engines", &listed); err != nil {
+		event.PlatformUnreachable.On(c.logger).Err(err).Send()
+		return
+	}
+	engines := make([]state.Engine, 0, len(listed))
+	for _, engine := range listed {
+		engines = append(engines, state.Engine{
+			ID: engine.ID, Zone: engine.Zone, Region: engine.Region, Group: engine.Group,
+			Address: engine.Address, Slots: engine.Slots, Listed: engine.Leaving,
+		})
+	}
+	c.loop.Call(func() { c.core.ListEngines(c.clock(), engines) })
+}
+
+// askToJoin asks the members until this replica is one of them.
+func (c *Control) askToJoin(ctx context.Context) {
+	for round := 0; len(c.join) > 0; round++ {
+		member := make(chan bool, 1)
+		queued := c.loop.Call(func() {
+			_, is := c.core.Raft().Membership().Member(c.core.Raft().ID())
+			member <- is
+		})
+		if !queued || <-member {
+			return
+		}
+		address := c.join[round%len(c.join)]
+		event.JoinRequested.On(c.logger).Str("member", address).Send()
+		c.transport.Send(address, protocol.Message{
+			From: c.settings.Address,
+			Join: &protocol.Join{ID: c.core.Raft().ID(), Address: c.settings.Address},
+		})
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(joinInterval):
+		}
+	}
+}
+
+func (c *Control) updateStatus() {
+	raft, machine := c.core.Raft(), c.core.Machine()
+	status := &controlStatus{
+		leading: c.led, ready: c.core.LeaderAddress() != "",
+		term: raft.Term(), commit: raft.Commit(), logEntries: raft.LogSize(),
+		nodes: len(machine.Catalog.Nodes), engines: len(machine.Catalog.Engines), revision: machine.Revision,
+		pending: map[string]int{}, unfinished: map[string]int{}, counters: map[string]state.Counters{},
+	}
+	for name, ledger := range machine.Ledgers {
+		status.pending[name], status.unfinished[name] = ledger.Pending(), len(ledger.Samples)
+		status.counters[name] = ledger.Counters
+	}
+	c.status.Store(status)
+}
+
+func getJSON(ctx context.Context, url string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return json.NewDecoder(response.Body).Decode(into)
+}
--- /dev/null
+++ b/server/engines.go
@@ -0,0 +1,181 @@
+package server
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/dillchute/dillchute/node"
+	"github.com/dillchute/dillchute/protocol"
+)
+
+var (
+	namespace           = errorx.NewNamespace("server")
+	errUnexpectedStatus = namespace.NewType("unexpected_status")
+)
+
+const (
+	engineDialTimeout  = time.Second
+	engineProbeTimeout = 2 * time.Second
+	maxChunkBytes      = 1 << 20
+	eventPrefix        = "data: "
+	engineIdleConns    = 256
+)
+
+// engineClient carries a node's messages to engines over their HTTP interface.
+type engineClient struct {
+	context context.Context
+	receive func(engine string, message protocol.EngineMessage)
+	client  *http.Client
+
+	mutex   sync.Mutex
+	cancels map[string]context.CancelFunc
+}
+
+func newEngineClient(ctx context.Context, receive func(string, protocol.EngineMessage)) *engineClient {
+	dialer := &net.Dialer{Timeout: engineDialTimeout}
+	return &engineClient{
+		context: ctx, receive: receive, cancels: map[string]context.CancelFunc{},
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: engineIdleConns,
+		}},
+	}
+}
+
+// send starts carrying out a message; what comes of it goes to receive.
+func (c *engineClient) send(outgoing node.EngineOutgoing) {
+	switch message := outgoing.Message; {
+	case message.Start != nil:
+		go c.generate(outgoing.Engine, outgoing.Address, message.Start)
+	case message.Cancel != nil:
+		c.cancel(message.Cancel.Attempt)
+	case message.Order != nil:
+		go c.order(outgoing.Engine, outgoing.Address, message.Order)
+	case message.Probe != nil:
+		go c.probe(outgoing.Engine, outgoing.Address)
+	}
+}
+
+func (c *engineClient) post(ctx context.Context, address, path string, body any) (*http.Response, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic("server: an engine request must encode: " + err.Error())
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return c.client.Do(request)
+}
+
+func (c *engineClient) generate(engine, address string, start *protocol.EngineStart) {
+	ctx, cancel := context.WithCancel(c.context)
+	defer cancel()
+	c.mutex.Lock()
+	c.cancels[start.Attempt] = cancel
+	c.mutex.Unlock()
+	defer c.cancel(start.Attempt)
+	response, err := c.post(ctx, address, "/v1/generate", start)
+	if err != nil {
+		c.receive(engine, failedStart(start.Attempt, err))
+		return
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		c.refused(engine, start.Attempt, response)
+		return
+	}
+	c.readChunks(engine, start.Attempt, response)
+}
+
+// failedStart tells a start that provably did not reach the engine, since no
+// connection came about, from one that may have.
+func failedStart(attempt string, err error) protocol.EngineMessage {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return protocol.EngineMessage{Refused: &protocol.EngineRefused{Attempt: attempt, Reason: protocol.RefusedConnect}}
+	}
+	return protocol.EngineMessage{Lost: &protocol.EngineLost{Attempt: attempt}}
+}
+
+// refused takes in a refusal, which counts only if the engine says so itself.
+func (c *engineClient) refused(engine, attempt string, response *http.Response) {
+	var refused protocol.EngineRefused
+	err := json.NewDecoder(response.Body).Decode(&refused)
+	if err != nil || refused.Attempt != attempt || refused.Reason == "" {
+		c.receive(engine, protocol.EngineMessage{Lost: &protocol.EngineLost{Attempt: attempt}})
+		return
+	}
+	c.receive(engine, protocol.EngineMessage{Refused: &refused})
+}
+
+func (c *engineClient) readChunks(engine, attempt string, response *http.Response) {
+	scanner := bufio.NewScanner(response.Body)
+	scanner.Buffer(nil, maxChunkBytes)
+	for scanner.Scan() {
+		data, isEvent := strings.CutPrefix(scanner.Text(), eventPrefix)
+		if !isEvent {
+			continue
+		}
+		var chunk protocol.EngineChunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil || chunk.Attempt != attempt {
+			break
+		}
+		c.receive(engine, protocol.EngineMessage{Chunk: &chunk})
+		if chunk.Done {
+			return
+		}
+	}
+	c.receive(engine, protocol.EngineMessage{Lost: &protocol.EngineLost{Attempt: attempt}})
+}
+
+// cancel ends the attempt's connection, by which the engine ends its stream.
+func (c *engineClient) cancel(attempt string) {
+	c.mutex.Lock()
+	cancel := c.cancels[attempt]
+	delete(c.cancels, attempt)
+	c.mutex.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (c *engineClient) order(engine, address string, order *protocol.EngineOrder) {
+	result := protocol.EngineOrderResult{Epoch: order.Epoch, Sequence: order.Sequence}
+	response, err := c.post(c.context, address, "/v1/orders", order)
+	if err == nil {
+		defer response.Body.Close()
+		if json.NewDecoder(response.Body).Decode(&result) != nil {
+			result = protocol.EngineOrderResult{Epoch: order.Epoch, Sequence: order.Sequence}
+		}
+	}
+	c.receive(engine, protocol.EngineMessage{OrderResult: &result})
+}
+
+func (c *engineClient) probe(engine, address string) {
+	ctx, cancel := context.WithTimeout(c.context, engineProbeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/status", nil)
+	if err != nil {
+		return
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	var report protocol.EngineReport
+	if response.StatusCode == http.StatusOK && json.NewDecoder(response.Body).Decode(&report) == nil {
+		c.receive(engine, protocol.EngineMessage{Report: &report})
+	}
+}
--- /dev/null
+++ b/server/http.go
@@ -0,0 +1,64 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"github.com/dillchute/dillchute/event"
+)
+
+const readHeaderTimeout = 10 * time.Second
+
+// newHTTPServer returns a server for HTTP/1.1 and HTTP/2 without TLS.
+func newHTTPServer(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, Protocols: protocols}
+}
+
+// serveHTTP serves in the background; the channel is closed if serving fails.
+func serveHTTP(server *http.Server, listener net.Listener, logger *zerolog.Logger) <-chan struct{} {
+	failed := make(chan struct{})
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			event.HTTPServerFailed.On(logger).Err(err).Send()
+			close(failed)
+		}
+	}()
+	return failed
+}
+
+func stopHTTP(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		server.Close()
+	}
+}
+
+// addOperational adds health checks, metrics and, if asked for, profiles.
+func addOperational(router *mux.Router, ready func() bool, registry *prometheus.Registry, profiles bool) {
+	router.HandleFunc("/healthz", func(response http.ResponseWriter, _ *http.Request) {
+		response.WriteHeader(http.StatusOK)
+	})
+	router.HandleFunc("/readyz", func(response http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(response, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	if profiles {
+		router.PathPrefix("/debug/pprof/profile").HandlerFunc(pprof.Profile)
+		router.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
+	}
+}
--- /dev/null
+++ b/server/node.go
@@ -0,0 +1,234 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rs/zerolog"
+
+	"github.com/dillchute/dillchute/config"
+	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/eventloop"
+	"github.com/dillchute/dillchute/node"
+	"github.com/dillchute/dillchute/protocol"
+	"github.com/dillchute/dillchute/transport"
+)
+
+const (
+	nodeTick = 50 * time.Millisecond
+	// incarnationUnit and incarnationMask make a node's incarnation a 31-bit
+	// number that differs between starts at least a unit apart.
+	incarnationUnit = 100 * time.Millisecond
+	incarnationMask = 1<<31 - 1
+	scoreTimeout    = 5 * time.Second
+	scoreRetry      = 200 * time.Millisecond
+	drainPoll       = 20 * time.Millisecond
+)
+
+// Node runs one node.
+type Node struct {
+	settings  config.Node
+	logger    *zerolog.Logger
+	core      *node.Core
+	loop      *eventloop.Loop
+	transport *transport.Transport
+	engines   *engineClient
+	start     time.Time
+	context   context.Context
+	stop      context.CancelFunc
+
+	callers map[uint64]*mailbox
+	leased  bool
+	status  atomic.Pointer[nodeStatus]
+}
+
+type nodeStatus struct {
+	leased   bool
+	revision uint64
+	inFlight int
+	counters node.Counters
+}
+
+// NewNode returns a node that has not started yet.
+func NewNode(settings config.Node, logger *zerolog.Logger) *Node {
+	start := time.Now()
+	background, stop := context.WithCancel(context.Background())
+	n := &Node{
+		settings: settings, logger: logger, loop: eventloop.New(), start: start,
+		context: background, stop: stop, callers: map[uint64]*mailbox{},
+		core: node.New(node.Config{
+			ID: settings.ID, Zone: settings.Zone, Region: settings.Region, Address: settings.Address,
+			Incarnation: uint64(start.UnixMilli()/incarnationUnit.Milliseconds()) & incarnationMask,
+			Controls:    settings.Controls, Seed: uint64(start.UnixNano()), Scoring: settings.ScorerURL != "",
+		}),
+	}
+	n.status.Store(&nodeStatus{})
+	n.transport = transport.New(logger, func(message protocol.Message) {
+		n.loop.Call(func() { n.core.Receive(n.now(), message) })
+	})
+	n.engines = newEngineClient(background, func(id string, message protocol.EngineMessage) {
+		n.loop.Call(func() { n.core.ReceiveEngine(n.now(), id, message) })
+	})
+	return n
+}
+
+func (n *Node) now() int64 { return time.Since(n.start).Milliseconds() }
+
+// Run serves processes of dillchute on one listener and callers on the other
+// until the context ends. Then it takes no new work, lets what runs end within
+// the drain timeout, and stops.
+func (n *Node) Run(ctx context.Context, internal, callers net.Listener) error {
+	defer n.transport.Close()
+	defer n.stop()
+	event.NodeStarted.On(n.logger).Str("node", n.settings.ID).Str("address", n.settings.Address).Send()
+	internalServer, callerServer := newHTTPServer(n.internalRoutes()), newHTTPServer(n.callerRoutes())
+	internalFailed := serveHTTP(internalServer, internal, n.logger)
+	callersFailed := serveHTTP(callerServer, callers, n.logger)
+	loopContext, stopLoop := context.WithCancel(context.Background())
+	defer stopLoop()
+	go func() {
+		select {
+		case <-ctx.Done():
+			n.drain()
+		case <-internalFailed:
+		case <-callersFailed:
+		}
+		stopLoop()
+	}()
+	err := n.loop.Run(loopContext, nodeTick, n.tick, n.flush)
+	stopHTTP(callerServer)
+	stopHTTP(internalServer)
+	event.NodeStopped.On(n.logger).Str("node", n.settings.ID).Send()
+	return err
+}
+
+func (n *Node) tick() {
+	n.core.Tick(n.now())
+	n.status.Store(&nodeStatus{
+		leased: n.core.Leased(), revision: n.core.Revision(), inFlight: n.core.InFlight(), counters: n.core.Counters(),
+	})
+	if leased := n.core.Leased(); leased != n.leased {
+		n.leased = leased
+		kind := event.LeaseLost
+		if leased {
+			kind = event.LeaseGained
+		}
+		kind.On(n.logger).Str("node", n.settings.ID).Send()
+	}
+}
+
+func (n *Node) flush() error {
+	for _, outgoing := range n.core.TakeMessages() {
+		n.transport.Send(outgoing.Address, outgoing.Message)
+	}
+	for _, outgoing := range n.core.TakeEngineMessages() {
+		n.engines.send(outgoing)
+	}
+	for _, score := range n.core.TakeScoreRequests() {
+		go n.score(score)
+	}
+	for _, callerEvent := range n.core.TakeCallerEvents() {
+		if box := n.callers[callerEvent.Request]; box != nil {
+			box.put(callerEvent)
+			if callerEvent.Outcome != 0 {
+				delete(n.callers, callerEvent.Request)
+			}
+		}
+	}
+	return nil
+}
+
+// drain waits until the node has ended its work, and tells control.
+func (n *Node) drain() {
+	event.NodeDraining.On(n.logger).Str("node", n.settings.ID).Send()
+	n.loop.Call(func() { n.core.Drain(n.now()) })
+	deadline := time.Now().Add(n.settings.DrainTimeout)
+	for time.Now().Before(deadline) {
+		inFlight := make(chan int, 1)
+		if !n.loop.Call(func() { inFlight <- n.core.InFlight() }) {
+			return
+		}
+		if <-inFlight == 0 {
+			n.leave()
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+	event.DrainTimedOut.On(n.logger).Str("node", n.settings.ID).Send()
+}
+
+func (n *Node) leave() {
+	n.loop.Call(func() { n.core.Leave(n.now()) })
+	// The goodbye is a courtesy: without it the lease runs out. The pause lets
+	// the transport write it.
+	time.Sleep(drainPoll)
+}
+
+func (n *Node) internalRoutes() http.Handler {
+	router := mux.NewRouter()
+	router.Handle(transport.Path, n.transport).Methods(http.MethodPost)
+	addOperational(router, func() bool { return n.status.Load().leased }, n.registry(), n.settings.Pprof)
+	return router
+}
+
+// scoreReply is what a scoring service answers.
+type scoreReply struct {
+	Reward float64 `json:"reward"`
+}
+
+// scoreBody is what a scoring service is asked.
+type scoreBody struct {
+	Pool   string   `json:"pool"`
+	Prompt string   `json:"prompt"`
+	Tokens []uint32 `json:"tokens"`
+}
+
+// score asks the scoring service until it answers or the node stops. Scoring
+// is a pure function of the result, so that repeating it does no harm.
+func (n *Node) score(score node.ScoreRequest) {
+	body, err := json.Marshal(scoreBody{Pool: score.Pool, Prompt: score.Prompt, Tokens: score.Tokens})
+	if err != nil {
+		panic("server: a score request must encode: " + err.Error())
+	}
+	for n.context.Err() == nil {
+		reward, err := n.scoreOnce(body)
+		if err == nil {
+			n.loop.Call(func() { n.core.ReceiveScore(n.now(), score.Request, reward) })
+			return
+		}
+		event.ScorerUnreachable.On(n.logger).Err(err).Send()
+		select {
+		case <-n.context.Done():
+		case <-time.After(scoreRetry):
+		}
+	}
+}
+
+func (n *Node) scoreOnce(body []byte) (float64, error) {
+	ctx, cancel := context.WithTimeout(n.context, scoreTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, n.settings.ScorerURL+"/v1/score", bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	var reply scoreReply
+	if response.StatusCode != http.StatusOK {
+		return 0, errUnexpectedStatus.New("the scoring service answered %d", response.StatusCode)
+	}
+	if err := json.NewDecoder(response.Body).Decode(&reply); err != nil {
+		return 0, err
+	}
+	return reply.Reward, nil
+}
--- /dev/null
+++ b/storage/storage.go
@@ -0,0 +1,300 @@
+// Package storage keeps a control replica's log, hard state and newest
+// snapshot in one bbolt file of its data folder. Each record carries a
+// checksum, each save is one transaction, and a save that has returned is synced.
+package storage
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/joomcode/errorx"
+	bolt "go.etcd.io/bbolt"
+
+	"github.com/dillchute/dillchute/consensus"
+)
+
+// The kinds of storage errors.
+var (
+	namespace = errorx.NewNamespace("storage")
+	// ErrDamaged: a record is missing or fails its checksum.
+	ErrDamaged = namespace.NewType("damaged")
+	// ErrForeign: the folder is not a data folder of this cluster or format.
+	ErrForeign = namespace.NewType("foreign")
+	// ErrExists: the folder has been initialised before.
+	ErrExists = namespace.NewType("exists")
+	// ErrMissing: the folder has not been initialised.
+	ErrMissing = namespace.NewType("missing")
+	// ErrIO: the file system refused.
+	ErrIO = namespace.NewType("io")
+)
+
+const (
+	fileName      = "control.db"
+	fileMode      = 0o600
+	folderMode    = 0o700
+	formatVersion = 1
+	lockTimeout   = time.Second
+	checksumSize  = 4
+)
+
+var (
+	metaBucket  = []byte("meta")
+	logBucket   = []byte("log")
+	identityKey = []byte("identity")
+	stateKey    = []byte("hard-state")
+	snapshotKey = []byte("snapshot")
+	castagnoli  = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// Identity says whose data a folder holds.
+type Identity struct {
+	Format  int                 `cbor:"1,keyasint"`
+	Cluster string              `cbor:"2,keyasint"`
+	Replica consensus.ReplicaID `cbor:"3,keyasint"`
+}
+
+// Contents is what a store held when it was opened.
+type Contents struct {
+	Identity  Identity
+	HardState consensus.HardState
+	Snapshot  consensus.Snapshot
+	Entries   []consensus.Entry
+}
+
+// Store is an open data folder. Its methods must not be called concurrently.
+type Store struct {
+	database *bolt.DB
+}
+
+// Init makes a new data folder for a replica of the cluster, which starts from
+// the snapshot. It returns an ErrExists error if the folder holds one already.
+func Init(folder, cluster string, replica consensus.ReplicaID, snapshot consensus.Snapshot) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return ErrIO.Wrap(err, "make data folder %s", folder)
+	}
+	path := filepath.Join(folder, fileName)
+	if _, err := os.Stat(path); err == nil {
+		return ErrExists.New("%s has been initialised before", folder)
+	}
+	database, err := bolt.Open(path, fileMode, &bolt.Options{Timeout: lockTimeout})
+	if err != nil {
+		return ErrIO.Wrap(err, "create %s", path)
+	}
+	err = database.Update(func(transaction *bolt.Tx) error {
+		return initBuckets(transaction, Identity{Format: formatVersion, Cluster: cluster, Replica: replica}, snapshot)
+	})
+	if closeErr := database.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return ErrIO.Wrap(err, "initialise %s", path)
+	}
+	return syncFolder(folder)
+}
+
+func initBuckets(transaction *bolt.Tx, identity Identity, snapshot consensus.Snapshot) error {
+	meta, err := transaction.CreateBucket(metaBucket)
+	if err != nil {
+		return err
+	}
+	if _, err := transaction.CreateBucket(logBucket); err != nil {
+		return err
+	}
+	if err := put(meta, identityKey, identity); err != nil {
+		return err
+	}
+	state := consensus.HardState{Term: snapshot.Term, Commit: snapshot.Index}
+	if err := put(meta, stateKey, state); err != nil {
+		return err
+	}
+	return put(meta, snapshotKey, snapshot)
+}
+
+func syncFolder(folder string) error {
+	handle, err := os.Open(folder)
+	if err != nil {
+		return ErrIO.Wrap(err, "open %s", folder)
+	}
+	defer handle.Close()
+	if err := handle.Sync(); err != nil {
+		return ErrIO.Wrap(err, "sync %s", folder)
+	}
+	return nil
+}
+
+// Open opens a data folder of the cluster and returns what it holds. It
+// returns an ErrMissing, ErrForeign or ErrDamaged error for a folder that must
+// not be used.
+func Open(folder, cluster string) (*Store, Contents, error) {
+	path := filepath.Join(folder, fileName)
+	if _, err := os.Stat(path); err != nil {
+		return nil, Contents{}, ErrMissing.New("%s holds no replica: run 'dillchute control init' or 'join' first", folder)
+	}
+	database, err := bolt.Open(path, fileMode, &bolt.Options{Timeout: lockTimeout})
+	if err != nil {
+		return nil, Contents{}, ErrDamaged.Wrap(err, "open %s", path)
+	}
+	var contents Contents
+	err = database.View(func(transaction *bolt.Tx) error {
+		contents, err = load(transaction)
+		return err
+	})
+	if err == nil && (contents.Identity.Cluster != cluster || contents.Identity.Format != formatVersion) {
+		err = ErrForeign.New("%s belongs to cluster %q, format %d; expected cluster %q, format %d",
+			folder, contents.Identity.Cluster, contents.Identity.Format, cluster, formatVersion)
+	}
+	if err != nil {
+		database.Close()
+		return nil, Contents{}, err
+	}
+	return &Store{database: database}, contents, nil
+}
+
+func load(transaction *bolt.Tx) (Contents, error) {
+	var contents Contents
+	meta, log := transaction.Bucket(metaBucket), transaction.Bucket(logBucket)
+	if meta == nil || log == nil {
+		return contents, ErrForeign.New("the file holds no replica")
+	}
+	if err := get(meta, identityKey, &contents.Identity); err != nil {
+		return contents, err
+	}
+	if err := get(meta, stateKey, &contents.HardState); err != nil {
+		return contents, err
+	}
+	if err := get(meta, snapshotKey, &contents.Snapshot); err != nil {
+		return contents, err
+	}
+	expected := contents.Snapshot.Index + 1
+	cursor := log.Cursor()
+	for key, value := cursor.Seek(indexKey(expected)); key != nil; key, value = cursor.Next() {
+		var entry consensus.Entry
+		if err := decode(value, &entry); err != nil {
+			return contents, err
+		}
+		if entry.Index != expected || binary.BigEndian.Uint64(key) != expected {
+			return contents, ErrDamaged.New("log entry %d is missing", expected)
+		}
+		contents.Entries = append(contents.Entries, entry)
+		expected++
+	}
+	if contents.HardState.Commit >= expected {
+		return contents, ErrDamaged.New("log ends at %d before the committed entry %d", expected-1, contents.HardState.Commit)
+	}
+	return contents, nil
+}
+
+// Save persists what a Ready asks for and returns once it is synced.
+func (s *Store) Save(ready consensus.Ready) error {
+	if ready.HardState == nil && ready.Snapshot == nil && len(ready.Entries) == 0 {
+		return nil
+	}
+	err := s.database.Update(func(transaction *bolt.Tx) error {
+		meta, log := transaction.Bucket(metaBucket), transaction.Bucket(logBucket)
+		if ready.Snapshot != nil {
+			if err := saveSnapshot(meta, log, *ready.Snapshot, false); err != nil {
+				return err
+			}
+		}
+		if ready.HardState != nil {
+			if err := put(meta, stateKey, *ready.HardState); err != nil {
+				return err
+			}
+		}
+		return appendEntries(log, ready.Entries)
+	})
+	if err != nil {
+		return ErrIO.Wrap(err, "save")
+	}
+	return nil
+}
+
+// SaveSnapshot persists a snapshot of applied entries and drops those entries.
+func (s *Store) SaveSnapshot(snapshot consensus.Snapshot) error {
+	err := s.database.Update(func(transaction *bolt.Tx) error {
+		return saveSnapshot(transaction.Bucket(metaBucket), transaction.Bucket(logBucket), snapshot, true)
+	})
+	if err != nil {
+		return ErrIO.Wrap(err, "save snapshot")
+	}
+	return nil
+}
+
+// Close closes the store.
+func (s *Store) Close() error { return s.database.Close() }
+
+// saveSnapshot stores the snapshot and drops the entries up to it, or all
+// entries if the snapshot replaces the log.
+func saveSnapshot(meta, log *bolt.Bucket, snapshot consensus.Snapshot, keepLater bool) error {
+	if err := put(meta, snapshotKey, snapshot); err != nil {
+		return err
+	}
+	cursor := log.Cursor()
+	for key, _ := cursor.First(); key != nil; key, _ = cursor.First() {
+		if keepLater && binary.BigEndian.Uint64(key) > snapshot.Index {
+			return nil
+		}
+		if err := cursor.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// appendEntries stores the entries and drops stored ones that they replace.
+func appendEntries(log *bolt.Bucket, entries []consensus.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	cursor := log.Cursor()
+	for key, _ := cursor.Seek(indexKey(entries[0].Index)); key != nil; key, _ = cursor.Seek(indexKey(entries[0].Index)) {
+		if err := cursor.Delete(); err != nil {
+			return err
+		}
+	}
+	// Entries are only appended, so pages can be filled whole.
+	log.FillPercent = 1
+	for _, entry := range entries {
+		if err := put(log, indexKey(entry.Index), entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func indexKey(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+
+func put(bucket *bolt.Bucket, key []byte, value any) error {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		return err
+	}
+	record := binary.BigEndian.AppendUint32(make([]byte, 0, checksumSize+len(data)), crc32.Checksum(data, castagnoli))
+	return bucket.Put(key, append(record, data...))
+}
+
+func get(bucket *bolt.Bucket, key []byte, value any) error {
+	record := bucket.Get(key)
+	if record == nil {
+		return ErrDamaged.New("record %q is missing", key)
+	}
+	return decode(record, value)
+}
+
+func decode(record []byte, value any) error {
+	if len(record) < checksumSize {
+		return ErrDamaged.New("a record is %d bytes long", len(record))
+	}
+	data := record[checksumSize:]
+	if binary.BigEndian.Uint32(record) != crc32.Checksum(data, castagnoli) {
+		return ErrDamaged.New("a record fails its checksum")
+	}
+	if err := cbor.Unmarshal(data, value); err != nil {
+		return ErrDamaged.Wrap(err, "decode a record")
+	}
+	return nil
+}
