Whole path as separate processes: stand-ins, fleet runner, oracle, verbs

Adds the client library, the command lines, stand-ins for engines, weight store, platform, scorer, trainer and callers, a fleet runner and an oracle that reads their records. Known: processes do not stop within 15 s when asked to.

--- /dev/null
+++ b/cmd/dillchute-bench/main.go
@@ -0,0 +1,14 @@
+// Command dillchute-bench holds dillchute's stand-ins, the fleet runner and the
+// tools that measure.
+package main
+
+import (
+	"os"
+
+	benchcommand "github.com/dillchute/dillchute/bench/command"
+	"github.com/dillchute/dillchute/command"
+)
+
+func main() {
+	os.Exit(benchcommand.Main(os.Args[1:], command.Streams{Out: os.Stdout, Err: os.Stderr}))
+}
--- /dev/null
+++ b/cmd/dillchute/main.go
@@ -0,0 +1,12 @@
+// Command dillchute runs dillchute's processes and its operator verbs.
+package main
+
+import (
+	"os"
+
+	"github.com/dillchute/dillchute/command"
+)
+
+func main() {
+	os.Exit(command.Main(os.Args[1:], command.Streams{Out: os.Stdout, Err: os.Stderr}))
+}
--- a/server/callers.go
+++ b/server/callers.go
@@ -7,11 +7,11 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
 
+	"github.com/dillchute/dillchute/eventloop"
 	"github.com/dillchute/dillchute/node"
 	"github.com/dillchute/dillchute/protocol"
 	"github.com/dillchute/dillchute/state"
@@ -107,7 +107,7 @@
 		writeError(response, http.StatusBadRequest, callerErrorDetail{Outcome: "invalid", Reason: "invalid_request", Message: problem})
 		return
 	}
-	box := newMailbox()
+	box := eventloop.NewMailbox[node.CallerEvent]()
 	submitted := make(chan uint64, 1)
 	queued := n.loop.Call(func() {
 		id := n.core.Submit(n.now(), live)
@@ -125,7 +125,7 @@
 	})
 	answer := &answer{response: response, id: live.Key, pool: live.Pool, stream: body.Stream}
 	for {
-		events, ok := box.take(request)
+		events, ok := box.Take(request.Context())
 		if !ok {
 			return
 		}
@@ -355,37 +355,3 @@
 	// The caller may have gone; there is nobody to tell then.
 	_ = json.NewEncoder(response).Encode(body)
 }
-
-// mailbox passes events from the loop to a handler without ever blocking the
-// loop. It holds at most one answer, whose size the request bounds.
-type mailbox struct {
-	mutex  sync.Mutex
-	events []node.CallerEvent
-	signal chan struct{}
-}
-
-func newMailbox() *mailbox { return &mailbox{signal: make(chan struct{}, 1)} }
-
-func (m *mailbox) put(received node.CallerEvent) {
-	m.mutex.Lock()
-	m.events = append(m.events, received)
-	m.mutex.Unlock()
-	select {
-	case m.signal <- struct{}{}:
-	default:
-	}
-}
-
-// take waits for events; it returns false if the caller has gone.
-func (m *mailbox) take(request *http.Request) ([]node.CallerEvent, bool) {
-	select {
-	case <-m.signal:
-	case <-request.Context().Done():
-		return nil, false
-	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	events := m.events
-	m.events = nil
-	return events, true
-}
--- a/server/node.go
+++ b/server/node.go
@@ -43,7 +43,7 @@
 	context   context.Context
 	stop      context.CancelFunc
 
-	callers map[uint64]*mailbox
+	callers map[uint64]*eventloop.Mailbox[node.CallerEvent]
 	leased  bool
 	status  atomic.Pointer[nodeStatus]
 }
@@ -61,7 +61,7 @@
 	background, stop := context.WithCancel(context.Background())
 	n := &Node{
 		settings: settings, logger: logger, loop: eventloop.New(), start: start,
-		context: background, stop: stop, callers: map[uint64]*mailbox{},
+		context: background, stop: stop, callers: map[uint64]*eventloop.Mailbox[node.CallerEvent]{},
 		core: node.New(node.Config{
 			ID: settings.ID, Zone: settings.Zone, Region: settings.Region, Address: settings.Address,
 			Incarnation: uint64(start.UnixMilli()/incarnationUnit.Milliseconds()) & incarnationMask,
@@ -135,7 +135,7 @@
 	}
 	for _, callerEvent := range n.core.TakeCallerEvents() {
 		if box := n.callers[callerEvent.Request]; box != nil {
-			box.put(callerEvent)
+			box.Put(callerEvent)
 			if callerEvent.Outcome != 0 {
 				delete(n.callers, callerEvent.Request)
 			}
