--- /dev/null
+++ b/Makefile
@@ -0,0 +1,54 @@
+GO ?= go
+TOOLS := $(CURDIR)/.tools
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo development)
+LDFLAGS := -X github.com/dillchute/dillchute/command.Version=$(VERSION)
+
+BUF_VERSION := v1.75.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+PROTOC_GEN_CONNECT_GO_VERSION := v1.21.1
+STATICCHECK_VERSION := v0.8.2
+
+.PHONY: build test bench demo simulate lint generate tools clean
+
+build:
+	mkdir -p bin
+	$(GO) build -ldflags "$(LDFLAGS)" -o bin/ ./cmd/...
+
+test:
+	$(GO) test ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchtime 2s ./...
+
+demo: build
+	bin/dillchute-bench fleet --workload workloads/desk/workload.yaml
+
+simulate: build
+	bin/dillchute-bench simulate --seeds 20
+
+lint: $(TOOLS)/staticcheck
+	test -z "$$(gofmt -l $$(git ls-files '*.go'))"
+	$(GO) vet ./...
+	$(TOOLS)/staticcheck ./...
+
+generate: $(TOOLS)/buf $(TOOLS)/protoc-gen-go $(TOOLS)/protoc-gen-connect-go
+	$(TOOLS)/buf generate
+
+# The tools are installed once for each pinned version.
+$(TOOLS)/buf: Makefile
+	GOBIN=$(TOOLS) $(GO) install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	touch $@
+$(TOOLS)/protoc-gen-go: Makefile
+	GOBIN=$(TOOLS) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	touch $@
+$(TOOLS)/protoc-gen-connect-go: Makefile
+	GOBIN=$(TOOLS) $(GO) install connectrpc.com/connect/cmd/protoc-gen-connect-go@$(PROTOC_GEN_CONNECT_GO_VERSION)
+	touch $@
+$(TOOLS)/staticcheck: Makefile
+	GOBIN=$(TOOLS) $(GO) install honnef.co/go/tools/cmd/staticcheck@$(STATICCHECK_VERSION)
+	touch $@
+
+tools: $(TOOLS)/buf $(TOOLS)/protoc-gen-go $(TOOLS)/protoc-gen-connect-go $(TOOLS)/staticcheck
+
+clean:
+	rm -rf bin .tools
--- a/bench/command/command.go
+++ b/bench/command/command.go
@@ -28,6 +28,7 @@
 	Caller      callerCommand      `cmd:"" help:"Run a stand-in of a pool's callers."`
 	Platform    platformCommand    `cmd:"" help:"Run a stand-in of the platform."`
 	Fleet       fleetCommand       `cmd:"" help:"Run a whole deployment on this machine and report on it."`
+	Simulate    simulateCommand    `cmd:"" help:"Run deployments in virtual time under faults."`
 }
 
 // Main runs the command line and returns the exit code.
--- a/bench/model/engine.go
+++ b/bench/model/engine.go
@@ -231,6 +231,9 @@
 // Running returns the number of streams.
 func (e *Engine) Running() int { return len(e.streams) }
 
+// Swapping tells whether weights are being loaded.
+func (e *Engine) Swapping() bool { return e.swap != nil }
+
 // Tick lets time pass.
 func (e *Engine) Tick(now int64) { e.advance(now) }
 
--- /dev/null
+++ b/bench/simulate/cluster.go
@@ -0,0 +1,297 @@
+package simulate
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/dillchute/dillchute/bench/model"
+	"github.com/dillchute/dillchute/bench/oracle"
+	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/control"
+	"github.com/dillchute/dillchute/protocol"
+	"github.com/dillchute/dillchute/state"
+)
+
+// Topology is the shape of a simulated deployment.
+type Topology struct {
+	// Zones are named REGION/ZONE.
+	Zones        []string `yaml:"zones"`
+	Controls     int      `yaml:"controls"`
+	NodesPerZone int      `yaml:"nodes_per_zone"`
+	// SampleEngines serve the trained pool, LiveEngines the other.
+	SampleEngines int `yaml:"sample_engines"`
+	LiveEngines   int `yaml:"live_engines"`
+	Slots         int `yaml:"slots"`
+}
+
+// Load is what a simulated deployment is asked to do.
+type Load struct {
+	Steps         uint64 `yaml:"steps"`
+	Samples       uint32 `yaml:"samples"`
+	MaxTokens     uint32 `yaml:"max_tokens"`
+	TrainMillis   int64  `yaml:"train_milliseconds"`
+	Staleness     uint64 `yaml:"max_staleness_versions"`
+	Policy        string `yaml:"weight_policy"`
+	LiveRequests  int    `yaml:"live_requests"`
+	LivePause     int64  `yaml:"live_pause_milliseconds"`
+	NotRepeatable int    `yaml:"not_repeatable_percent"`
+	Operators     int    `yaml:"operators"`
+	Changes       int    `yaml:"changes"`
+	ChangePause   int64  `yaml:"change_pause_milliseconds"`
+}
+
+const (
+	samplePool  = "samples"
+	livePool    = "live"
+	sampleGroup = "sample-engines"
+	liveGroup   = "live-engines"
+	sampleModel = "trained"
+	liveModel   = "fixed"
+)
+
+// cluster is a simulated deployment.
+type cluster struct {
+	world        *World
+	topology     Topology
+	load         Load
+	pools        []state.PoolSpec
+	controls     []*controlProcess
+	nodes        []*nodeProcess
+	engines      []*engineProcess
+	engineByName map[string]*engineProcess
+	byAddress    map[string]func(protocol.Message)
+	processes    map[string]*process
+	platform     *process
+	listed       []state.Engine
+	trainer      *trainerProcess
+	callers      []*callerProcess
+	operators    []*operatorProcess
+	identities   consensus.ReplicaID
+	storeFreeAt  int64
+	violations   []oracle.Violation
+}
+
+var policies = map[string]state.WeightPolicy{
+	"finish": state.FinishRunning, "continue": state.ContinueRunning, "restart": state.RestartRunning,
+}
+
+func newCluster(world *World, topology Topology, load Load) *cluster {
+	cl := &cluster{
+		world: world, topology: topology, load: load, engineByName: map[string]*engineProcess{},
+		byAddress: map[string]func(protocol.Message){}, processes: map[string]*process{},
+	}
+	cl.pools = []state.PoolSpec{
+		cl.poolSpec(samplePool, sampleModel, sampleGroup, policies[load.Policy], state.RefuseDisconnected),
+		cl.poolSpec(livePool, liveModel, liveGroup, state.FinishRunning, state.ServeLiveDisconnected),
+	}
+	cl.platform = cl.add(world.newProcess("platform", topology.Zones[0]))
+	cl.addControls()
+	cl.addNodes()
+	cl.addEngines(sampleGroup, sampleModel, topology.SampleEngines)
+	cl.addEngines(liveGroup, liveModel, topology.LiveEngines)
+	cl.addClients()
+	return cl
+}
+
+func (cl *cluster) poolSpec(name, model, group string, policy state.WeightPolicy, disconnected state.DisconnectedPolicy) state.PoolSpec {
+	return state.PoolSpec{
+		Name: name, Model: model, EngineGroup: group, Policy: policy, MaxStalenessVersions: cl.load.Staleness,
+		SamplePriority: 2, LivePriority: 7, MaxQueuedRequests: 64, MaxQueuedTokens: 100_000, RetryPercent: 30,
+		MaxSwappingPercent: 50, Disconnected: disconnected,
+	}
+}
+
+func (cl *cluster) add(p *process) *process {
+	cl.processes[p.name] = p
+	return p
+}
+
+func (cl *cluster) zone(number int) string { return cl.topology.Zones[number%len(cl.topology.Zones)] }
+
+func (cl *cluster) region(zone string) string {
+	region, _, _ := strings.Cut(zone, "/")
+	return region
+}
+
+func (cl *cluster) addControls() {
+	var membership consensus.Membership
+	for number := range cl.topology.Controls {
+		name := fmt.Sprintf("control-%d", number+1)
+		replica := &controlProcess{process: cl.add(cl.world.newProcess(name, cl.zone(number))), cluster: cl}
+		cl.controls = append(cl.controls, replica)
+		cl.byAddress[name] = replica.receive
+		cl.identities++
+		membership.Members = append(membership.Members, consensus.Member{ID: cl.identities, Address: name, Voter: true})
+	}
+	for number, replica := range cl.controls {
+		first := consensus.Snapshot{Index: 1, Term: 1, Membership: membership}
+		replica.disk = &disk{
+			identity: consensus.ReplicaID(number + 1), snapshot: first,
+			hardState: consensus.HardState{Term: 1, Commit: 1},
+		}
+	}
+}
+
+func (cl *cluster) addNodes() {
+	for _, zone := range cl.topology.Zones {
+		for number := range cl.topology.NodesPerZone {
+			name := fmt.Sprintf("node-%s-%d", zone, number+1)
+			added := &nodeProcess{process: cl.add(cl.world.newProcess(name, zone)), cluster: cl}
+			cl.nodes = append(cl.nodes, added)
+			cl.byAddress[name] = added.receive
+		}
+	}
+}
+
+func (cl *cluster) addEngines(group, modelName string, count int) {
+	for number := range count {
+		name := fmt.Sprintf("%s-%d", group, number+1)
+		added := &engineProcess{
+			process: cl.add(cl.world.newProcess(name, cl.zone(number))), cluster: cl, group: group,
+			config: model.Config{
+				Name: name, Model: modelName, Slots: cl.topology.Slots, StepMillis: 10, StepMillisPerStream: 0.5,
+				ChunkTokens: 8, SwapMillis: 200,
+			},
+		}
+		cl.engines = append(cl.engines, added)
+		cl.engineByName[name] = added
+		cl.listed = append(cl.listed, state.Engine{
+			ID: name, Zone: added.zone, Region: cl.region(added.zone), Group: group, Address: name, Slots: cl.topology.Slots,
+		})
+	}
+}
+
+func (cl *cluster) newClient(name string, zone int) clientProcess {
+	return clientProcess{process: cl.add(cl.world.newProcess(name, cl.zone(zone))), cluster: cl}
+}
+
+func (cl *cluster) addClients() {
+	cl.trainer = &trainerProcess{
+		clientProcess: cl.newClient("trainer", 0), pool: samplePool, model: sampleModel, bound: cl.load.Staleness,
+		samples: cl.load.Samples, maxTokens: cl.load.MaxTokens, steps: cl.load.Steps, train: cl.load.TrainMillis,
+		received: map[uint64]uint32{},
+	}
+	for number, pool := range []string{samplePool, livePool} {
+		cl.callers = append(cl.callers, &callerProcess{
+			process: cl.add(cl.world.newProcess("caller-"+pool, cl.zone(number))), cluster: cl, pool: pool,
+			left: cl.load.LiveRequests, pauseMillis: cl.load.LivePause, notRepeatablePercent: cl.load.NotRepeatable,
+		})
+	}
+	for number := range cl.load.Operators {
+		cl.operators = append(cl.operators, &operatorProcess{
+			clientProcess: cl.newClient(fmt.Sprintf("operator-%d", number+1), number), left: cl.load.Changes,
+			pause: cl.load.ChangePause, toggle: number * 1000,
+		})
+	}
+}
+
+// start starts all processes; the first operator declares the pools, and then
+// trainers, callers and the other operators begin.
+func (cl *cluster) start() {
+	for _, pool := range cl.pools {
+		cl.world.record(oracle.Event{Pool: &oracle.Pool{
+			Name: pool.Name, Model: pool.Model, MaxStalenessVersions: pool.MaxStalenessVersions,
+		}})
+	}
+	cl.platform.birth()
+	for _, replica := range cl.controls {
+		replica.start()
+	}
+	for _, started := range cl.nodes {
+		started.start()
+	}
+	for _, started := range cl.engines {
+		started.start()
+	}
+	declaring := cl.newClient("declarer", 0)
+	declaring.birth()
+	apply := state.Command{Apply: &state.Apply{ChangeID: "initial", Author: "declarer", Pools: cl.pools}}
+	publish := state.Command{PublishVersion: &state.PublishVersion{Model: liveModel, Version: 1}}
+	declaring.request(proposal(apply), func(control.Reply) {
+		declaring.request(proposal(publish), func(control.Reply) { cl.startClients() })
+	})
+}
+
+func (cl *cluster) startClients() {
+	cl.trainer.start()
+	for _, caller := range cl.callers {
+		caller.start()
+	}
+	for _, operator := range cl.operators {
+		operator.start()
+	}
+}
+
+// finished tells whether all work has ended.
+func (cl *cluster) finished() bool {
+	if !cl.trainer.finished {
+		return false
+	}
+	for _, caller := range cl.callers {
+		if caller.left > 0 || caller.open > 0 {
+			return false
+		}
+	}
+	for _, operator := range cl.operators {
+		if operator.left > 0 || operator.done != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (cl *cluster) controlAddresses() []string {
+	addresses := make([]string, 0, len(cl.controls))
+	for _, replica := range cl.controls {
+		addresses = append(addresses, replica.address)
+	}
+	return addresses
+}
+
+// send carries a message between processes of dillchute.
+func (cl *cluster) send(from *process, address string, message protocol.Message) {
+	to, receive := cl.processes[address], cl.byAddress[address]
+	if to == nil || receive == nil {
+		return
+	}
+	cl.world.datagram(from, to, func() { receive(message) })
+}
+
+func (cl *cluster) violate(promise oracle.Promise, format string, arguments ...any) {
+	cl.violations = append(cl.violations, oracle.Violation{
+		Promise: promise, At: cl.world.now, Detail: fmt.Sprintf(format, arguments...),
+	})
+	cl.world.note("VIOLATION %s: "+format, append([]any{promise}, arguments...)...)
+}
+
+// inForceMillis is the time within which an accepted change must be in force
+// on every node that holds a lease.
+const inForceMillis = 4000
+
+// expectInForce checks, some seconds from now, that no node acts under a lease
+// on an earlier revision.
+func (cl *cluster) expectInForce(revision uint64) {
+	cl.world.schedule(inForceMillis, func() {
+		for _, checked := range cl.nodes {
+			if !checked.alive || checked.frozen {
+				continue
+			}
+			checked.core.Tick(checked.monotonic())
+			if checked.core.Leased() && checked.core.Revision() < revision {
+				cl.violate(oracle.InForce, "%s acts on revision %d; %d was accepted %d ms ago",
+					checked.name, checked.core.Revision(), revision, inForceMillis)
+			}
+			checked.flush()
+		}
+	})
+}
+
+func sortedKeys[T any](objects map[string]T) []string {
+	keys := make([]string, 0, len(objects))
+	for key := range objects {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/bench/simulate/node.go
@@ -0,0 +1,96 @@
+package simulate
+
+import (
+	"github.com/dillchute/dillchute/bench/oracle"
+	"github.com/dillchute/dillchute/node"
+	"github.com/dillchute/dillchute/protocol"
+)
+
+const (
+	nodeTickMillis = 50
+	scoreMillis    = 20
+)
+
+// nodeProcess is a node.
+type nodeProcess struct {
+	*process
+	cluster  *cluster
+	core     *node.Core
+	callers  map[uint64]func(node.CallerEvent)
+	draining bool
+	acting   uint64
+}
+
+func (n *nodeProcess) start() {
+	n.birth()
+	n.callers, n.draining, n.acting = map[uint64]func(node.CallerEvent){}, false, 0
+	n.core = node.New(node.Config{
+		ID: n.name, Zone: n.zone, Region: n.cluster.region(n.zone), Address: n.address,
+		Incarnation: uint64(n.life), Controls: n.cluster.controlAddresses(),
+		Seed: n.world.random.Uint64(), Scoring: true,
+	})
+	n.tick()
+}
+
+func (n *nodeProcess) tick() {
+	n.core.Tick(n.monotonic())
+	if n.draining && n.core.InFlight() == 0 {
+		n.core.Leave(n.monotonic())
+		n.flush()
+		n.death()
+		return
+	}
+	n.flush()
+	n.after(nodeTickMillis, n.tick)
+}
+
+func (n *nodeProcess) drain() {
+	n.draining = true
+	n.core.Drain(n.monotonic())
+	n.flush()
+}
+
+func (n *nodeProcess) receive(message protocol.Message) {
+	n.core.Receive(n.monotonic(), message)
+	n.flush()
+}
+
+func (n *nodeProcess) submit(live protocol.LiveRequest, events func(node.CallerEvent)) uint64 {
+	id := n.core.Submit(n.monotonic(), live)
+	n.callers[id] = events
+	n.flush()
+	return id
+}
+
+func (n *nodeProcess) flush() {
+	for _, outgoing := range n.core.TakeMessages() {
+		n.cluster.send(n.process, outgoing.Address, outgoing.Message)
+	}
+	for _, outgoing := range n.core.TakeEngineMessages() {
+		n.cluster.sendEngine(n, outgoing)
+	}
+	for _, score := range n.core.TakeScoreRequests() {
+		n.after(scoreMillis, func() {
+			n.core.ReceiveScore(n.monotonic(), score.Request, 1)
+			n.flush()
+		})
+	}
+	for _, event := range n.core.TakeCallerEvents() {
+		events := n.callers[event.Request]
+		if event.Outcome != 0 {
+			delete(n.callers, event.Request)
+		}
+		if events != nil {
+			events(event)
+		}
+	}
+	n.observe()
+}
+
+// observe records the revision that the node acts on when it changes.
+func (n *nodeProcess) observe() {
+	if revision := n.core.Revision(); revision != n.acting && n.core.Leased() {
+		n.acting = revision
+		n.world.record(oracle.Event{Acting: &oracle.Acting{Node: n.name, Incarnation: uint64(n.life), Revision: revision}})
+	}
+}
--- a/consensus/raft.go
+++ b/consensus/raft.go
@@ -57,7 +57,6 @@
 
 type pendingRead struct {
 	context uint64
-	index   uint64
 	round   uint64
 }
 
--- a/node/forward.go
+++ b/node/forward.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"slices"
+
 	"github.com/dillchute/dillchute/dispatch"
 	"github.com/dillchute/dillchute/protocol"
 	"github.com/dillchute/dillchute/state"
@@ -32,7 +34,7 @@
 	remaining.Attempt = 1
 	c.send(peer.Address, protocol.Message{Forward: &protocol.Forward{
 		ID: request.live.forwardID, OwnerEpoch: peer.Epoch, Request: remaining,
-		Resume: request.tokens, Segments: request.segments,
+		Resume: request.tokens, Segments: slices.Clone(request.segments),
 	}})
 	return true
 }
--- a/server/control.go
+++ b/server/control.go
@@ -126,7 +126,8 @@
 		stopLoop()
 	}()
 	err := c.loop.Run(loopContext, c.settings.Tick, c.tick, c.flush)
-	stopHTTP(httpServer)
+	// Peers' streams never end by themselves, so there is nothing to wait for.
+	httpServer.Close()
 	return err
 }
 
--- a/server/node.go
+++ b/server/node.go
@@ -103,7 +103,8 @@
 	}()
 	err := n.loop.Run(loopContext, nodeTick, n.tick, n.flush)
 	stopHTTP(callerServer)
-	stopHTTP(internalServer)
+	// Peers' streams never end by themselves, so there is nothing to wait for.
+	internalServer.Close()
 	event.NodeStopped.On(n.logger).Str("node", n.settings.ID).Send()
 	return err
 }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -198,6 +198,10 @@
 		case message = <-l.queue:
 		case <-ended:
 			return sent
+		case <-l.transport.context.Done():
+			// The caller closes the body, without which the HTTP client
+			// would go on waiting for it.
+			return sent
 		case <-time.After(idleClose):
 			return true
 		}
