Nodes: reordered answer parts wait, refusals of resends say what is known

(1) A forwarded answer's parts that overtook each other counted as lost; they wait for each other now. (2) A refused resend of a request that must not repeat ended as unknown though all its earlier sends had been refused; the caller now says whether an earlier outcome is unknown. Ruled out: engines losing streams.

--- a/bench/command/simulate.go
+++ b/bench/command/simulate.go
@@ -131,6 +131,6 @@
 		end = sort.Search(len(trace), func(i int) bool { return trace[i][:8] > fmt.Sprintf("%8d", first.At) })
 	}
 	for _, line := range trace[max(0, end-traceAround):end] {
-		fmt.Fprintln(out, "    "+line)
+		fmt.Fprintln(out, "  | "+line)
 	}
 }
--- a/bench/simulate/caller.go
+++ b/bench/simulate/caller.go
@@ -40,7 +40,7 @@
 	c.count++
 	c.open++
 	key := fmt.Sprintf("%s-%d", c.name, c.count)
-	c.send(key, 1, c.world.percent(c.notRepeatablePercent), c.wall())
+	c.send(key, 1, c.world.percent(c.notRepeatablePercent), c.wall(), false)
 	c.after(c.world.between(1, 2*c.pauseMillis), c.next)
 }
 
@@ -53,10 +53,12 @@
 	tokens  []uint32
 	ended   bool
 	attempt uint32
+	// unresolved is set if the outcome of an earlier send is not known.
+	unresolved bool
 }
 
-func (c *callerProcess) send(base string, attempt uint32, notRepeatable bool, issued int64) {
-	sending := &call{caller: c, base: base, issued: issued, attempt: attempt, sent: oracle.Sent{
+func (c *callerProcess) send(base string, attempt uint32, notRepeatable bool, issued int64, unresolved bool) {
+	sending := &call{caller: c, base: base, issued: issued, attempt: attempt, unresolved: unresolved, sent: oracle.Sent{
 		Key: base, Attempt: attempt, Prompt: "live " + base, MaxTokens: callerMaxTokens, NotRepeatable: notRepeatable,
 	}}
 	if !notRepeatable {
@@ -74,14 +76,20 @@
 	target := s.caller.cluster.nodes[s.caller.world.random.IntN(len(s.caller.cluster.nodes))]
 	world := s.caller.world
 	if !target.alive || world.cut(s.caller.process, target.process) {
-		s.caller.after(world.between(1, 500), func() { s.end(protocol.OutcomeUnknown, "connection", 0) })
+		// No connection came about, so the caller knows that nothing was sent
+		// this time.
+		outcome := protocol.OutcomeNotRun
+		if s.unresolved {
+			outcome = protocol.OutcomeUnknown
+		}
+		s.caller.after(world.between(1, 500), func() { s.end(outcome, "connect", 0) })
 		return
 	}
 	life, lastAt := target.life, int64(0)
 	live := protocol.LiveRequest{
 		Key: s.sent.Key, Pool: s.caller.pool, Prompt: s.sent.Prompt, MaxTokens: s.sent.MaxTokens,
 		NotRepeatable: s.sent.NotRepeatable, TimeoutMillis: callerTimeoutMillis, IssuedAt: s.issued,
-		WindowMillis: callerWindowMillis, Attempt: s.sent.Attempt, PriorityCap: 9,
+		WindowMillis: callerWindowMillis, Attempt: s.sent.Attempt, Unresolved: s.unresolved, PriorityCap: 9,
 	}
 	world.schedule(world.delay(s.caller.process, target.process), func() {
 		if !target.alive || target.life != life {
@@ -123,5 +131,6 @@
 		c.open--
 		return
 	}
-	c.after(max(retryMillis, 300), func() { c.send(s.base, s.attempt+1, s.sent.NotRepeatable, s.issued) })
+	unresolved := s.unresolved || outcome == protocol.OutcomeUnknown
+	c.after(max(retryMillis, 300), func() { c.send(s.base, s.attempt+1, s.sent.NotRepeatable, s.issued, unresolved) })
 }
--- a/bench/simulate/engine.go
+++ b/bench/simulate/engine.go
@@ -94,6 +94,7 @@
 // that it provably did not reach the engine.
 func (c *connection) fail(delay int64, reason string) {
 	c.broken = true
+	c.engine.cluster.world.note("%s: connection of %s breaks: %q", c.engine.name, c.node.name, reason)
 	var message protocol.EngineMessage
 	switch {
 	case c.message.Start != nil && reason != "":
@@ -147,6 +148,7 @@
 func (e *engineProcess) flush() {
 	for _, record := range e.engine.TakeRecords() {
 		if record.Began {
+			e.world.note("%s began %s as %s", e.name, record.Request, record.Attempt)
 			e.world.record(oracle.Event{Began: &oracle.Began{Engine: e.name, Attempt: record.Attempt, Request: record.Request}})
 			continue
 		}
--- a/bench/simulate/fault.go
+++ b/bench/simulate/fault.go
@@ -141,25 +141,29 @@
 }
 
 // mayLoseDisk tells whether the group survives the loss of the replica's disk:
-// all other voters are there, and the group is at its full size.
+// an earlier loss is repaired, which means that the lost voter is out of the
+// group, and all voters are up to date.
 func (cl *cluster) mayLoseDisk(target *controlProcess) bool {
 	leader := cl.leader()
 	if !leader.leads() || !target.alive {
 		return false
 	}
-	voters := 0
+	voters, upToDate := 0, 0
 	for _, member := range leader.core.Raft().Membership().Members {
 		match, _ := leader.core.Raft().Match(member.ID)
-		if member.Voter && (member.ID == leader.core.Raft().ID() || match >= leader.core.Raft().Commit()) {
+		if member.Voter {
 			voters++
 		}
+		if member.Voter && match >= leader.core.Raft().Commit() {
+			upToDate++
+		}
 	}
 	for _, replica := range cl.controls {
 		if replica != target && (!replica.alive || replica.frozen || replica.joining) {
 			return false
 		}
 	}
-	return voters == len(cl.controls) && len(cl.world.network.cuts) == 0
+	return voters == len(cl.controls) && upToDate == voters && len(cl.world.network.cuts) == 0
 }
 
 func (cl *cluster) loseDisk(target *controlProcess, duration int64) {
--- a/bench/standin/caller.go
+++ b/bench/standin/caller.go
@@ -91,6 +91,7 @@
 // must not repeat keeps its identity; another gets a new one for each send.
 func (c *Caller) request(key string, notRepeatable bool, random *rand.Rand) {
 	issued := time.Now()
+	unresolved := false
 	for attempt := uint32(1); attempt <= maxSends; attempt++ {
 		sent := oracle.Sent{
 			Key: key, Attempt: attempt, Prompt: "live " + key, MaxTokens: c.MaxTokens, NotRepeatable: notRepeatable,
@@ -99,17 +100,18 @@
 			sent.Key, sent.Attempt = fmt.Sprintf("%s.%d", key, attempt), 1
 		}
 		c.recorder.Record(oracle.Event{Sent: &sent})
-		ended, retry := c.send(sent, issued, random)
+		ended, retry := c.send(sent, issued, unresolved, random)
 		c.recorder.Record(oracle.Event{Ended: &ended})
 		again := ended.Outcome == protocol.OutcomeNotRun || (notRepeatable && ended.Reason != protocol.ReasonOutcomeLost)
 		if ended.Outcome == protocol.OutcomeAnswered || !again {
 			return
 		}
+		unresolved = unresolved || ended.Outcome == protocol.OutcomeUnknown
 		time.Sleep(max(retry, unknownPause))
 	}
 }
 
-func (c *Caller) send(sent oracle.Sent, issued time.Time, random *rand.Rand) (oracle.Ended, time.Duration) {
+func (c *Caller) send(sent oracle.Sent, issued time.Time, unresolved bool, random *rand.Rand) (oracle.Ended, time.Duration) {
 	ended := oracle.Ended{Key: sent.Key, Attempt: sent.Attempt, Outcome: protocol.OutcomeUnknown, Reason: "connection"}
 	stream := random.IntN(2) == 0
 	body, err := json.Marshal(completionBody{Model: c.Pool, Prompt: sent.Prompt, MaxTokens: sent.MaxTokens, Stream: stream})
@@ -129,6 +131,7 @@
 		request.Header.Set(server.HeaderIssuedAt, strconv.FormatInt(issued.UnixMilli(), 10))
 		request.Header.Set(server.HeaderWindow, strconv.FormatInt(resendWindow.Milliseconds(), 10))
 		request.Header.Set(server.HeaderAttempt, strconv.Itoa(int(sent.Attempt)))
+		request.Header.Set(server.HeaderUnresolved, strconv.FormatBool(unresolved))
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
--- a/node/forward.go
+++ b/node/forward.go
@@ -28,10 +28,11 @@
 	request.live.forwardID, request.live.forwardAddress = c.nextID(), peer.Address
 	request.phase, request.heardAt, request.nextIndex = phaseForwarded, c.now, 0
 	c.outbound[request.live.forwardID] = request
+	request.live.held = map[uint32]*protocol.ForwardChunk{}
 	remaining := request.live.request
 	remaining.TimeoutMillis = request.live.deadline - c.now
 	// This node has decided about earlier sends; to the owner it is the first.
-	remaining.Attempt = 1
+	remaining.Unresolved = false
 	c.send(peer.Address, protocol.Message{Forward: &protocol.Forward{
 		ID: request.live.forwardID, OwnerEpoch: peer.Epoch, Request: remaining,
 		Resume: request.tokens, Segments: slices.Clone(request.segments),
@@ -148,18 +149,29 @@
 	return request
 }
 
-// receiveForwardChunk takes in a part of the answer. A gap means that messages
-// were lost, and what the peer has run is not known any more.
+// maxHeldChunks bounds the parts of an answer that wait for an earlier one.
+const maxHeldChunks = 256
+
+// receiveForwardChunk takes in a part of the answer. Parts that overtook
+// earlier ones wait for them; a part that is lost for good shows as silence.
 func (c *Core) receiveForwardChunk(from string, chunk *protocol.ForwardChunk) {
 	request := c.findForwarded(from, chunk.ID)
-	if request == nil || chunk.Index < request.nextIndex {
+	if request == nil || chunk.Index < request.nextIndex || len(request.live.held) >= maxHeldChunks {
 		c.counters.DroppedChunks++
 		return
 	}
-	if chunk.Index != request.nextIndex {
-		c.forwardLost(request)
-		return
+	request.live.held[chunk.Index] = chunk
+	for request.phase == phaseForwarded && request.live.forwardID == chunk.ID {
+		next := request.live.held[request.nextIndex]
+		if next == nil {
+			return
+		}
+		delete(request.live.held, request.nextIndex)
+		c.takeForwardChunk(from, request, next)
 	}
+}
+
+func (c *Core) takeForwardChunk(from string, request *request, chunk *protocol.ForwardChunk) {
 	request.nextIndex++
 	request.heardAt = c.now
 	c.extend(request, chunk.Version, chunk.Tokens)
@@ -171,7 +183,7 @@
 		c.enqueueLive(request)
 	case protocol.OutcomeUnknown:
 		request.attemptCount++
-		c.attemptFailed(request)
+		c.attemptFailed(request, chunk.Reason)
 	}
 }
 
@@ -180,7 +192,7 @@
 	c.cancelForward(request)
 	request.live.refusedBy[request.live.forwardAddress] = true
 	request.attemptCount++
-	c.attemptFailed(request)
+	c.attemptFailed(request, protocol.ReasonPeerLost)
 }
 
 func (c *Core) cancelForward(request *request) {
--- a/node/request.go
+++ b/node/request.go
@@ -68,6 +68,8 @@
 	forwardID      uint64
 	forwardAddress string
 	refusedBy      map[string]bool
+	// held are parts of the forwarded answer that wait for earlier ones.
+	held map[uint32]*protocol.ForwardChunk
 }
 
 // bytesPerPromptToken is an estimate for bounds on queued tokens.
@@ -171,7 +173,7 @@
 // have run on its earlier way, unless control has granted the claim to this one.
 func (c *Core) failureOutcome(request *request) protocol.Outcome {
 	live := request.live
-	if request.attemptCount > 0 || (live.request.NotRepeatable && live.request.Attempt > 1 && !live.granted) {
+	if request.attemptCount > 0 || (live.request.NotRepeatable && live.request.Unresolved && !live.granted) {
 		return protocol.OutcomeUnknown
 	}
 	return protocol.OutcomeNotRun
@@ -274,7 +276,7 @@
 	overlong := len(request.tokens)+len(chunk.Tokens) > int(request.maxTokens)
 	if chunk.Index != request.nextIndex || chunk.Version == 0 || chunk.Epoch != request.attemptEpoch || overlong {
 		c.cancelAttempt(request)
-		c.attemptFailed(request)
+		c.attemptFailed(request, protocol.ReasonProtocolFailure)
 		return
 	}
 	request.nextIndex++
@@ -374,19 +376,19 @@
 		target.reportAt = c.now - reportMaxAgeMillis - 1
 	}
 	c.endAttempt(request)
-	c.attemptFailed(request)
+	c.attemptFailed(request, protocol.ReasonEngineLost)
 }
 
 // attemptFailed decides what follows a lost attempt. A request that must not
 // repeat may have run and ends as unknown; others go on from what was
 // delivered, live ones within the retry budget.
-func (c *Core) attemptFailed(request *request) {
+func (c *Core) attemptFailed(request *request, reason protocol.Reason) {
 	switch {
 	case request.sample != nil:
 		c.counters.Retries++
 		c.requeueSample(request)
 	case request.live.request.NotRepeatable:
-		c.end(request, protocol.OutcomeUnknown, protocol.ReasonEngineLost)
+		c.end(request, protocol.OutcomeUnknown, reason)
 	case c.draining || !c.budget(request.pool).Take():
 		c.end(request, protocol.OutcomeUnknown, protocol.ReasonRetryBudget)
 	default:
@@ -409,7 +411,7 @@
 			c.end(request, c.failureOutcome(request), protocol.ReasonNoLease)
 		case request.phase == phaseRunning && c.now-request.heardAt > chunkTimeoutMillis:
 			c.cancelAttempt(request)
-			c.attemptFailed(request)
+			c.attemptFailed(request, protocol.ReasonEngineLost)
 		case request.phase == phaseForwarded && c.now-request.heardAt > forwardTimeoutMillis:
 			c.forwardLost(request)
 		case request.live != nil && request.live.origin.address != "":
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -167,9 +167,12 @@
 	// request that must not repeat.
 	IssuedAt     int64 `cbor:"7,keyasint"`
 	WindowMillis int64 `cbor:"8,keyasint"`
-	// Attempt counts the caller's sends of the request from 1. A refusal of a
-	// later one says nothing about earlier ones unless control has decided.
+	// Attempt counts the caller's sends of the request from 1.
 	Attempt uint32 `cbor:"9,keyasint"`
+	// Unresolved says that the caller does not know what became of an earlier
+	// send, so that a refusal of this one proves nothing about the request
+	// unless control has decided.
+	Unresolved bool `cbor:"11,keyasint"`
 	// PriorityCap lowers the pool's live priority for this request.
 	PriorityCap uint8 `cbor:"10,keyasint"`
 }
--- a/server/callers.go
+++ b/server/callers.go
@@ -33,6 +33,9 @@
 	HeaderWindow   = "Dillchute-Window-Milliseconds"
 	// HeaderAttempt counts the sends of the request from 1.
 	HeaderAttempt = "Dillchute-Attempt"
+	// HeaderUnresolved is "true" if the caller does not know what became of an
+	// earlier send: it was cut off, or answered as unknown.
+	HeaderUnresolved = "Dillchute-Unresolved"
 )
 
 const (
@@ -205,6 +208,10 @@
 	default:
 		return HeaderNotRepeatable + ": must be true or false"
 	}
+	if unresolved := header.Get(HeaderUnresolved); unresolved != "" && unresolved != "true" && unresolved != "false" {
+		return HeaderUnresolved + ": must be true or false"
+	}
+	live.Unresolved = header.Get(HeaderUnresolved) == "true"
 	if live.Key == "" || live.IssuedAt == 0 || live.WindowMillis == 0 {
 		return fmt.Sprintf("a request that must not repeat needs %s, %s and %s", HeaderRequestID, HeaderIssuedAt, HeaderWindow)
 	}
