Consensus uses a membership once it is in the log; new leaders compare the list first

A membership is now in use from its entry on (dissertation 4.1). leaving-engines seed 65 gave work to an engine 7.3 s after it was listed as leaving: a new leader renewed leases before it had read the platform's list.

--- a/bench/simulate/cluster.go
+++ b/bench/simulate/cluster.go
@@ -36,9 +36,15 @@
 	LiveRequests  int    `yaml:"live_requests"`
 	LivePause     int64  `yaml:"live_pause_milliseconds"`
 	NotRepeatable int    `yaml:"not_repeatable_percent"`
-	Operators     int    `yaml:"operators"`
-	Changes       int    `yaml:"changes"`
-	ChangePause   int64  `yaml:"change_pause_milliseconds"`
+	// LiveDisconnected is what nodes without a lease do with the live pool:
+	// refuse or serve_live.
+	LiveDisconnected string `yaml:"live_disconnected"`
+	// EnginesReport says that leaving engines report so themselves; otherwise
+	// only the platform's list tells.
+	EnginesReport bool  `yaml:"engines_report_leaving"`
+	Operators     int   `yaml:"operators"`
+	Changes       int   `yaml:"changes"`
+	ChangePause   int64 `yaml:"change_pause_milliseconds"`
 }
 
 const (
@@ -76,6 +82,10 @@
 	"finish": state.FinishRunning, "continue": state.ContinueRunning, "restart": state.RestartRunning,
 }
 
+var disconnected = map[string]state.DisconnectedPolicy{
+	"refuse": state.RefuseDisconnected, "serve_live": state.ServeLiveDisconnected,
+}
+
 func newCluster(world *World, topology Topology, load Load) *cluster {
 	cl := &cluster{
 		world: world, topology: topology, load: load, engineByName: map[string]*engineProcess{},
@@ -83,7 +93,7 @@
 	}
 	cl.pools = []state.PoolSpec{
 		cl.poolSpec(samplePool, sampleModel, sampleGroup, policies[load.Policy], state.RefuseDisconnected),
-		cl.poolSpec(livePool, liveModel, liveGroup, state.FinishRunning, state.ServeLiveDisconnected),
+		cl.poolSpec(livePool, liveModel, liveGroup, state.FinishRunning, disconnected[load.LiveDisconnected]),
 	}
 	cl.platform = cl.add(world.newProcess("platform", topology.Zones[0]))
 	cl.addControls()
--- a/bench/simulate/control.go
+++ b/bench/simulate/control.go
@@ -56,6 +56,7 @@
 	calls   map[uint64]*rpc
 	nextID  uint64
 	joining bool
+	led     bool
 }
 
 func (c *controlProcess) clock() control.Clock {
@@ -73,6 +74,7 @@
 		},
 		Address: c.address, TickMillis: controlTickMillis, LeaseMillis: leaseMillis,
 		ReconcileMillis: 200, ReplaceMillis: replaceMillis, SnapshotBytes: snapshotBytes,
+		ListGraceMillis: 2000,
 	})
 	if err != nil {
 		panic("simulate: a replica's own snapshot must restore: " + err.Error())
@@ -151,6 +153,10 @@
 
 func (c *controlProcess) tick() {
 	c.call(func() { c.core.Tick(c.clock()) })
+	if gained := c.leads() && !c.led; gained {
+		c.readPlatform()
+	}
+	c.led = c.leads()
 	c.after(controlTickMillis, c.tick)
 }
 
@@ -192,9 +198,13 @@
 const platformPollMillis = 1000
 
 func (c *controlProcess) pollPlatform() {
+	c.readPlatform()
+	c.after(platformPollMillis, c.pollPlatform)
+}
+
+func (c *controlProcess) readPlatform() {
 	if c.leads() && !c.world.cut(c.process, c.cluster.platform) {
 		listed := append([]state.Engine(nil), c.cluster.listed...)
 		c.call(func() { c.core.ListEngines(c.clock(), listed) })
 	}
-	c.after(platformPollMillis, c.pollPlatform)
 }
--- a/bench/simulate/scenario.go
+++ b/bench/simulate/scenario.go
@@ -49,6 +49,7 @@
 		Load: Load{
 			Steps: 4, Samples: 32, MaxTokens: 200, TrainMillis: 1500, Staleness: 1, Policy: "continue",
 			LiveRequests: 40, LivePause: 500, NotRepeatable: 50, Operators: 2, Changes: 8, ChangePause: 3000,
+			LiveDisconnected: "serve_live", EnginesReport: true,
 		},
 		FaultsFrom: 3000, FaultsUntil: 25_000, MinDuration: 200, MaxDuration: 8000, RecoverLimit: 90_000,
 	}
@@ -69,6 +70,8 @@
 	five := baseScenario("everything-two-regions", all, 2, KillLeader, FreezeLeader, CutZone, CutOneWay, Noise, KillNode, FreezeNode, KillEngine, FailSwaps, LeaveEngine, KillTrainer)
 	five.Topology.Zones = []string{"west/a", "west/b", "east/c", "east/d"}
 	five.Topology.Controls, five.Topology.SampleEngines, five.Topology.LiveEngines = 5, 6, 4
+	leaving := baseScenario("leaving-engines", []oracle.Promise{oracle.LeavingNoWork}, 5, LeaveEngine, KillLeader)
+	leaving.Load.LiveDisconnected, leaving.Load.EnginesReport = "refuse", false
 	races := baseScenario("operator-races", []oracle.Promise{oracle.InForce}, 3, KillLeader, Noise, KillNode)
 	races.Load.Operators, races.Load.Changes, races.Load.ChangePause = 4, 40, 600
 	return []Scenario{
@@ -83,7 +86,7 @@
 		baseScenario("engine-crashes", []oracle.Promise{oracle.ExactVersions, oracle.WholeAnswers, oracle.AtMostOnce}, 5, KillEngine, FreezeEngine, FailSwaps),
 		finish,
 		restart,
-		baseScenario("leaving-engines", []oracle.Promise{oracle.LeavingNoWork}, 5, LeaveEngine, KillLeader),
+		leaving,
 		baseScenario("trainer-crashes", []oracle.Promise{oracle.ExactlyOnce, oracle.StalenessBound}, 4, KillTrainer, KillLeader),
 		races,
 		baseScenario("everything", all, 2, KillControl, KillLeader, FreezeLeader, LoseDisk, CutZone, CutOneWay, CutLeader, Noise,
@@ -142,6 +145,8 @@
 		return "topology: zones, controls, nodes_per_zone, sample_engines and live_engines must be at least 1, slots at least 2"
 	case policies[l.Policy] == 0:
 		return "load.weight_policy: must be finish, continue or restart"
+	case disconnected[l.LiveDisconnected] == 0:
+		return "load.live_disconnected: must be refuse or serve_live"
 	case l.Steps < 1 || l.Samples < 1 || l.MaxTokens < 1 || l.LivePause < 1 || l.ChangePause < 2:
 		return "load: steps, samples, max_tokens and pauses must be positive"
 	case s.FaultsUntil < s.FaultsFrom || s.MaxDuration < s.MinDuration || s.RecoverLimit < 1:
--- a/consensus/raft.go
+++ b/consensus/raft.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -55,6 +56,12 @@
 	round        uint64
 }
 
+// membershipRecord is the membership from the entry at the index on.
+type membershipRecord struct {
+	index      uint64
+	membership Membership
+}
+
 type pendingRead struct {
 	context uint64
 	round   uint64
@@ -62,11 +69,15 @@
 
 // Raft is one replica's state. Its methods must not be called concurrently.
 type Raft struct {
-	config     Config
-	random     *rand.Rand
-	log        log
-	snapshot   Snapshot
-	membership Membership
+	config   Config
+	random   *rand.Rand
+	log      log
+	snapshot Snapshot
+	// memberships are the snapshot's and those of the log's membership
+	// entries, in order. The last one is in use from the moment it is in the
+	// log: a replica that waited for its commit could be left with a quorum of
+	// replicas that are gone.
+	memberships []membershipRecord
 
 	term     uint64
 	vote     ReplicaID
@@ -84,11 +95,8 @@
 	// transferee is the replica that leadership is being handed to.
 	transferee   ReplicaID
 	transferTick int
-	// membershipIndex is the last membership entry in the log; the next change
-	// waits until it is applied, so that any two quorums in use overlap.
-	membershipIndex uint64
-	round           uint64
-	reads           []pendingRead
+	round        uint64
+	reads        []pendingRead
 
 	messages        []Message
 	readStates      []ReadState
@@ -99,18 +107,19 @@
 // New returns a replica that continues from what storage held.
 func New(config Config) *Raft {
 	r := &Raft{
-		config:     config,
-		random:     rand.New(rand.NewPCG(config.Seed, uint64(config.ID))),
-		snapshot:   config.Snapshot,
-		membership: config.Snapshot.Membership,
-		term:       config.HardState.Term,
-		vote:       config.HardState.Vote,
-		reported:   config.HardState,
-		followers:  map[ReplicaID]*progress{},
+		config:      config,
+		random:      rand.New(rand.NewPCG(config.Seed, uint64(config.ID))),
+		snapshot:    config.Snapshot,
+		memberships: []membershipRecord{{index: config.Snapshot.Index, membership: config.Snapshot.Membership}},
+		term:        config.HardState.Term,
+		vote:        config.HardState.Vote,
+		reported:    config.HardState,
+		followers:   map[ReplicaID]*progress{},
 	}
 	r.log.restore(config.Snapshot.Index, config.Snapshot.Term)
 	r.log.entries = append(r.log.entries, config.Entries...)
 	r.log.stable = r.log.lastIndex()
+	r.noteMemberships(config.Snapshot.Index + 1)
 	r.log.committed = max(r.log.committed, min(config.HardState.Commit, r.log.lastIndex()))
 	r.resetElectionTimeout()
 	return r
@@ -131,8 +140,45 @@
 // Commit returns the last committed index.
 func (r *Raft) Commit() uint64 { return r.log.committed }
 
-// Membership returns the members after all applied entries.
-func (r *Raft) Membership() Membership { return r.membership }
+// Membership returns the membership in use: the newest in the log.
+func (r *Raft) Membership() Membership {
+	return r.memberships[len(r.memberships)-1].membership
+}
+
+// MembershipCommitted tells whether the membership in use is committed, so
+// that no later leader can go back to an earlier one.
+func (r *Raft) MembershipCommitted() bool {
+	return r.memberships[len(r.memberships)-1].index <= r.log.committed
+}
+
+// noteMemberships takes in the log's membership entries from the index on,
+// after entries from there on have been appended or replaced.
+func (r *Raft) noteMemberships(from uint64) {
+	for len(r.memberships) > 1 && r.memberships[len(r.memberships)-1].index >= from {
+		r.memberships = r.memberships[:len(r.memberships)-1]
+	}
+	for _, entry := range r.log.slice(max(from, r.log.snapshotIndex+1)-1, r.log.lastIndex()) {
+		if entry.Kind != EntryMembership {
+			continue
+		}
+		var change MembershipChange
+		if err := cbor.Unmarshal(entry.Data, &change); err != nil {
+			panic("consensus: a membership change in the log must decode: " + err.Error())
+		}
+		r.memberships = append(r.memberships, membershipRecord{
+			index: entry.Index, membership: r.Membership().apply(change),
+		})
+	}
+}
+
+// compactMemberships drops the records that a snapshot at the index covers and
+// returns the membership as of then.
+func (r *Raft) compactMemberships(index uint64) Membership {
+	for len(r.memberships) > 1 && r.memberships[1].index <= index {
+		r.memberships = r.memberships[1:]
+	}
+	return r.memberships[0].membership
+}
 
 // LogSize returns the number of entries kept since the newest snapshot.
 func (r *Raft) LogSize() int { return len(r.log.entries) }
@@ -185,7 +231,7 @@
 // that is cut off stops believing in its leadership.
 func (r *Raft) quorumActive() bool {
 	active := 0
-	for _, member := range r.membership.Members {
+	for _, member := range r.Membership().Members {
 		if !member.Voter {
 			continue
 		}
@@ -197,10 +243,10 @@
 	return active >= r.quorum()
 }
 
-func (r *Raft) quorum() int { return r.membership.Voters()/2 + 1 }
+func (r *Raft) quorum() int { return r.Membership().Voters()/2 + 1 }
 
 func (r *Raft) isVoter() bool {
-	member, ok := r.membership.Member(r.config.ID)
+	member, ok := r.Membership().Member(r.config.ID)
 	return ok && member.Voter
 }
 
@@ -242,7 +288,7 @@
 		r.term, r.vote = r.term+1, r.config.ID
 		kind, term = MessageVote, r.term
 	}
-	for _, member := range r.membership.Members {
+	for _, member := range r.Membership().Members {
 		if member.Voter && member.ID != r.config.ID {
 			r.send(Message{
 				Kind: kind, To: member.ID, Term: term, Transfer: transfer,
@@ -277,9 +323,6 @@
 	r.sinceHeard, r.sinceHeartbeat = 0, 0
 	r.followers = map[ReplicaID]*progress{}
 	r.syncFollowers()
-	// Entries of earlier terms may hold a membership change that is not
-	// applied yet; treating the whole log as one is the safe answer.
-	r.membershipIndex = r.log.lastIndex()
 	r.appendOwn(EntryNormal, nil)
 	r.broadcastAppend()
 }
@@ -287,11 +330,11 @@
 // syncFollowers makes the leader's followers those of the membership.
 func (r *Raft) syncFollowers() {
 	for id := range r.followers {
-		if r.membership.find(id) < 0 {
+		if r.Membership().find(id) < 0 {
 			delete(r.followers, id)
 		}
 	}
-	for _, member := range r.membership.Members {
+	for _, member := range r.Membership().Members {
 		if member.ID == r.config.ID || r.followers[member.ID] != nil {
 			continue
 		}
@@ -317,21 +360,28 @@
 	return r.appendOwn(EntryNormal, data), r.term, true
 }
 
-// ProposeMembership appends a membership change. It returns false if the
-// replica is not the leader, another change is not applied yet, or the change
-// would remove the last voter.
+// ProposeMembership appends a membership change, which is in use at once. It
+// returns false if the replica is not the leader, another change is not
+// committed yet, nothing of the leader's own term is, or the change would have
+// no effect or remove the last voter. The first two conditions make any two
+// quorums in use overlap.
 func (r *Raft) ProposeMembership(change MembershipChange) bool {
-	if r.role != Leader || r.transferee != None || r.membershipIndex > r.log.applied {
+	if r.role != Leader || r.transferee != None {
+		return false
+	}
+	if !r.MembershipCommitted() || !r.log.matches(r.log.committed, r.term) {
 		return false
 	}
-	if r.membership.apply(change).Voters() == 0 {
+	after := r.Membership().apply(change)
+	if after.Voters() == 0 || slices.Equal(after.Members, r.Membership().Members) {
 		return false
 	}
 	data, err := cbor.Marshal(change)
 	if err != nil {
 		panic("consensus: a membership change must encode: " + err.Error())
 	}
-	r.membershipIndex = r.appendOwn(EntryMembership, data)
+	r.noteMemberships(r.appendOwn(EntryMembership, data))
+	r.syncFollowers()
 	return true
 }
 
@@ -354,7 +404,7 @@
 // TransferLeadership hands leadership to the replica as soon as it holds the
 // whole log. It returns false if that replica cannot take it.
 func (r *Raft) TransferLeadership(to ReplicaID) bool {
-	member, ok := r.membership.Member(to)
+	member, ok := r.Membership().Member(to)
 	if r.role != Leader || !ok || !member.Voter || to == r.config.ID {
 		return false
 	}
@@ -376,7 +426,7 @@
 	if !ok || index <= r.log.snapshotIndex || index != r.log.applied {
 		return Snapshot{}, false
 	}
-	r.snapshot = Snapshot{Index: index, Term: term, Membership: r.membership, Data: data}
+	r.snapshot = Snapshot{Index: index, Term: term, Membership: r.compactMemberships(index), Data: data}
 	r.log.compact(index, term)
 	return r.snapshot, true
 }
@@ -428,29 +478,15 @@
 	if count := len(ready.Entries); count > 0 {
 		r.log.stable = ready.Entries[count-1].Index
 	}
-	for _, entry := range ready.Committed {
-		r.log.applied = entry.Index
-		if entry.Kind == EntryMembership {
-			r.applyMembership(entry.Data)
-		}
+	if count := len(ready.Committed); count > 0 {
+		r.log.applied = ready.Committed[count-1].Index
 	}
-	if r.role == Leader {
-		r.advanceCommit()
-	}
-}
-
-func (r *Raft) applyMembership(data []byte) {
-	var change MembershipChange
-	if err := cbor.Unmarshal(data, &change); err != nil {
-		panic("consensus: a committed membership change must decode: " + err.Error())
-	}
-	r.membership = r.membership.apply(change)
 	if r.role != Leader {
 		return
 	}
-	if !r.isVoter() {
+	r.advanceCommit()
+	if !r.isVoter() && r.MembershipCommitted() {
+		// A leader that is removed leads until the others have committed that.
 		r.becomeFollower(r.term, None)
-		return
 	}
-	r.syncFollowers()
 }
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -140,6 +140,9 @@
 		reply.Hint = min(message.Index-1, r.log.lastIndex())
 	default:
 		r.log.append(message.Entries)
+		if len(message.Entries) > 0 {
+			r.noteMemberships(message.Entries[0].Index)
+		}
 		reply.Index = message.Index + uint64(len(message.Entries))
 		r.commitTo(min(message.Commit, reply.Index))
 	}
@@ -159,7 +162,8 @@
 }
 
 func (r *Raft) installSnapshot(snapshot *Snapshot) {
-	r.snapshot, r.membership = *snapshot, snapshot.Membership
+	r.snapshot = *snapshot
+	r.memberships = []membershipRecord{{index: snapshot.Index, membership: snapshot.Membership}}
 	r.log.restore(snapshot.Index, snapshot.Term)
 	r.pendingSnapshot = snapshot
 }
@@ -212,8 +216,8 @@
 // leader's own term is counted; those before it are committed with it (Raft,
 // section 5.4.2).
 func (r *Raft) advanceCommit() {
-	matches := make([]uint64, 0, len(r.membership.Members))
-	for _, member := range r.membership.Members {
+	matches := make([]uint64, 0, len(r.Membership().Members))
+	for _, member := range r.Membership().Members {
 		if member.Voter {
 			match, _ := r.Match(member.ID)
 			matches = append(matches, match)
@@ -250,8 +254,8 @@
 }
 
 func (r *Raft) confirmedRound() uint64 {
-	rounds := make([]uint64, 0, len(r.membership.Members))
-	for _, member := range r.membership.Members {
+	rounds := make([]uint64, 0, len(r.Membership().Members))
+	for _, member := range r.Membership().Members {
 		switch {
 		case !member.Voter:
 		case member.ID == r.config.ID:
@@ -267,7 +271,7 @@
 func (r *Raft) broadcastHeartbeat() {
 	r.sinceHeartbeat = 0
 	r.round++
-	for _, member := range r.membership.Members {
+	for _, member := range r.Membership().Members {
 		follower := r.followers[member.ID]
 		if follower == nil {
 			continue
@@ -281,7 +285,7 @@
 }
 
 func (r *Raft) broadcastAppend() {
-	for _, member := range r.membership.Members {
+	for _, member := range r.Membership().Members {
 		follower := r.followers[member.ID]
 		if follower != nil && follower.next <= r.log.lastIndex() {
 			r.sendAppend(member.ID, follower)
--- a/control/core.go
+++ b/control/core.go
@@ -34,6 +34,9 @@
 	// ReplaceMillis is how long a voter must be silent before a caught-up
 	// learner takes its place; 0 turns replacement off.
 	ReplaceMillis int64
+	// ListGraceMillis is how long a new leader renews no lease while it waits
+	// for the platform's list; see mayRenew.
+	ListGraceMillis int64
 	// SnapshotBytes is the least size of the log that makes a snapshot.
 	SnapshotBytes int
 }
@@ -82,13 +85,18 @@
 	addresses map[consensus.ReplicaID]string
 
 	// The following belong to one leadership and are made anew with each.
-	leadingTerm    uint64
-	leases         map[string]*lease
-	beats          []pendingBeat
-	beatContext    uint64
-	fetches        []pendingFetch
-	listed         []state.Engine
-	listedKnown    bool
+	leadingTerm  uint64
+	leases       map[string]*lease
+	beats        []pendingBeat
+	beatContext  uint64
+	fetches      []pendingFetch
+	leadingSince int64
+	listed       []state.Engine
+	listedKnown  bool
+	// listCompared is set once the platform's list has been compared, and
+	// listIndex is the entry by which its differences are applied.
+	listCompared   bool
+	listIndex      uint64
 	lastReconcile  int64
 	reconcileIndex uint64
 
@@ -262,7 +270,8 @@
 		c.leases[id] = &lease{epoch: node.Epoch, renewedAt: c.clock.Monotonic}
 	}
 	c.reconcileIndex = c.raft.Commit()
-	c.listedKnown = false
+	c.leadingSince = c.clock.Monotonic
+	c.listedKnown, c.listCompared = false, false
 }
 
 func (c *Core) endLeadership() {
--- a/control/lease.go
+++ b/control/lease.go
@@ -65,7 +65,20 @@
 	c.raft.ReadIndex(c.contexts)
 }
 
+// mayRenew tells whether a new leader knows enough to renew leases. What the
+// platform listed while no leader led must reach a node before the node goes
+// on; but if the platform cannot be reached, serving goes on after a while.
+func (c *Core) mayRenew() bool {
+	if c.listCompared && c.applied >= c.listIndex {
+		return true
+	}
+	return c.clock.Monotonic-c.leadingSince >= c.config.ListGraceMillis
+}
+
 func (c *Core) renew(pending pendingBeat) {
+	if !c.mayRenew() {
+		return
+	}
 	beat := pending.beat
 	node, held := c.machine.Catalog.Nodes[beat.Node], c.leases[beat.Node]
 	if node == nil || held == nil || node.Incarnation != beat.Incarnation || held.epoch != node.Epoch {
--- a/control/reconcile.go
+++ b/control/reconcile.go
@@ -12,7 +12,11 @@
 // epoch and operators' orders in it are ignored.
 func (c *Core) ListEngines(clock Clock, engines []state.Engine) {
 	c.clock = clock
+	first := !c.listedKnown
 	c.listed, c.listedKnown = engines, true
+	if first && c.leading() {
+		c.reconcile()
+	}
 }
 
 // reconcile compares what is with what should be and proposes the difference.
@@ -58,6 +62,9 @@
 	if len(command.Listed)+len(command.Removed) > 0 {
 		c.proposeOwn(state.Command{SyncEngines: command})
 	}
+	if !c.listCompared {
+		c.listCompared, c.listIndex = true, c.reconcileIndex
+	}
 }
 
 // sameListing compares what the platform lists about an engine.
--- a/server/control.go
+++ b/server/control.go
@@ -52,7 +52,9 @@
 	nextID  uint64
 	waiting map[uint64]chan control.Reply
 	led     bool
-	status  atomic.Pointer[controlStatus]
+	// gained is signalled when this replica begins to lead.
+	gained chan struct{}
+	status atomic.Pointer[controlStatus]
 }
 
 // controlStatus is what metrics and health checks read without the loop.
@@ -81,7 +83,7 @@
 		},
 		Address: settings.Address, TickMillis: settings.Tick.Milliseconds(), LeaseMillis: settings.Lease.Milliseconds(),
 		ReconcileMillis: reconcileMillis, ReplaceMillis: settings.ReplaceAfter.Milliseconds(),
-		SnapshotBytes: settings.SnapshotBytes,
+		ListGraceMillis: listGrace(settings).Milliseconds(), SnapshotBytes: settings.SnapshotBytes,
 	})
 	if err != nil {
 		store.Close()
@@ -89,13 +91,21 @@
 	}
 	c := &Control{
 		settings: settings, logger: logger, store: store, core: core, loop: eventloop.New(),
-		start: time.Now(), join: join, waiting: map[uint64]chan control.Reply{},
+		start: time.Now(), join: join, gained: make(chan struct{}, 1), waiting: map[uint64]chan control.Reply{},
 	}
 	c.status.Store(&controlStatus{})
 	c.transport = transport.New(logger, c.receive)
 	return c, nil
 }
 
+// listGrace is how long a new leader waits for the platform's list.
+func listGrace(settings config.Control) time.Duration {
+	if settings.PlatformURL == "" {
+		return 0
+	}
+	return platformTimeout
+}
+
 func (c *Control) clock() control.Clock {
 	return control.Clock{Monotonic: time.Since(c.start).Milliseconds(), Wall: time.Now().UnixMilli()}
 }
@@ -146,6 +156,10 @@
 	kind := event.LeadershipLost
 	if leads {
 		kind = event.LeadershipGained
+		select {
+		case c.gained <- struct{}{}:
+		default:
+		}
 	}
 	kind.On(c.logger).Uint("term", c.core.Raft().Term()).Send()
 }
@@ -241,13 +255,16 @@
 	ticker := time.NewTicker(platformInterval)
 	defer ticker.Stop()
 	for {
-		if c.status.Load().leading {
-			c.readPlatform(ctx)
-		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-c.gained:
+			// An earlier leader may have missed what the list says by now.
+			c.readPlatform(ctx)
 		case <-ticker.C:
+			if c.status.Load().leading {
+				c.readPlatform(ctx)
+			}
 		}
 	}
 }
