Nodes take in a delta that starts before the revision they know

A heartbeat's answer was overtaken by another, so its delta started before the node's revision and was dropped, but the lease that came with it was extended. Ruled out: a late poll of the leader (the answer held revision 48), a lease that runs too long (its length was kept). Conclusion: a delta holds the newest state of all that has changed after its start, so taking in an overlapping one is safe; only one that ends at or before the known revision is old.

--- a/node/lease.go
+++ b/node/lease.go
@@ -90,13 +90,11 @@
 	c.beatAt = c.now - heartbeatMillis
 }
 
-// mergeDelta never goes back: a delta that ends before the known revision, or
-// starts after it, is ignored.
+// mergeDelta never goes back: a delta that ends at or before the known revision
+// is ignored. One that starts before it is taken in, since it holds the newest
+// state of all that has changed; a lease that came with it counts on that.
 func (c *Core) mergeDelta(delta state.Delta) {
-	if delta.To < c.revision || (delta.From != 0 && delta.From != c.revision) {
-		return
-	}
-	if delta.To == c.revision {
+	if delta.To <= c.revision || delta.From > c.revision {
 		return
 	}
 	c.catalog.Merge(delta)
