A draining node goes on refusing for 4 s before it stops

Cause: planned-stops: a peer that had not yet heard of the drain forwarded a request to a node that had just stopped; the peer cannot know whether the request was taken in and ended it as unknown (peer_lost). Ruled out: a cut of a running answer (the request never reached the node).

--- a/bench/simulate/node.go
+++ b/bench/simulate/node.go
@@ -34,7 +34,7 @@
 
 func (n *nodeProcess) tick() {
 	n.core.Tick(n.monotonic())
-	if n.draining && n.core.InFlight() == 0 {
+	if n.core.Drained() {
 		n.core.Leave(n.monotonic())
 		n.flush()
 		n.death()
--- a/node/core.go
+++ b/node/core.go
@@ -113,6 +113,7 @@
 	peers         map[string]protocol.Summary
 	pendingHints  map[string]int
 	draining      bool
+	drainingSince int64
 
 	engines  map[string]*engine
 	groups   map[string]*group
@@ -207,15 +208,25 @@
 }
 
 // Drain makes the node take no new work, give its engines away and end what
-// runs. The node is done when InFlight is 0.
+// runs. The node may stop when Drained says so.
 func (c *Core) Drain(now int64) {
 	c.now = now
-	c.draining = true
+	c.draining, c.drainingSince = true, now
 	c.beatAt = now - heartbeatMillis
 	c.returnQueuedSamples()
 	c.refuseQueuedLive()
 }
 
+// drainLingerMillis is how long a draining node goes on refusing: in that time
+// every peer under a lease has learned not to forward to it. A forwarded
+// request that finds nobody would end as unknown.
+const drainLingerMillis = 4000
+
+// Drained tells whether a draining node has nothing left to do.
+func (c *Core) Drained() bool {
+	return c.draining && c.InFlight() == 0 && c.now-c.drainingSince >= drainLingerMillis
+}
+
 // Leave tells the leader that the node has ended all its work.
 func (c *Core) Leave(now int64) {
 	c.now = now
--- a/server/node.go
+++ b/server/node.go
@@ -151,11 +151,11 @@
 	n.loop.Call(func() { n.core.Drain(n.now()) })
 	deadline := time.Now().Add(n.settings.DrainTimeout)
 	for time.Now().Before(deadline) {
-		inFlight := make(chan int, 1)
-		if !n.loop.Call(func() { inFlight <- n.core.InFlight() }) {
+		drained := make(chan bool, 1)
+		if !n.loop.Call(func() { drained <- n.core.Drained() }) {
 			return
 		}
-		if <-inFlight == 0 {
+		if <-drained {
 			n.leave()
 			return
 		}
