--- a/bench/simulate/caller.go
+++ b/bench/simulate/caller.go
@@ -77,13 +77,7 @@
 	target := s.caller.cluster.nodes[s.caller.world.random.IntN(len(s.caller.cluster.nodes))]
 	world := s.caller.world
 	if !target.alive || world.cut(s.caller.process, target.process) {
-		// No connection came about, so the caller knows that nothing was sent
-		// this time.
-		outcome := protocol.OutcomeNotRun
-		if s.unresolved {
-			outcome = protocol.OutcomeUnknown
-		}
-		s.caller.after(world.between(1, 500), func() { s.end(outcome, "connect", 0) })
+		s.refused()
 		return
 	}
 	life, lastAt := target.life, int64(0)
@@ -94,6 +88,7 @@
 	}
 	world.schedule(world.delay(s.caller.process, target.process), func() {
 		if !target.alive || target.life != life {
+			s.refused()
 			return
 		}
 		target.enter(func() {
@@ -109,6 +104,16 @@
 	})
 }
 
+// refused ends a send for which no connection came about, so that the caller
+// knows that nothing was sent this time.
+func (s *call) refused() {
+	outcome := protocol.OutcomeNotRun
+	if s.unresolved {
+		outcome = protocol.OutcomeUnknown
+	}
+	s.caller.after(s.caller.world.between(1, 500), func() { s.end(outcome, "connect", 0) })
+}
+
 func (s *call) receive(event node.CallerEvent) {
 	if s.ended {
 		return
