Consensus: three faults found by stateful fuzzing of groups of replicas

A learner, promoted without knowing it yet, kept its silent leader for good and refused its vote: no election could be won. Now each election timeout gives the leader up, for non-voters too. A leader that had appended its own removal, and lost leadership before anyone else held it, could not campaign, and its longer log barred the others. Now a replica whose removal is not committed may campaign, without counting its own vote (Ongaro's dissertation, 4.2.2). TestRemovedLeaderFinishesItsRemoval. Ruled out: the harness (its disk model keeps what was synced); quorum counting.

--- a/consensus/raft.go
+++ b/consensus/raft.go
@@ -250,6 +250,18 @@
 	return ok && member.Voter
 }
 
+// mayCampaign tells whether the replica is a voter or is being removed as one
+// by a change that is not committed yet. In the second case it may be the only
+// one that holds the change, and have to lead until the others have committed
+// it; its own vote does not count (dissertation, 4.2.2).
+func (r *Raft) mayCampaign() bool {
+	if r.isVoter() || r.MembershipCommitted() || len(r.memberships) < 2 {
+		return r.isVoter()
+	}
+	member, ok := r.memberships[len(r.memberships)-2].membership.Member(r.config.ID)
+	return ok && member.Voter
+}
+
 func (r *Raft) resetElectionTimeout() {
 	r.sinceHeard = 0
 	r.electionTimeout = r.config.ElectionTicks + r.random.IntN(r.config.ElectionTicks)
@@ -278,10 +290,13 @@
 // working leader when it returns.
 func (r *Raft) campaign(role Role, transfer bool) {
 	r.resetElectionTimeout()
-	if !r.isVoter() {
+	// Also a replica that does not know itself to be a voter gives up the
+	// silent leader: it may have been promoted, and its vote be needed.
+	r.leader = None
+	if !r.mayCampaign() {
 		return
 	}
-	r.role, r.leader = role, None
+	r.role = role
 	r.votes = map[ReplicaID]bool{r.config.ID: true}
 	kind, term := MessagePreVote, r.term+1
 	if role == Candidate {
@@ -301,10 +316,13 @@
 
 func (r *Raft) countVotes() {
 	granted, refused := 0, 0
-	for _, vote := range r.votes {
-		if vote {
+	for id, vote := range r.votes {
+		member, ok := r.Membership().Member(id)
+		switch {
+		case !ok || !member.Voter:
+		case vote:
 			granted++
-		} else {
+		default:
 			refused++
 		}
 	}
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -153,9 +153,16 @@
 	r.log.committed = max(r.log.committed, index)
 }
 
+// stepSnapshot installs a snapshot unless the log holds all that it covers. In
+// that case the log is kept: entries after the snapshot may have been
+// acknowledged and counted as durable.
 func (r *Raft) stepSnapshot(message Message) {
 	snapshot := message.Snapshot
-	if snapshot != nil && snapshot.Index > r.log.committed {
+	switch {
+	case snapshot == nil || snapshot.Index <= r.log.committed:
+	case r.log.matches(snapshot.Index, snapshot.Term):
+		r.commitTo(snapshot.Index)
+	default:
 		r.installSnapshot(snapshot)
 	}
 	r.send(Message{Kind: MessageAppendReply, To: message.From, Term: r.term, Index: r.log.committed})
