--- a/node/core.go
+++ b/node/core.go
@@ -183,6 +183,7 @@
 	c.resendProposals()
 	c.probeEngines()
 	c.expireRequests()
+	c.returnStrandedSamples()
 	c.planSwaps()
 	c.pump()
 	c.requestSamples()
--- a/node/engine.go
+++ b/node/engine.go
@@ -33,11 +33,14 @@
 // group is what the node holds for one engine group.
 type group struct {
 	queue dispatch.Queue
+	// servedAt is when the node last owned an engine of the group that was
+	// heard of and not leaving.
+	servedAt int64
 }
 
 func (c *Core) group(name string) *group {
 	if c.groups[name] == nil {
-		c.groups[name] = &group{}
+		c.groups[name] = &group{servedAt: c.now}
 	}
 	return c.groups[name]
 }
@@ -175,6 +178,17 @@
 		target.version != 0 && c.now-target.reportAt <= reportMaxAgeMillis && c.now >= target.blockedUntil
 }
 
+// noteServed records which groups the node has engines for. An engine that is
+// swapping or busy counts: it will take work again.
+func (c *Core) noteServed() {
+	for _, target := range c.engines {
+		heard := c.now-target.reportAt <= reportMaxAgeMillis
+		if heard && !target.leaving && !target.info.Leaving() {
+			c.group(target.info.Group).servedAt = c.now
+		}
+	}
+}
+
 // reservedSlots is the number of an engine's slots that samples leave free.
 func reservedSlots(slots int) int { return max(1, slots/reservedSlotShare) }
 
--- a/node/sample.go
+++ b/node/sample.go
@@ -112,6 +112,24 @@
 	c.forget(request)
 }
 
+// strandedMillis is how long samples wait at a node that has no engine for them.
+const strandedMillis = 2000
+
+// returnStrandedSamples gives back samples that wait for engines which the node
+// does not have any more; other nodes may have some.
+func (c *Core) returnStrandedSamples() {
+	c.noteServed()
+	for _, id := range c.sortedRequests() {
+		request := c.requests[id]
+		if request.sample == nil || request.phase != phaseQueued {
+			continue
+		}
+		if c.now-c.group(request.group).servedAt > strandedMillis {
+			c.giveBack(request)
+		}
+	}
+}
+
 func (c *Core) returnQueuedSamples() {
 	for _, id := range c.sortedRequests() {
 		request := c.requests[id]
