Storage refuses truncated, emptied and overwritten files as damaged

Cause: bbolt trusts its pages, reads past the end of a truncated file (a fault that stopped the process), panics on senseless pages and makes an empty file into a new database. After: size checked against the file's own, faults and panics while opening become an ErrDamaged error.

--- a/storage/storage.go
+++ b/storage/storage.go
@@ -8,6 +8,7 @@
 	"hash/crc32"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -131,29 +132,52 @@
 // not be used.
 func Open(folder, cluster string) (*Store, Contents, error) {
 	path := filepath.Join(folder, fileName)
-	if _, err := os.Stat(path); err != nil {
+	info, err := os.Stat(path)
+	if err != nil {
 		return nil, Contents{}, ErrMissing.New("%s holds no replica: run 'dillchute control init' or 'join' first", folder)
 	}
-	database, err := bolt.Open(path, fileMode, &bolt.Options{Timeout: lockTimeout})
-	if err != nil {
-		return nil, Contents{}, ErrDamaged.Wrap(err, "open %s", path)
+	if info.Size() == 0 {
+		// bbolt would make an empty file into a new database.
+		return nil, Contents{}, ErrDamaged.New("%s is empty", path)
 	}
-	var contents Contents
-	err = database.View(func(transaction *bolt.Tx) error {
-		contents, err = load(transaction)
-		return err
-	})
+	database, contents, err := openGuarded(path, info.Size())
 	if err == nil && (contents.Identity.Cluster != cluster || contents.Identity.Format != formatVersion) {
 		err = ErrForeign.New("%s belongs to cluster %q, format %d; expected cluster %q, format %d",
 			folder, contents.Identity.Cluster, contents.Identity.Format, cluster, formatVersion)
 	}
 	if err != nil {
-		database.Close()
+		if database != nil {
+			database.Close()
+		}
 		return nil, Contents{}, err
 	}
 	return &Store{database: database}, contents, nil
 }
 
+// openGuarded opens the file and returns what it holds. bbolt trusts its pages:
+// it reads past the end of a truncated file and panics on pages that make no
+// sense, and either is a damaged file here.
+func openGuarded(path string, size int64) (database *bolt.DB, contents Contents, err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if reason := recover(); reason != nil {
+			database, err = nil, ErrDamaged.New("%s: %v", path, reason)
+		}
+	}()
+	database, err = bolt.Open(path, fileMode, &bolt.Options{Timeout: lockTimeout})
+	if err != nil {
+		return nil, contents, ErrDamaged.Wrap(err, "open %s", path)
+	}
+	err = database.View(func(transaction *bolt.Tx) error {
+		if transaction.Size() > size {
+			return ErrDamaged.New("%s is truncated: it holds %d of %d bytes", path, size, transaction.Size())
+		}
+		contents, err = load(transaction)
+		return err
+	})
+	return database, contents, err
+}
+
 func load(transaction *bolt.Tx) (Contents, error) {
 	var contents Contents
 	meta, log := transaction.Bucket(metaBucket), transaction.Bucket(logBucket)
