Tests of settings, declarations, transport, events, oracle and simulator

The oracle's tests break each promise by hand and let the near miss pass. Loops answer questions through eventloop.Ask, which ends with the loop: four callers waited for an answer that an ended loop would never give.

--- /dev/null
+++ b/bench/oracle/check_test.go
@@ -0,0 +1,164 @@
+package oracle
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dillchute/dillchute/bench/model"
+	"github.com/dillchute/dillchute/protocol"
+)
+
+const (
+	testPrompt = "prompt"
+	testTokens = 100
+)
+
+// history is a run that keeps every promise; tests break it in one place.
+type history struct{ events []Event }
+
+func (h *history) add(at int64, event Event) *Event {
+	event.At = at
+	h.events = append(h.events, event)
+	return &h.events[len(h.events)-1]
+}
+
+func answer() []uint32 { return model.Answer(testPrompt, testTokens) }
+
+// goodHistory has one sample under two versions, one repeatable and one
+// unrepeatable request, a change, and an engine that leaves.
+func goodHistory() *history {
+	h := &history{}
+	count := uint32(len(answer()))
+	h.add(0, Event{Pool: &Pool{Name: "p", Model: "m", MaxStalenessVersions: 1}})
+	h.add(10, Event{Published: &Published{Model: "m", Version: 1}})
+	h.add(20, Event{Submitted: &Submitted{Pool: "p", Step: 1, Prompts: []Prompt{{Index: 0, Prompt: testPrompt, MaxTokens: testTokens}}}})
+	h.add(30, Event{Began: &Began{Engine: "e", Attempt: "a", Request: "p/1/0"}})
+	h.add(40, Event{Generated: &Generated{Engine: "e", Request: "p/1/0", Segment: Segment{Version: 1, First: 0, Count: 2}}})
+	h.add(50, Event{Published: &Published{Model: "m", Version: 2}})
+	h.add(60, Event{Generated: &Generated{Engine: "e", Request: "p/1/0", Segment: Segment{Version: 2, First: 2, Count: count - 2}}})
+	h.add(70, Event{Delivered: &Delivered{Pool: "p", Number: 1, Step: 1, FetchedAt: 65, Tokens: answer(),
+		Segments: []Segment{{Version: 1, First: 0, Count: 2}, {Version: 2, First: 2, Count: count - 2}}}})
+	h.add(80, Event{Sent: &Sent{Key: "k", Attempt: 1, Prompt: testPrompt, MaxTokens: testTokens, NotRepeatable: true}})
+	h.add(90, Event{Ended: &Ended{Key: "k", Attempt: 1, Outcome: protocol.OutcomeNotRun, Reason: protocol.ReasonQueueFull}})
+	h.add(100, Event{Sent: &Sent{Key: "k", Attempt: 2, Prompt: testPrompt, MaxTokens: testTokens, NotRepeatable: true}})
+	h.add(110, Event{Began: &Began{Engine: "e", Attempt: "b", Request: "k"}})
+	h.add(120, Event{Ended: &Ended{Key: "k", Attempt: 2, Outcome: protocol.OutcomeAnswered, Tokens: answer()}})
+	h.add(130, Event{Applied: &Applied{ChangeID: "c1", Base: 5, Accepted: true, Revision: 6}})
+	h.add(140, Event{Applied: &Applied{ChangeID: "c2", Base: 5, Accepted: false}})
+	h.add(150, Event{Acting: &Acting{Node: "n", Revision: 6}})
+	h.add(160, Event{Leaving: &Leaving{Engine: "e", Leaving: true}})
+	return h
+}
+
+func (h *history) find(matches func(Event) bool) *Event {
+	for position := range h.events {
+		if matches(h.events[position]) {
+			return &h.events[position]
+		}
+	}
+	panic("oracle: the history lacks the event")
+}
+
+func (h *history) delivered() *Delivered {
+	event := h.find(func(event Event) bool { return event.Delivered != nil })
+	copied := *event.Delivered
+	copied.Segments = append([]Segment(nil), copied.Segments...)
+	event.Delivered = &copied
+	return &copied
+}
+
+func (h *history) ended(attempt uint32) *Ended {
+	return h.find(func(event Event) bool { return event.Ended != nil && event.Ended.Attempt == attempt }).Ended
+}
+
+// TestOracle breaks each promise by hand and expects just that to be named, and
+// expects the near miss beside it to pass.
+func TestOracle(t *testing.T) {
+	tests := map[string]struct {
+		change func(h *history)
+		broken Promise
+	}{
+		"all kept": {func(*history) {}, ""},
+		"version that no engine used": {func(h *history) {
+			h.delivered().Segments[0].Version = 2
+		}, ExactVersions},
+		"version left out": {func(h *history) {
+			delivered := h.delivered()
+			delivered.Segments = []Segment{{Version: 2, First: 0, Count: uint32(len(delivered.Tokens))}}
+		}, ExactVersions},
+		"gap between segments": {func(h *history) { h.delivered().Segments[1].First++ }, ExactVersions},
+		"stale by one too many": {func(h *history) {
+			h.add(55, Event{Published: &Published{Model: "m", Version: 3}})
+		}, StalenessBound},
+		"published after the fetch was sent": {func(h *history) {
+			h.add(66, Event{Published: &Published{Model: "m", Version: 3}})
+		}, ""},
+		"delivered twice": {func(h *history) {
+			second := *h.delivered()
+			second.Number = 2
+			h.add(75, Event{Delivered: &second})
+		}, ExactlyOnce},
+		"number reused": {func(h *history) {
+			h.add(21, Event{Submitted: &Submitted{Pool: "p", Step: 2, Prompts: []Prompt{{Prompt: testPrompt, MaxTokens: testTokens}}}})
+			h.add(22, Event{Generated: &Generated{Engine: "e", Request: "p/2/0", Segment: Segment{Version: 1, Count: uint32(len(answer()))}}})
+			h.add(76, Event{Delivered: &Delivered{Pool: "p", Number: 1, Step: 2, FetchedAt: 70, Tokens: answer(),
+				Segments: []Segment{{Version: 1, Count: uint32(len(answer()))}}}})
+		}, ExactlyOnce},
+		"never delivered": {func(h *history) {
+			h.find(func(event Event) bool { return event.Delivered != nil }).Delivered = nil
+		}, ExactlyOnce},
+		"never submitted": {func(h *history) {
+			h.add(77, Event{Delivered: &Delivered{Pool: "p", Number: 2, Step: 9, Tokens: answer()}})
+		}, ExactlyOnce},
+		"part of an answer":        {func(h *history) { h.ended(2).Tokens = answer()[1:] }, WholeAnswers},
+		"another request's answer": {func(h *history) { h.ended(2).Tokens = model.Answer("other", testTokens) }, WholeAnswers},
+		"answer to nothing sent":   {func(h *history) { h.ended(2).Key = "other" }, WholeAnswers},
+		"not run, and ran before": {func(h *history) {
+			h.find(func(event Event) bool { return event.Began != nil && event.Began.Request == "k" }).At = 85
+		}, NotRun},
+		"not run, and ran later":    {func(h *history) { h.ended(2).Outcome = protocol.OutcomeNotRun }, NotRun},
+		"unknown, and ran":          {func(h *history) { h.ended(2).Outcome = protocol.OutcomeUnknown }, ""},
+		"unrepeatable ran twice":    {func(h *history) { h.add(115, Event{Began: &Began{Engine: "f", Request: "k"}}) }, AtMostOnce},
+		"work for a leaving engine": {func(h *history) { h.add(5161, Event{Began: &Began{Engine: "e", Request: "x"}}) }, LeavingNoWork},
+		"work within the grace":     {func(h *history) { h.add(5160, Event{Began: &Began{Engine: "e", Request: "x"}}) }, ""},
+		"engine back in service": {func(h *history) {
+			h.add(5000, Event{Leaving: &Leaving{Engine: "e", Leaving: false}})
+			h.add(9000, Event{Began: &Began{Engine: "e", Request: "x"}})
+		}, ""},
+		"both changes on a revision accepted": {func(h *history) {
+			h.find(func(event Event) bool { return event.Applied != nil && event.Applied.ChangeID == "c2" }).Applied.Accepted = true
+		}, InForce},
+		"answer to a resent change": {func(h *history) {
+			h.add(145, Event{Applied: &Applied{ChangeID: "c1", Base: 5, Accepted: true, Revision: 6}})
+		}, ""},
+		"node goes back": {func(h *history) { h.add(151, Event{Acting: &Acting{Node: "n", Revision: 5}}) }, InForce},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := goodHistory()
+			test.change(h)
+			violations, _ := Check(h.events, Expect{AllDelivered: true, LeavingGraceMillis: 5000})
+			if test.broken == "" {
+				require.Empty(t, violations)
+				return
+			}
+			require.NotEmpty(t, violations)
+			for _, violation := range violations {
+				require.Equal(t, test.broken, violation.Promise, violation.Detail)
+			}
+		})
+	}
+}
+
+func TestPlannedStopMustNotCut(t *testing.T) {
+	h := goodHistory()
+	end := h.ended(2)
+	end.Outcome, end.Reason = protocol.OutcomeUnknown, protocol.ReasonPeerLost
+	violations, _ := Check(h.events, Expect{NoUnknown: true})
+	require.Len(t, violations, 1)
+	require.Equal(t, StopCutsNothing, violations[0].Promise)
+	end.Reason = protocol.ReasonDeadline
+	violations, _ = Check(h.events, Expect{NoUnknown: true})
+	require.Empty(t, violations, "a caller's own deadline is no cut")
+}
--- a/bench/simulate/fault.go
+++ b/bench/simulate/fault.go
@@ -45,9 +45,9 @@
 func (cl *cluster) inject(kind FaultKind, duration int64) {
 	switch kind {
 	case KillControl:
-		cl.killControl(cl.pickControl(), duration)
+		cl.killControl(kind, cl.pickControl(), duration)
 	case KillLeader:
-		cl.killControl(cl.leader(), duration)
+		cl.killControl(kind, cl.leader(), duration)
 	case FreezeLeader:
 		cl.freeze(kind, cl.leader().process, duration)
 	case LoseDisk:
@@ -105,11 +105,11 @@
 	return leader
 }
 
-func (cl *cluster) killControl(target *controlProcess, duration int64) {
+func (cl *cluster) killControl(kind FaultKind, target *controlProcess, duration int64) {
 	if !target.alive {
 		return
 	}
-	cl.world.fault(string(KillControl), "%s for %d", target.name, duration)
+	cl.world.fault(string(kind), "%s for %d", target.name, duration)
 	target.kill()
 	cl.world.schedule(duration, func() { cl.restartControl(target) })
 }
--- a/bench/standin/engine.go
+++ b/bench/standin/engine.go
@@ -71,12 +71,11 @@
 func (e *Engine) leave() {
 	e.recorder.Record(oracle.Event{Leaving: &oracle.Leaving{Engine: e.Name, Leaving: true}})
 	for {
-		running := make(chan int, 1)
-		e.loop.Call(func() {
+		running, ok := eventloop.Ask(e.loop, func() int {
 			e.engine.SetLeaving(true)
-			running <- e.engine.Running()
+			return e.engine.Running()
 		})
-		if <-running == 0 {
+		if !ok || running == 0 {
 			return
 		}
 		time.Sleep(e.Tick)
--- a/config/config.go
+++ b/config/config.go
@@ -3,7 +3,6 @@
 package config
 
 import (
-	"bytes"
 	"fmt"
 	"net"
 	"net/url"
@@ -107,12 +106,6 @@
 	return nil
 }
 
-// DecodeStrict decodes a YAML document and refuses unknown and repeated keys
-// and further documents.
-func DecodeStrict(data []byte, into any) error {
-	return yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.DisallowUnknownField()).Decode(into)
-}
-
 type check struct {
 	path   string
 	wrong  bool
--- a/eventloop/eventloop.go
+++ b/eventloop/eventloop.go
@@ -71,3 +71,25 @@
 		}
 	}
 }
+
+// Ask carries out the question in the loop and returns its answer. It returns
+// false if the loop has ended before.
+func Ask[T any](l *Loop, question func() T) (T, bool) {
+	answered := make(chan T, 1)
+	var none T
+	if !l.Call(func() { answered <- question() }) {
+		return none, false
+	}
+	select {
+	case answer := <-answered:
+		return answer, true
+	case <-l.done:
+	}
+	// The loop may have carried the call out before it ended.
+	select {
+	case answer := <-answered:
+		return answer, true
+	default:
+		return none, false
+	}
+}
--- a/server/callers.go
+++ b/server/callers.go
@@ -111,17 +111,15 @@
 		return
 	}
 	box := eventloop.NewMailbox[node.CallerEvent]()
-	submitted := make(chan uint64, 1)
-	queued := n.loop.Call(func() {
-		id := n.core.Submit(n.now(), live)
-		n.callers[id] = box
-		submitted <- id
+	id, ok := eventloop.Ask(n.loop, func() uint64 {
+		submitted := n.core.Submit(n.now(), live)
+		n.callers[submitted] = box
+		return submitted
 	})
-	if !queued {
+	if !ok {
 		writeEnd(response, node.CallerEvent{Outcome: protocol.OutcomeNotRun, Reason: protocol.ReasonDraining})
 		return
 	}
-	id := <-submitted
 	defer n.loop.Call(func() {
 		delete(n.callers, id)
 		n.core.Cancel(n.now(), id)
--- a/server/control.go
+++ b/server/control.go
@@ -226,11 +226,10 @@
 func (c *Control) handOver() {
 	deadline := time.Now().Add(transferWait)
 	for time.Now().Before(deadline) {
-		led := make(chan bool, 1)
-		queued := c.loop.Call(func() {
-			led <- c.core.Raft().Role() == consensus.Leader && c.core.TransferLeadership(consensus.None)
+		led, ok := eventloop.Ask(c.loop, func() bool {
+			return c.core.Raft().Role() == consensus.Leader && c.core.TransferLeadership(consensus.None)
 		})
-		if !queued || !<-led {
+		if !ok || !led {
 			return
 		}
 		time.Sleep(c.settings.Tick)
@@ -290,12 +289,11 @@
 // askToJoin asks the members until this replica is one of them.
 func (c *Control) askToJoin(ctx context.Context) {
 	for round := 0; len(c.join) > 0; round++ {
-		member := make(chan bool, 1)
-		queued := c.loop.Call(func() {
+		member, ok := eventloop.Ask(c.loop, func() bool {
 			_, is := c.core.Raft().Membership().Member(c.core.Raft().ID())
-			member <- is
+			return is
 		})
-		if !queued || <-member {
+		if !ok || member {
 			return
 		}
 		address := c.join[round%len(c.join)]
--- a/server/node.go
+++ b/server/node.go
@@ -151,11 +151,11 @@
 	n.loop.Call(func() { n.core.Drain(n.now()) })
 	deadline := time.Now().Add(n.settings.DrainTimeout)
 	for time.Now().Before(deadline) {
-		drained := make(chan bool, 1)
-		if !n.loop.Call(func() { drained <- n.core.Drained() }) {
+		drained, ok := eventloop.Ask(n.loop, n.core.Drained)
+		if !ok {
 			return
 		}
-		if <-drained {
+		if drained {
 			n.leave()
 			return
 		}
--- /dev/null
+++ b/transport/transport_test.go
@@ -0,0 +1,105 @@
+package transport
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dillchute/dillchute/protocol"
+)
+
+func listening(t *testing.T) (*Transport, string, chan protocol.Message) {
+	logger := zerolog.Nop()
+	received := make(chan protocol.Message, 1024)
+	created := New(&logger, func(message protocol.Message) { received <- message })
+	server := httptest.NewUnstartedServer(created)
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetHTTP1(true)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	t.Cleanup(func() {
+		created.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return created, strings.TrimPrefix(server.URL, "http://"), received
+}
+
+func TestMessagesArriveInOrder(t *testing.T) {
+	sender, _, _ := listening(t)
+	_, address, received := listening(t)
+	const count = 500
+	for number := range count {
+		sender.Send(address, protocol.Message{From: "sender", Join: &protocol.Join{Address: strings.Repeat("x", number)}})
+	}
+	for number := range count {
+		message := <-received
+		require.Equal(t, "sender", message.From)
+		require.Len(t, message.Join.Address, number)
+	}
+}
+
+// TestUnreachablePeerDoesNotBlock: messages to a peer that is not there are
+// dropped, and the sender goes on.
+func TestUnreachablePeerDoesNotBlock(t *testing.T) {
+	sender, _, _ := listening(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone := taken.Addr().String()
+	require.NoError(t, taken.Close())
+	for range 20_000 {
+		sender.Send(gone, protocol.Message{From: "sender"})
+	}
+	_, address, received := listening(t)
+	sender.Send(address, protocol.Message{From: "still here"})
+	require.Equal(t, "still here", (<-received).From)
+}
+
+func TestMalformedStreamIsRefused(t *testing.T) {
+	_, address, _ := listening(t)
+	tests := map[string][]byte{
+		"too long": {0xff, 0xff, 0xff, 0xff, 1, 2, 3},
+		"no cbor":  {0, 0, 0, 3, 0xff, 0xff, 0xff},
+		"a number": {0, 0, 0, 1, 0x01},
+	}
+	for name, body := range tests {
+		t.Run(name, func(t *testing.T) {
+			response, err := http.Post("http://"+address, "application/cbor", bytes.NewReader(body))
+			require.NoError(t, err)
+			defer response.Body.Close()
+			require.Equal(t, http.StatusBadRequest, response.StatusCode)
+		})
+	}
+}
+
+func TestTruncatedMessageEndsTheStream(t *testing.T) {
+	_, _, err := ReadMessage(bytes.NewReader([]byte{0, 0, 1, 0, 0xa1}))
+	require.ErrorIs(t, err, io.EOF)
+	_, _, err = ReadMessage(bytes.NewReader([]byte{0, 0}))
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// FuzzReadMessage: bytes of a peer give messages or a typed error, never a panic.
+func FuzzReadMessage(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 1, 0xa0})
+	f.Add([]byte{0, 0, 0, 2, 0xa1, 0x01})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reader := bytes.NewReader(data)
+		for {
+			_, _, err := ReadMessage(reader)
+			if err == nil {
+				continue
+			}
+			require.True(t, err == io.EOF || errorx.IsOfType(err, ErrMalformed))
+			return
+		}
+	})
+}
