A cancel right after its start ends the stream; malformed YAML is an error

Cause: the goroutine that carries an attempt to its engine made it known to cancels only once it ran, so a cancel in the same flush found nothing, the engine went on, and its slot stayed taken. TestCancelRightAfterStart failed first (it never got its answer). Cause: the YAML library panics on some documents; FuzzParse found 'pools:\n !00\n00' after 4 s. Also: a table of engine answers that must not be believed.

--- a/bench/standin/engine.go
+++ b/bench/standin/engine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -41,9 +42,18 @@
 	counter  int
 }
 
-// Run serves until the context ends; then it refuses new streams, lets those
-// that run end, and stops.
+// Run listens on the address and serves until the context ends.
 func (e *Engine) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", e.Address)
+	if err != nil {
+		return err
+	}
+	return e.Serve(ctx, listener)
+}
+
+// Serve serves until the context ends; then it refuses new streams, lets those
+// that run end, and stops.
+func (e *Engine) Serve(ctx context.Context, listener net.Listener) error {
 	recorder, err := NewRecorder(e.Record)
 	if err != nil {
 		return err
@@ -64,7 +74,7 @@
 		// The loop ends with the context and flush never fails.
 		_ = e.loop.Run(serving, e.Tick, func() { e.engine.Tick(e.now()) }, e.flush)
 	}()
-	return serve(serving, e.Address, e.routes())
+	return serveOn(serving, listener, e.routes())
 }
 
 // leave marks the engine as leaving and waits for its streams.
--- a/bench/standin/http.go
+++ b/bench/standin/http.go
@@ -11,12 +11,16 @@
 
 const shutdownTimeout = 2 * time.Second
 
-// serve serves until the context ends.
+// serve listens on the address and serves until the context ends.
 func serve(ctx context.Context, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
+	return serveOn(ctx, listener, handler)
+}
+
+func serveOn(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: shutdownTimeout}
 	stop := context.AfterFunc(ctx, func() {
 		limited, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
--- a/config/decode.go
+++ b/config/decode.go
@@ -20,7 +20,17 @@
 
 // DecodeStrict decodes a YAML document and refuses unknown and repeated keys
 // and further documents. Its errors name line and column where there is one.
-func DecodeStrict(data []byte, into any) error {
+// The library panics on some malformed documents, which is an error here.
+func DecodeStrict(data []byte, into any) (err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			err = ErrInvalid.New("malformed document: %v", reason)
+		}
+	}()
+	return decodeStrict(data, into)
+}
+
+func decodeStrict(data []byte, into any) error {
 	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.DisallowUnknownField(),
 		yaml.CustomUnmarshaler(decodeDuration))
 	err := decoder.Decode(into)
--- a/server/engines.go
+++ b/server/engines.go
@@ -55,7 +55,10 @@
 func (c *engineClient) send(outgoing node.EngineOutgoing) {
 	switch message := outgoing.Message; {
 	case message.Start != nil:
-		go c.generate(outgoing.Engine, outgoing.Address, message.Start)
+		// The attempt is known before send returns, so that a cancel which
+		// follows at once finds it.
+		ctx := c.register(message.Start.Attempt)
+		go c.generate(ctx, outgoing.Engine, outgoing.Address, message.Start)
 	case message.Cancel != nil:
 		c.cancel(message.Cancel.Attempt)
 	case message.Order != nil:
@@ -78,12 +81,16 @@
 	return c.client.Do(request)
 }
 
-func (c *engineClient) generate(engine, address string, start *protocol.EngineStart) {
+// register returns a context for the attempt, which cancel ends.
+func (c *engineClient) register(attempt string) context.Context {
 	ctx, cancel := context.WithCancel(c.context)
-	defer cancel()
 	c.mutex.Lock()
-	c.cancels[start.Attempt] = cancel
-	c.mutex.Unlock()
+	defer c.mutex.Unlock()
+	c.cancels[attempt] = cancel
+	return ctx
+}
+
+func (c *engineClient) generate(ctx context.Context, engine, address string, start *protocol.EngineStart) {
 	defer c.cancel(start.Attempt)
 	response, err := c.post(ctx, address, "/v1/generate", start)
 	if err != nil {
--- /dev/null
+++ b/server/engines_test.go
@@ -0,0 +1,91 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dillchute/dillchute/node"
+	"github.com/dillchute/dillchute/protocol"
+)
+
+const testPatience = 30 * time.Second
+
+// engineServed returns a client of an engine that answers with the handler,
+// and the messages that the client makes of its answers.
+func engineServed(t *testing.T, handler http.HandlerFunc) (*engineClient, string, chan protocol.EngineMessage) {
+	server := httptest.NewServer(handler)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		server.Close()
+	})
+	received := make(chan protocol.EngineMessage, 16)
+	client := newEngineClient(ctx, func(_ string, message protocol.EngineMessage) { received <- message })
+	return client, strings.TrimPrefix(server.URL, "http://"), received
+}
+
+func startAttempt(client *engineClient, address string) {
+	client.send(node.EngineOutgoing{Engine: "e", Address: address, Message: protocol.EngineMessage{Start: &protocol.EngineStart{Attempt: "a"}}})
+}
+
+func next(t *testing.T, received chan protocol.EngineMessage) protocol.EngineMessage {
+	select {
+	case message := <-received:
+		return message
+	case <-time.After(testPatience):
+		t.Fatal("no message came")
+		return protocol.EngineMessage{}
+	}
+}
+
+// TestCancelRightAfterStart: a cancel that follows its start at once ends the
+// stream, also if the start has not been carried out yet.
+func TestCancelRightAfterStart(t *testing.T) {
+	for range 200 {
+		client, address, received := engineServed(t, func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() })
+		startAttempt(client, address)
+		client.send(node.EngineOutgoing{Engine: "e", Address: address, Message: protocol.EngineMessage{Cancel: &protocol.EngineCancel{Attempt: "a"}}})
+		message := next(t, received)
+		require.True(t, message.Lost != nil || message.Refused != nil)
+	}
+}
+
+// TestEngineAnswersAreNotTrusted: what is no whole, well-formed answer of the
+// attempt counts as a lost one, and only the engine's own word as a refusal.
+func TestEngineAnswersAreNotTrusted(t *testing.T) {
+	tests := map[string]struct {
+		status  int
+		body    string
+		refused bool
+	}{
+		"cut stream":         {http.StatusOK, "data: {\"attempt\":\"a\",\"tokens\":[1]}\n\n", false},
+		"no stream":          {http.StatusOK, "<html>", false},
+		"another's chunk":    {http.StatusOK, "data: {\"attempt\":\"b\",\"done\":true}\n\n", false},
+		"truncated chunk":    {http.StatusOK, "data: {\"attempt\":\"a\",\"tok", false},
+		"refusal":            {http.StatusServiceUnavailable, `{"attempt":"a","reason":"full"}`, true},
+		"another's refusal":  {http.StatusServiceUnavailable, `{"attempt":"b","reason":"full"}`, false},
+		"a proxy's refusal":  {http.StatusBadGateway, "bad gateway", false},
+		"refusal, no reason": {http.StatusServiceUnavailable, `{"attempt":"a"}`, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			client, address, received := engineServed(t, func(response http.ResponseWriter, _ *http.Request) {
+				response.WriteHeader(test.status)
+				_, _ = response.Write([]byte(test.body))
+			})
+			startAttempt(client, address)
+			message := next(t, received)
+			if message.Chunk != nil {
+				message = next(t, received)
+			}
+			require.Equal(t, test.refused, message.Refused != nil)
+			require.Equal(t, !test.refused, message.Lost != nil)
+		})
+	}
+}
