--- a/command/command.go
+++ b/command/command.go
@@ -103,7 +103,7 @@
 func codeOf(err error) int {
 	var typed *errorx.Error
 	if errors.As(err, &typed) {
-		if errorx.IsOfType(err, config.ErrInvalid) || errorx.IsOfType(err, declaration.ErrInvalid) || errorx.IsOfType(err, ErrUsage) {
+		if errorx.IsOfType(typed, config.ErrInvalid) || errorx.IsOfType(typed, declaration.ErrInvalid) || errorx.IsOfType(typed, ErrUsage) {
 			return exitUsage
 		}
 	}
--- a/config/decode.go
+++ b/config/decode.go
@@ -31,16 +31,32 @@
 }
 
 func decodeStrict(data []byte, into any) error {
-	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.DisallowUnknownField(),
-		yaml.CustomUnmarshaler(decodeDuration))
-	err := decoder.Decode(into)
+	err := yaml.NewDecoder(bytes.NewReader(data), strictOptions()...).Decode(into)
+	var duration *durationError
+	if !errors.As(err, &duration) {
+		return err
+	}
+	file, parseErr := parser.ParseBytes(data, 0)
+	if parseErr != nil || len(file.Docs) == 0 {
+		return err
+	}
+	return locate(file.Docs[0].Body, duration)
+}
+
+// DecodeNode is DecodeStrict for a part of a document.
+func DecodeNode(node ast.Node, into any) error {
+	err := yaml.NodeToValue(node, into, strictOptions()...)
 	var duration *durationError
 	if errors.As(err, &duration) {
-		return locate(data, duration)
+		return locate(node, duration)
 	}
 	return err
 }
 
+func strictOptions() []yaml.DecodeOption {
+	return []yaml.DecodeOption{yaml.Strict(), yaml.DisallowUnknownField(), yaml.CustomUnmarshaler(decodeDuration)}
+}
+
 func decodeDuration(into *time.Duration, data []byte) error {
 	var text string
 	if err := yaml.Unmarshal(data, &text); err != nil {
@@ -55,15 +71,9 @@
 }
 
 // locate adds the place of the first value that reads as the duration's text.
-func locate(data []byte, wrong *durationError) error {
-	file, err := parser.ParseBytes(data, 0)
-	if err != nil {
-		return wrong
-	}
+func locate(node ast.Node, wrong *durationError) error {
 	finder := &valueFinder{text: wrong.text}
-	for _, document := range file.Docs {
-		ast.Walk(finder, document.Body)
-	}
+	ast.Walk(finder, node)
 	if finder.found == nil {
 		return wrong
 	}
--- a/declaration/declaration.go
+++ b/declaration/declaration.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
 	"github.com/joomcode/errorx"
 
 	dillchutev1 "github.com/dillchute/dillchute/api/dillchute/v1"
@@ -54,10 +55,10 @@
 }
 
 // UnmarshalYAML lays the file's fields over the defaults.
-func (p *pool) UnmarshalYAML(data []byte) error {
+func (p *pool) UnmarshalYAML(node ast.Node) error {
 	type plain pool
 	defaults := plain(defaultPool())
-	if err := config.DecodeStrict(data, &defaults); err != nil {
+	if err := config.DecodeNode(node, &defaults); err != nil {
 		return err
 	}
 	*p = pool(defaults)
--- a/declaration/declaration_test.go
+++ b/declaration/declaration_test.go
@@ -27,9 +27,9 @@
 		names []string
 	}{
 		"no file":        {map[string]string{"README": "x"}, []string{"holds no .yaml file"}},
-		"unknown key":    {map[string]string{"a.yaml": goodPool + "    modle: m\n"}, []string{"a.yaml", "modle"}},
+		"unknown key":    {map[string]string{"a.yaml": goodPool + "    modle: m\n"}, []string{"a.yaml", "[5:5]", "modle"}},
 		"wrong policy":   {map[string]string{"a.yaml": goodPool + "    weight_policy: maybe\n"}, []string{"a.yaml: pools[0].weight_policy"}},
-		"wrong unit":     {map[string]string{"a.yaml": goodPool + "    max_staleness: 5\n    weight_policy: [\n"}, []string{"a.yaml"}},
+		"wrong unit":     {map[string]string{"a.yaml": goodPool + "    max_staleness: 5 bananas\n"}, []string{"a.yaml", "[5:20]", "must be a duration"}},
 		"wrong priority": {map[string]string{"a.yaml": goodPool + "    live_priority: 12\n"}, []string{"a.yaml: pools[0].live_priority"}},
 		"duplicate":      {map[string]string{"a.yaml": goodPool, "b.yml": goodPool}, []string{"b.yml: pools[0].name", "a.yaml too"}},
 		"two models for one group": {map[string]string{"a.yaml": goodPool, "b.yaml": "pools:\n  - name: q\n    model: n\n    engine_group: g\n"},
