Bench 'hollow': what control costs, with real replicas and hollow nodes and engines

Real control processes with real files; nodes run their own core and transport and share one process with engines that answer in it, so the cost of talking to engines over HTTP is not in the figures.

--- a/bench/command/command.go
+++ b/bench/command/command.go
@@ -6,7 +6,6 @@
 	"context"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 
@@ -29,6 +28,7 @@
 	Platform    platformCommand    `cmd:"" help:"Run a stand-in of the platform."`
 	Fleet       fleetCommand       `cmd:"" help:"Run a whole deployment on this machine and report on it."`
 	Simulate    simulateCommand    `cmd:"" help:"Run deployments in virtual time under faults."`
+	Hollow      hollowCommand      `cmd:"" help:"Measure what control costs, with hollow nodes and engines."`
 }
 
 // Main runs the command line and returns the exit code.
@@ -93,8 +93,8 @@
 	if err != nil {
 		return command.ErrFailed.Wrap(err, "find this program")
 	}
-	if c.Product == "" {
-		c.Product = filepath.Join(filepath.Dir(bench), "dillchute")
+	if c.Product, err = productBeside(c.Product); err != nil {
+		return err
 	}
 	if c.Folder == "" {
 		if c.Folder, err = os.MkdirTemp("", "dillchute-fleet-"); err != nil {
--- /dev/null
+++ b/bench/hollow/hollow.go
@@ -0,0 +1,412 @@
+package hollow
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	dillchutev1 "github.com/dillchute/dillchute/api/dillchute/v1"
+	"github.com/dillchute/dillchute/bench/fleet"
+	"github.com/dillchute/dillchute/client"
+	"github.com/dillchute/dillchute/declaration"
+	"github.com/dillchute/dillchute/state"
+)
+
+var (
+	namespace = errorx.NewNamespace("hollow")
+	// ErrFailed: the run could not be set up, or did not settle in time.
+	ErrFailed = namespace.NewType("failed")
+)
+
+// Config says what to run.
+type Config struct {
+	Nodes    int
+	Workers  int
+	Controls int
+	Regions  int
+	Zones    int
+	// Phase is the length of the idle phase and of the phase of changes.
+	Phase time.Duration
+	// ChangesPerSecond is the rate of changes in their phase.
+	ChangesPerSecond float64
+	// Samples of SampleTokens tokens are submitted as one step for each of Trainers pools.
+	Trainers     int
+	Samples      int
+	SampleTokens uint32
+	Load         time.Duration
+	Folder       string
+	Product      string
+	Out          io.Writer
+}
+
+const (
+	slotsPerWorker = 16
+	hollowModel    = "model"
+	pollInterval   = 10 * time.Millisecond
+	settleLimit    = 3 * time.Minute
+	restartedNodes = 10
+	sampleTime     = time.Second
+)
+
+// Run is one size's measurement.
+type Run struct {
+	config   Config
+	controls *fleet.Controls
+	client   *client.Client
+	shared   *engines
+	platform *http.Server
+	mutex    sync.Mutex
+	listed   []listedEngine
+	nodes    []*hollowNode
+	revision uint64
+	report   *Report
+}
+
+type listedEngine struct {
+	ID      string `json:"id"`
+	Zone    string `json:"zone"`
+	Region  string `json:"region"`
+	Group   string `json:"group"`
+	Address string `json:"address"`
+	Slots   int    `json:"slots"`
+}
+
+// Measure runs all phases and returns the report.
+func Measure(ctx context.Context, config Config) (*Report, error) {
+	r := &Run{config: config, shared: newEngines(config.Load, sampleTime), report: &Report{Nodes: config.Nodes, Workers: config.Workers, Controls: config.Controls}}
+	defer r.close()
+	phases := []func(context.Context) error{r.start, r.settle, r.idle, r.changes, r.weights, r.restarts, r.samples}
+	for _, phase := range phases {
+		if err := phase(ctx); err != nil {
+			return r.report, err
+		}
+	}
+	return r.report, nil
+}
+
+func (r *Run) close() {
+	for _, running := range r.nodes {
+		running.kill()
+	}
+	if r.controls != nil {
+		r.controls.Stop()
+	}
+	if r.platform != nil {
+		r.platform.Close()
+	}
+}
+
+func (r *Run) zone(number int) (zone, region string) {
+	zoneNumber := number % r.config.Zones
+	region = fmt.Sprintf("region-%d", zoneNumber%r.config.Regions)
+	return fmt.Sprintf("%s-zone-%d", region, zoneNumber), region
+}
+
+func (r *Run) start(context.Context) error {
+	for number := range r.config.Workers {
+		zone, region := r.zone(number)
+		r.listed = append(r.listed, listedEngine{
+			ID: fmt.Sprintf("engine-%d", number), Zone: zone, Region: region, Group: "group",
+			Address: "127.0.0.1:1", Slots: slotsPerWorker,
+		})
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return ErrFailed.Wrap(err, "listen")
+	}
+	r.platform = &http.Server{Handler: http.HandlerFunc(r.list), ReadHeaderTimeout: time.Minute}
+	go func() {
+		// Serve ends with an error when the run ends.
+		_ = r.platform.Serve(listener)
+	}()
+	if r.controls, err = fleet.StartControls(r.config.Folder, r.config.Product, listener.Addr().String(), r.config.Controls); err != nil {
+		return err
+	}
+	r.client = client.New(r.controls.Addresses())
+	for number := range r.config.Nodes {
+		zone, region := r.zone(number)
+		started, err := startNode(fmt.Sprintf("node-%d", number), zone, region, r.controls.Addresses(), r.shared)
+		if err != nil {
+			return ErrFailed.Wrap(err, "start a node")
+		}
+		r.nodes = append(r.nodes, started)
+	}
+	return nil
+}
+
+func (r *Run) list(response http.ResponseWriter, _ *http.Request) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	// Control reads again if its connection ends.
+	_ = json.NewEncoder(response).Encode(r.listed)
+}
+
+// settle waits until all nodes act on the declarations and all engines have
+// an owner.
+func (r *Run) settle(ctx context.Context) error {
+	began := time.Now()
+	if err := r.apply(ctx, 0); err != nil {
+		return err
+	}
+	limited, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	for {
+		status, err := r.client.GetStatus(limited)
+		if err != nil {
+			return err
+		}
+		unowned := 0
+		for _, engine := range status.Engines {
+			if engine.Owner == "" {
+				unowned++
+			}
+		}
+		if len(status.Nodes) == r.config.Nodes && len(status.Engines) == r.config.Workers && unowned == 0 && r.behind() == 0 {
+			break
+		}
+		if err := pause(limited, time.Second); err != nil {
+			return ErrFailed.New("not settled: %d nodes, %d engines, %d without an owner, %d nodes behind",
+				len(status.Nodes), len(status.Engines), unowned, r.behind())
+		}
+	}
+	r.report.SettleMillis = time.Since(began).Milliseconds()
+	r.say("settled after %d ms", r.report.SettleMillis)
+	return nil
+}
+
+func (r *Run) say(format string, arguments ...any) {
+	fmt.Fprintf(r.config.Out, "hollow: "+format+"\n", arguments...)
+}
+
+func pause(ctx context.Context, length time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(length):
+		return nil
+	}
+}
+
+// behind counts the nodes that do not act on the newest change under a lease.
+func (r *Run) behind() int {
+	count := 0
+	for _, checked := range r.nodes {
+		if !checked.leased.Load() || checked.revision.Load() < r.revision {
+			count++
+		}
+	}
+	return count
+}
+
+func poolName(number int) string { return fmt.Sprintf("pool-%d", number) }
+
+// apply declares the pools, with a number that makes each declaration differ.
+func (r *Run) apply(ctx context.Context, number int) error {
+	limited, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	current, err := r.client.GetDeclarations(limited)
+	if err != nil {
+		return err
+	}
+	request := &dillchutev1.ApplyRequest{ChangeId: fmt.Sprintf("change-%d", number), BaseRevision: current.Revision}
+	for pool := range r.config.Trainers {
+		request.Pools = append(request.Pools, declaration.ToProto(state.PoolSpec{
+			Name: poolName(pool), Model: hollowModel, EngineGroup: "group", Policy: state.ContinueRunning,
+			MaxStalenessVersions: 1, SamplePriority: 2, LivePriority: 7, MaxQueuedRequests: 1000 + number,
+			MaxQueuedTokens: 1 << 24, RetryPercent: 10, MaxSwappingPercent: 34, Disconnected: state.RefuseDisconnected,
+		}))
+	}
+	response, err := r.client.Apply(limited, request)
+	if err != nil {
+		return err
+	}
+	if response.Outcome != dillchutev1.ApplyOutcome_APPLY_OUTCOME_ACCEPTED {
+		return ErrFailed.New("change %d: %s %v", number, response.Outcome, response.Problems)
+	}
+	r.revision = response.Revision
+	return nil
+}
+
+// idle measures what leases, summaries and reads cost when nothing changes.
+func (r *Run) idle(ctx context.Context) error {
+	measured, err := r.during(ctx, func(ctx context.Context) error { return pause(ctx, r.config.Phase) })
+	r.report.Idle = measured
+	r.say("idle: %s", measured)
+	return err
+}
+
+// changes measures the time from the answer to a change until all nodes act on it.
+func (r *Run) changes(ctx context.Context) error {
+	var times []int64
+	measured, err := r.during(ctx, func(ctx context.Context) error {
+		every := time.Duration(float64(time.Second) / r.config.ChangesPerSecond)
+		for number := 1; number <= int(r.config.Phase/every); number++ {
+			began := time.Now()
+			if err := r.apply(ctx, number); err != nil {
+				return err
+			}
+			if err := r.awaitInForce(ctx); err != nil {
+				return err
+			}
+			times = append(times, time.Since(began).Milliseconds())
+			if err := pause(ctx, every-time.Since(began)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	r.report.Changes, r.report.ChangeMillis = measured, spreadOf(times)
+	r.say("changes: %s; in force on all nodes after %s", measured, r.report.ChangeMillis)
+	return err
+}
+
+func (r *Run) awaitInForce(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	for r.behind() > 0 {
+		if err := pause(limited, pollInterval); err != nil {
+			return ErrFailed.New("%d nodes are behind", r.behind())
+		}
+	}
+	return nil
+}
+
+// weights measures the time from a publication until all engines have loaded it.
+func (r *Run) weights(ctx context.Context) error {
+	for version := uint64(1); version <= 2; version++ {
+		before := r.shared.loaded.Load()
+		began := time.Now()
+		if _, err := r.client.PublishWeights(ctx, &dillchutev1.PublishWeightsRequest{Model: hollowModel, Version: version}); err != nil {
+			return err
+		}
+		for r.shared.loaded.Load()-before < uint64(r.config.Workers) {
+			if time.Since(began) > settleLimit {
+				return ErrFailed.New("%d of %d engines loaded version %d", r.shared.loaded.Load()-before, r.config.Workers, version)
+			}
+			if err := pause(ctx, pollInterval); err != nil {
+				return err
+			}
+		}
+		// The last loads have been ordered; each takes the load time.
+		if err := pause(ctx, r.config.Load); err != nil {
+			return err
+		}
+		r.report.WeightsMillis = append(r.report.WeightsMillis, time.Since(began).Milliseconds())
+	}
+	r.say("weights on all workers after %v ms, with %s for a load", r.report.WeightsMillis, r.config.Load)
+	return nil
+}
+
+// restarts kills nodes and measures the time until the replacement of each
+// acts on the newest declaration and owns engines again.
+func (r *Run) restarts(ctx context.Context) error {
+	var times []int64
+	for number := range min(restartedNodes, len(r.nodes)) {
+		zone, region := r.zone(number)
+		r.nodes[number].kill()
+		began := time.Now()
+		started, err := startNode(r.nodes[number].id, zone, region, r.controls.Addresses(), r.shared)
+		if err != nil {
+			return ErrFailed.Wrap(err, "restart a node")
+		}
+		r.nodes[number] = started
+		if err := r.awaitInForce(ctx); err != nil {
+			return err
+		}
+		times = append(times, time.Since(began).Milliseconds())
+	}
+	r.report.RestartMillis = spreadOf(times)
+	r.say("restarted nodes act again after %s", r.report.RestartMillis)
+	return nil
+}
+
+// samples submits a step for each trainer and fetches all results.
+func (r *Run) samples(ctx context.Context) error {
+	var trainers sync.WaitGroup
+	failures := make(chan error, r.config.Trainers)
+	measured, _ := r.during(ctx, func(ctx context.Context) error {
+		for pool := range r.config.Trainers {
+			trainers.Go(func() { failures <- r.train(ctx, poolName(pool)) })
+		}
+		trainers.Wait()
+		return nil
+	})
+	for range r.config.Trainers {
+		if err := <-failures; err != nil {
+			return err
+		}
+	}
+	r.report.Samples = measured
+	r.report.SampleCount = r.config.Trainers * r.config.Samples
+	r.report.SampleTokens = int(r.config.SampleTokens)
+	r.say("samples: %d of %d tokens whole after %.1f s: %s", r.report.SampleCount, r.config.SampleTokens, measured.Seconds, measured)
+	return nil
+}
+
+func (r *Run) train(ctx context.Context, pool string) error {
+	limited, cancel := context.WithTimeout(ctx, 2*settleLimit)
+	defer cancel()
+	request := &dillchutev1.SubmitStepRequest{Pool: pool, Step: 1}
+	for index := range uint32(r.config.Samples) {
+		request.Samples = append(request.Samples, &dillchutev1.SamplePrompt{
+			Index: index, Prompt: strings.Repeat("p", 200), MaxTokens: r.config.SampleTokens,
+		})
+	}
+	own := client.New(r.controls.Addresses())
+	if _, err := own.SubmitStep(limited, request); err != nil {
+		return err
+	}
+	trainer := client.NewTrainer(own, pool, 1, 0)
+	for got := 0; got < r.config.Samples; {
+		response, err := trainer.Fetch(limited, 0, 256, time.Second)
+		if err != nil {
+			return err
+		}
+		got += len(response.Samples)
+	}
+	return nil
+}
+
+// during measures all processes while the work runs.
+func (r *Run) during(ctx context.Context, work func(context.Context) error) (Cost, error) {
+	ids := r.controls.ProcessIDs()
+	before := make([]usage, len(ids))
+	for position, id := range ids {
+		before[position] = processUsage(id)
+	}
+	messages, bytes := r.traffic()
+	own, began := ownProcessor(), time.Now()
+	err := work(ctx)
+	cost := Cost{Seconds: time.Since(began).Seconds()}
+	for position, id := range ids {
+		after := processUsage(id)
+		cost.ControlCore = append(cost.ControlCore, (after.processor-before[position].processor).Seconds()/cost.Seconds)
+		cost.ControlMiB = append(cost.ControlMiB, float64(after.resident)/(1<<20))
+	}
+	slices.Sort(cost.ControlCore)
+	laterMessages, laterBytes := r.traffic()
+	perNode := cost.Seconds * float64(r.config.Nodes)
+	cost.NodeCore = (ownProcessor() - own).Seconds() / perNode
+	cost.NodeMessages = float64(laterMessages-messages) / perNode
+	cost.NodeBytes = float64(laterBytes-bytes) / perNode
+	return cost, err
+}
+
+// traffic sums up what all nodes have sent and received.
+func (r *Run) traffic() (messages, bytes uint64) {
+	for _, counted := range r.nodes {
+		counts := &counted.transport.Counts
+		messages += counts.MessagesSent.Load() + counts.MessagesReceived.Load()
+		bytes += counts.BytesSent.Load() + counts.BytesReceived.Load()
+	}
+	return messages, bytes
+}
