--- a/bench/simulate/client.go
+++ b/bench/simulate/client.go
@@ -231,10 +231,9 @@
 // operatorProcess changes the declarations again and again, and races others.
 type operatorProcess struct {
 	clientProcess
-	count   int
-	left    int
-	pause   int64
-	resends int
+	count int
+	left  int
+	pause int64
 	// toggle changes a field that does no harm.
 	toggle int
 }
--- a/control/reconcile.go
+++ b/control/reconcile.go
@@ -1,8 +1,9 @@
 package control
 
 import (
+	"maps"
 	"reflect"
-	"sort"
+	"slices"
 
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/state"
@@ -34,7 +35,7 @@
 // expireNodes takes out the nodes whose lease has ended. The holder's lease
 // ended earlier by the margin.
 func (c *Core) expireNodes() {
-	for _, id := range sortedIDs(c.leases) {
+	for _, id := range slices.Sorted(maps.Keys(c.leases)) {
 		held := c.leases[id]
 		if c.clock.Monotonic-held.renewedAt > c.config.LeaseMillis {
 			c.proposeOwn(state.Command{ExpireNode: &state.ExpireNode{ID: id, Epoch: held.epoch}})
@@ -54,7 +55,7 @@
 			command.Listed = append(command.Listed, listed)
 		}
 	}
-	for _, id := range sortedIDs(c.machine.Catalog.Engines) {
+	for _, id := range slices.Sorted(maps.Keys(c.machine.Catalog.Engines)) {
 		if !present[id] {
 			command.Removed = append(command.Removed, id)
 		}
@@ -85,7 +86,7 @@
 // its region while the zone has none, and evens out their shares.
 func (c *Core) grantEngines() {
 	plan := c.newOwnershipPlan()
-	ids := sortedIDs(c.machine.Catalog.Engines)
+	ids := slices.Sorted(maps.Keys(c.machine.Catalog.Engines))
 	var moved []*state.Engine
 	for _, id := range ids {
 		engine := c.machine.Catalog.Engines[id]
@@ -110,7 +111,7 @@
 	plan := &ownershipPlan{
 		nodes: map[string][]*state.Node{}, total: map[string]int{}, byGroup: map[string]map[string]int{},
 	}
-	for _, id := range sortedIDs(c.machine.Catalog.Nodes) {
+	for _, id := range slices.Sorted(maps.Keys(c.machine.Catalog.Nodes)) {
 		node := c.machine.Catalog.Nodes[id]
 		if node.Draining || c.leases[id] == nil {
 			continue
@@ -223,12 +224,3 @@
 
 // maxLearnerLag is how many entries a learner may trail to count as caught up.
 const maxLearnerLag = 64
-
-func sortedIDs[T any](objects map[string]T) []string {
-	ids := make([]string, 0, len(objects))
-	for id := range objects {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
-}
--- a/node/engine.go
+++ b/node/engine.go
@@ -1,7 +1,8 @@
 package node
 
 import (
-	"sort"
+	"maps"
+	"slices"
 
 	"github.com/dillchute/dillchute/dispatch"
 	"github.com/dillchute/dillchute/protocol"
@@ -48,13 +49,13 @@
 // syncEngines takes up engines that control has granted and lets go of others.
 // Attempts that run on an engine let go of end by themselves.
 func (c *Core) syncEngines() {
-	for _, id := range sortedNames(c.engines) {
+	for _, id := range slices.Sorted(maps.Keys(c.engines)) {
 		info := c.catalog.Engines[id]
 		if info == nil || info.Owner != c.config.ID || info.Epoch != c.engines[id].info.Epoch {
 			delete(c.engines, id)
 		}
 	}
-	for _, id := range sortedNames(c.catalog.Engines) {
+	for _, id := range slices.Sorted(maps.Keys(c.catalog.Engines)) {
 		info := c.catalog.Engines[id]
 		if info.Owner != c.config.ID {
 			continue
@@ -69,7 +70,7 @@
 
 // probeEngines asks each engine for a report and raises its fence.
 func (c *Core) probeEngines() {
-	for _, id := range sortedNames(c.engines) {
+	for _, id := range slices.Sorted(maps.Keys(c.engines)) {
 		target := c.engines[id]
 		if target.order != nil && c.now-target.orderAt > orderTimeoutMillis {
 			c.endOrder(target, false)
@@ -217,7 +218,7 @@
 // whose version the request accepts, or nil.
 func (c *Core) chooseEngine(request *request) *engine {
 	var best *engine
-	for _, id := range sortedNames(c.engines) {
+	for _, id := range slices.Sorted(maps.Keys(c.engines)) {
 		target := c.engines[id]
 		if target.info.Group != request.group || !c.usable(target) || !c.accepts(request, target) {
 			continue
@@ -242,22 +243,4 @@
 	return pool != nil && target.version+pool.Spec.MaxStalenessVersions >= c.catalog.Models[pool.Spec.Model].Newest()
 }
 
-func sortedNames[T any](objects map[string]T) []string {
-	names := make([]string, 0, len(objects))
-	for name := range objects {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
-func sortedNumbers[T any](objects map[uint64]T) []uint64 {
-	numbers := make([]uint64, 0, len(objects))
-	for number := range objects {
-		numbers = append(numbers, number)
-	}
-	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
-	return numbers
-}
-
-func (c *Core) sortedRequests() []uint64 { return sortedNumbers(c.requests) }
+func (c *Core) sortedRequests() []uint64 { return slices.Sorted(maps.Keys(c.requests)) }
--- a/node/forward.go
+++ b/node/forward.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/dillchute/dillchute/dispatch"
@@ -44,7 +45,7 @@
 // so that nodes with the same summaries do not all choose the same peer.
 func (c *Core) choosePeer(request *request) *state.Node {
 	var zone, region []string
-	for _, id := range sortedNames(c.peers) {
+	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
 		node := c.catalog.Nodes[id]
 		if node == nil || node.Draining || request.live.refusedBy[node.Address] || c.peerFree(id, request.group) <= 0 {
 			continue
--- a/node/lease.go
+++ b/node/lease.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/dillchute/dillchute/protocol"
 	"github.com/dillchute/dillchute/state"
+	"maps"
+	"slices"
 )
 
 // beatsRemembered bounds the heartbeats whose time of sending is kept.
@@ -119,7 +121,7 @@
 
 func (c *Core) summary() protocol.Summary {
 	summary := protocol.Summary{Running: len(c.attempts)}
-	for _, name := range sortedNames(c.groups) {
+	for _, name := range slices.Sorted(maps.Keys(c.groups)) {
 		group := c.groups[name]
 		summary.Queued += group.queue.Len()
 		free := 0
@@ -154,7 +156,7 @@
 }
 
 func (c *Core) resendProposals() {
-	for _, id := range sortedNumbers(c.proposals) {
+	for _, id := range slices.Sorted(maps.Keys(c.proposals)) {
 		if c.now-c.proposals[id].sentAt >= proposeRetryMillis {
 			c.sendProposal(id)
 		}
--- a/node/request.go
+++ b/node/request.go
@@ -4,6 +4,8 @@
 	"github.com/dillchute/dillchute/dispatch"
 	"github.com/dillchute/dillchute/protocol"
 	"github.com/dillchute/dillchute/state"
+	"maps"
+	"slices"
 )
 
 // phase is how far a request has come at this node.
@@ -198,7 +200,7 @@
 
 // pump starts or forwards as many queued requests as can be.
 func (c *Core) pump() {
-	for _, name := range sortedNames(c.groups) {
+	for _, name := range slices.Sorted(maps.Keys(c.groups)) {
 		group := c.groups[name]
 		var skipped []dispatch.Item
 		for group.queue.Len() > 0 && len(skipped) < maxSkipped {
--- a/node/sample.go
+++ b/node/sample.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/dillchute/dillchute/state"
 )
@@ -30,7 +32,7 @@
 	if !c.Leased() || c.draining {
 		return
 	}
-	for _, name := range sortedNames(c.catalog.Pools) {
+	for _, name := range slices.Sorted(maps.Keys(c.catalog.Pools)) {
 		if c.pendingHints[name] > 0 {
 			c.requestPoolSamples(name, c.catalog.Pools[name].Spec.EngineGroup)
 		}
@@ -180,12 +182,12 @@
 // tells whether there was one.
 func (c *Core) preempt(live *request) bool {
 	var victim *request
-	for _, id := range sortedNames(c.engines) {
+	for _, id := range slices.Sorted(maps.Keys(c.engines)) {
 		target := c.engines[id]
 		if target.info.Group != live.group || !c.usable(target) {
 			continue
 		}
-		for _, attempt := range sortedNames(target.running) {
+		for _, attempt := range slices.Sorted(maps.Keys(target.running)) {
 			running := target.running[attempt]
 			if running.sample == nil || running.priority >= live.priority {
 				continue
--- a/node/swap.go
+++ b/node/swap.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/dillchute/dillchute/state"
@@ -11,7 +12,7 @@
 	if !c.Leased() {
 		return
 	}
-	for _, name := range sortedNames(c.catalog.Pools) {
+	for _, name := range slices.Sorted(maps.Keys(c.catalog.Pools)) {
 		c.planGroupSwaps(c.catalog.Pools[name].Spec)
 	}
 }
@@ -20,7 +21,7 @@
 	newest := c.catalog.Models[pool.Model].Newest()
 	var behind []*engine
 	owned, swapping := 0, 0
-	for _, id := range sortedNames(c.engines) {
+	for _, id := range slices.Sorted(maps.Keys(c.engines)) {
 		target := c.engines[id]
 		if target.info.Group != pool.EngineGroup {
 			continue
@@ -59,7 +60,7 @@
 		return
 	}
 	waiting := false
-	for _, attempt := range sortedNames(target.running) {
+	for _, attempt := range slices.Sorted(maps.Keys(target.running)) {
 		running := target.running[attempt]
 		switch c.policyOf(running) {
 		case state.FinishRunning:
--- a/state/declaration.go
+++ b/state/declaration.go
@@ -3,7 +3,9 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"maps"
 	"reflect"
+	"slices"
 	"sort"
 )
 
@@ -117,7 +119,7 @@
 			m.Ledgers[spec.Name] = newLedger()
 		}
 	}
-	for _, name := range sortedKeys(m.Catalog.Pools) {
+	for _, name := range slices.Sorted(maps.Keys(m.Catalog.Pools)) {
 		if !declared[name] {
 			delete(m.Catalog.Pools, name)
 			m.touch(KindPool, name)
@@ -135,15 +137,6 @@
 	}
 }
 
-func sortedKeys[T any](objects map[string]T) []string {
-	keys := make([]string, 0, len(objects))
-	for key := range objects {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 // The bounds that a declaration is checked against.
 const (
 	maxPriority = 9
--- a/state/membership.go
+++ b/state/membership.go
@@ -1,5 +1,10 @@
 package state
 
+import (
+	"maps"
+	"slices"
+)
+
 // RegisterNode adds a node or replaces its earlier incarnation.
 type RegisterNode struct {
 	ID          string `cbor:"1,keyasint"`
@@ -58,12 +63,12 @@
 func (m *Machine) removeNode(node *Node) {
 	delete(m.Catalog.Nodes, node.ID)
 	m.touchLeaving(KindNode, node.ID, node.Region)
-	for _, id := range sortedKeys(m.Catalog.Engines) {
+	for _, id := range slices.Sorted(maps.Keys(m.Catalog.Engines)) {
 		if engine := m.Catalog.Engines[id]; engine.Owner == node.ID {
 			m.setOwner(engine, "")
 		}
 	}
-	for _, name := range sortedKeys(m.Ledgers) {
+	for _, name := range slices.Sorted(maps.Keys(m.Ledgers)) {
 		m.Ledgers[name].releaseNode(node.ID, node.Epoch)
 	}
 	for _, claim := range m.Claims {
