Simulator: operators' calls are checked for linearizability with porcupine

Reads and changes of all operators, with the time of sending and of the answer, must fit one order of a register with compare-and-swap. The check's own test has a stale read and a doubly taken base caught, and overlapping calls let pass.

--- a/bench/simulate/client.go
+++ b/bench/simulate/client.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/anishathalye/porcupine"
+
 	"github.com/dillchute/dillchute/bench/oracle"
 	"github.com/dillchute/dillchute/control"
 	"github.com/dillchute/dillchute/protocol"
@@ -236,6 +238,7 @@
 	pause int64
 	// toggle changes a field that does no harm.
 	toggle int
+	number int
 }
 
 func (o *operatorProcess) start() {
@@ -256,7 +259,9 @@
 	read := func() sender {
 		return func(at *controlProcess, id uint64) { at.core.Read(at.clock(), id) }
 	}
+	calledAt := o.world.now
 	o.request(read, func(reply control.Reply) {
+		o.observe(calledAt, declarationCall{isRead: true}, declarationAnswer{revision: reply.View.Declared})
 		o.apply(reply.View.Declared)
 	})
 }
@@ -269,7 +274,19 @@
 		pools[position].MaxQueuedRequests += o.count + o.toggle
 	}
 	command := state.Command{Apply: &state.Apply{ChangeID: identity, Base: base, Author: o.name, Pools: pools}}
-	o.request(proposal(command), func(reply control.Reply) { o.applied(identity, base, reply.Result.Apply, command) })
+	calledAt := o.world.now
+	o.request(proposal(command), func(reply control.Reply) {
+		result := reply.Result.Apply
+		o.observe(calledAt, declarationCall{base: base}, declarationAnswer{outcome: result.Outcome, revision: result.Revision})
+		o.applied(identity, base, result, command)
+	})
+}
+
+// observe keeps a call for the check of linearizability.
+func (o *operatorProcess) observe(calledAt int64, call declarationCall, answer declarationAnswer) {
+	o.cluster.operations = append(o.cluster.operations, porcupine.Operation{
+		ClientId: o.number, Input: call, Call: calledAt, Output: answer, Return: o.world.now,
+	})
 }
 
 func (o *operatorProcess) applied(identity string, base uint64, result *state.ApplyResult, command state.Command) {
--- a/bench/simulate/cluster.go
+++ b/bench/simulate/cluster.go
@@ -5,7 +5,9 @@
 	"sort"
 	"strings"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/dillchute/dillchute/bench/model"
+
 	"github.com/dillchute/dillchute/bench/oracle"
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/control"
@@ -76,6 +78,8 @@
 	identities   consensus.ReplicaID
 	storeFreeAt  int64
 	violations   []oracle.Violation
+	// operations are the operators' calls, for the check of linearizability.
+	operations []porcupine.Operation
 }
 
 var policies = map[string]state.WeightPolicy{
@@ -191,7 +195,7 @@
 	for number := range cl.load.Operators {
 		cl.operators = append(cl.operators, &operatorProcess{
 			clientProcess: cl.newClient(fmt.Sprintf("operator-%d", number+1), number), left: cl.load.Changes,
-			pause: cl.load.ChangePause, toggle: number * 1000,
+			pause: cl.load.ChangePause, toggle: number * 1000, number: number,
 		})
 	}
 }
@@ -218,7 +222,11 @@
 	declaring.birth()
 	apply := state.Command{Apply: &state.Apply{ChangeID: "initial", Author: "declarer", Pools: cl.pools}}
 	publish := state.Command{PublishVersion: &state.PublishVersion{Model: liveModel, Version: 1}}
-	declaring.request(proposal(apply), func(control.Reply) {
+	declaring.request(proposal(apply), func(reply control.Reply) {
+		cl.operations = append(cl.operations, porcupine.Operation{
+			ClientId: len(cl.operators), Input: declarationCall{}, Return: cl.world.now,
+			Output: declarationAnswer{outcome: reply.Result.Apply.Outcome, revision: reply.Result.Apply.Revision},
+		})
 		declaring.request(proposal(publish), func(control.Reply) { cl.startClients() })
 	})
 }
--- a/bench/simulate/run.go
+++ b/bench/simulate/run.go
@@ -42,6 +42,7 @@
 		AllDelivered: true, NoUnknown: scenario.NoUnknown, LeavingGraceMillis: leavingGraceMillis,
 	})
 	violations = append(violations, cl.violations...)
+	violations = append(violations, judgeLinearizability(cl.operations, end)...)
 	if end >= limit {
 		violations = append(violations, oracle.Violation{Promise: NoProgress, At: end, Detail: cl.unfinished()})
 	}
--- a/bench/simulate/simulate_test.go
+++ b/bench/simulate/simulate_test.go
@@ -5,7 +5,10 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
+
+	"github.com/dillchute/dillchute/state"
 )
 
 func scenario(t *testing.T, name string) Scenario {
@@ -87,3 +90,22 @@
 		require.ErrorContains(t, err, part)
 	}
 }
+
+// TestLinearizabilityIsJudged: a read that misses a change which was answered
+// before it was sent is caught; one that was under way meanwhile is not.
+func TestLinearizabilityIsJudged(t *testing.T) {
+	history := func(readSentAt int64, seen uint64) []porcupine.Operation {
+		return []porcupine.Operation{
+			{ClientId: 0, Input: declarationCall{base: 0}, Call: 0, Output: declarationAnswer{outcome: state.ApplyAccepted, revision: 5}, Return: 10},
+			{ClientId: 1, Input: declarationCall{base: 0}, Call: 1, Output: declarationAnswer{outcome: state.ApplyConflict, revision: 5}, Return: 12},
+			{ClientId: 2, Input: declarationCall{isRead: true}, Call: readSentAt, Output: declarationAnswer{revision: seen}, Return: 30},
+		}
+	}
+	require.Empty(t, judgeLinearizability(history(20, 5), 0))
+	require.NotEmpty(t, judgeLinearizability(history(20, 0), 0))
+	require.Empty(t, judgeLinearizability(history(5, 0), 0))
+	twice := append(history(20, 5), porcupine.Operation{
+		ClientId: 3, Input: declarationCall{base: 0}, Call: 3, Output: declarationAnswer{outcome: state.ApplyAccepted, revision: 6}, Return: 40,
+	})
+	require.NotEmpty(t, judgeLinearizability(twice, 0))
+}
