Fleet: a wiped control replica rejoins under a new identity; the desk's faults

Before: 'start' after 'wipe' ran a replica without a folder, which refuses to start, so the run went on with two. Now the folder is made by 'control join' and the replica asks to be taken in; the fleet's replicas replace a voter that is silent for 5 s.

--- a/bench/fleet/fault.go
+++ b/bench/fleet/fault.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"sort"
+	"strings"
 	"syscall"
 	"time"
 
@@ -96,6 +98,9 @@
 	case ActionStart:
 		_, ended, _ := target.current()
 		<-ended
+		if err := f.rejoin(target); err != nil {
+			return err
+		}
 		return target.start()
 	case ActionFreeze:
 		target.signal(syscall.SIGSTOP)
@@ -111,6 +116,27 @@
 	return nil
 }
 
+// rejoin makes a new folder, under a new identity, for a control replica that
+// has lost its own.
+func (f *Fleet) rejoin(target *part) error {
+	if !slices.Contains(f.controlNames(), target.name) {
+		return nil
+	}
+	if _, err := os.Stat(f.path(target.name + "-data")); err == nil {
+		return nil
+	}
+	target.arguments = append(target.arguments, "--join", strings.Join(f.controls, ","))
+	return f.runOnce(f.config.Product, "control", "join", "--config", f.path(target.name+".yaml"))
+}
+
+func (f *Fleet) controlNames() []string {
+	var names []string
+	for number := range f.config.Workload.Controls {
+		names = append(names, controlName(number))
+	}
+	return names
+}
+
 func (f *Fleet) markLeaving(name string) error {
 	for position := range f.engines {
 		if f.engines[position].ID == name {
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -183,7 +183,7 @@
 	}
 	for number, address := range f.controls {
 		name := controlName(number)
-		settings := fmt.Sprintf("cluster: %s\naddress: %s\ndata_folder: %s\nplatform_url: http://%s\n",
+		settings := fmt.Sprintf("cluster: %s\naddress: %s\ndata_folder: %s\nplatform_url: http://%s\nreplace_after: 5s\n",
 			f.config.Workload.Name, address, f.path(name+"-data"), f.addresses["platform"])
 		if err := f.writeSettings(name, settings); err != nil {
 			return err
