Simulator reports failover, in-force and leaving times; whole histories only

The summary gives p50, p99 and max, in virtual time, of the time from a leader's loss to another one's first commit, from an accepted change until every node acts on it or has no lease, and from an engine's mark as leaving to its last attempt. The history is taken at the end, when no call is open.

--- a/bench/command/simulate.go
+++ b/bench/command/simulate.go
@@ -106,13 +106,23 @@
 	}
 	fmt.Fprintf(out, "  samples submitted %d, delivered %d\n", summary.Submitted, summary.Delivered)
 	fmt.Fprintf(out, "  live answered %d, not run %d, unknown %d\n", summary.Answered, summary.NotRun, summary.Unknown)
-	if count := len(summary.EndMillis); count > 0 {
-		fmt.Fprintf(out, "  virtual time to the end: p50 %d ms, p99 %d ms, max %d ms\n",
-			summary.EndMillis[count/2], summary.EndMillis[count*99/100], summary.EndMillis[count-1])
+	printTimes(out, "virtual time to the end", summary.EndMillis)
+	for _, timing := range simulate.Timings {
+		printTimes(out, "time "+string(timing), summary.Timings[timing])
 	}
 	fmt.Fprintf(out, "  failed runs %d, violations %v\n", len(summary.Failed), summary.Violations)
 }
 
+// printTimes prints the spread of times that are in ascending order.
+func printTimes(out io.Writer, name string, times []int64) {
+	count := len(times)
+	if count == 0 {
+		return
+	}
+	fmt.Fprintf(out, "  %s: p50 %d ms, p99 %d ms, max %d ms (%d)\n",
+		name, times[count/2], times[count*99/100], times[count-1], count)
+}
+
 // printFailure runs the seed again for its trace and prints what came before
 // the first violation.
 func printFailure(out io.Writer, scenario simulate.Scenario, failed simulate.Result) {
--- a/bench/simulate/cluster.go
+++ b/bench/simulate/cluster.go
@@ -80,6 +80,7 @@
 	violations   []oracle.Violation
 	// operations are the operators' calls, for the check of linearizability.
 	operations []porcupine.Operation
+	timings    map[Timing][]int64
 }
 
 var policies = map[string]state.WeightPolicy{
@@ -92,7 +93,8 @@
 
 func newCluster(world *World, topology Topology, load Load) *cluster {
 	cl := &cluster{
-		world: world, topology: topology, load: load, engineByName: map[string]*engineProcess{},
+		timings: map[Timing][]int64{},
+		world:   world, topology: topology, load: load, engineByName: map[string]*engineProcess{},
 		byAddress: map[string]func(protocol.Message){}, processes: map[string]*process{},
 	}
 	cl.pools = []state.PoolSpec{
@@ -290,6 +292,7 @@
 // expectInForce checks, some seconds from now, that no node acts under a lease
 // on an earlier revision.
 func (cl *cluster) expectInForce(revision uint64) {
+	cl.timeInForce(revision)
 	cl.world.schedule(inForceMillis, func() {
 		for _, checked := range cl.nodes {
 			if !checked.alive || checked.frozen {
--- a/bench/simulate/fault.go
+++ b/bench/simulate/fault.go
@@ -47,8 +47,10 @@
 	case KillControl:
 		cl.killControl(kind, cl.pickControl(), duration)
 	case KillLeader:
+		cl.timeFailover(cl.leader().core.Raft().Term())
 		cl.killControl(kind, cl.leader(), duration)
 	case FreezeLeader:
+		cl.timeFailover(cl.leader().core.Raft().Term())
 		cl.freeze(kind, cl.leader().process, duration)
 	case LoseDisk:
 		cl.loseDisk(cl.pickControl(), duration)
--- a/bench/simulate/run.go
+++ b/bench/simulate/run.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"sort"
 	"sync"
 
@@ -23,6 +24,7 @@
 	Faults     map[string]int
 	// EndMillis is the virtual time at which all work had ended.
 	EndMillis int64
+	Timings   map[Timing][]int64
 	Trace     []string
 }
 
@@ -36,19 +38,22 @@
 	limit := scenario.FaultsUntil + scenario.MaxDuration + scenario.RecoverLimit
 	world.runUntil(limit, cl.finished)
 	end := world.now
+	// No call of an operator is open now; later ones may be cut off by the end.
+	operations := cl.operations
 	// Checks that are still to come, and late messages, get their time too.
 	world.runUntil(end+inForceMillis, func() bool { return false })
+	cl.timeLeaving(world.history)
 	violations, counts := oracle.Check(world.history, oracle.Expect{
 		AllDelivered: true, NoUnknown: scenario.NoUnknown, LeavingGraceMillis: leavingGraceMillis,
 	})
 	violations = append(violations, cl.violations...)
-	violations = append(violations, judgeLinearizability(cl.operations, end)...)
+	violations = append(violations, judgeLinearizability(operations, end)...)
 	if end >= limit {
 		violations = append(violations, oracle.Violation{Promise: NoProgress, At: end, Detail: cl.unfinished()})
 	}
 	return Result{
 		Scenario: scenario.Name, Seed: seed, Digest: world.digest.Sum64(), Violations: violations, Counts: counts,
-		Faults: world.faults, EndMillis: end, Trace: world.trace,
+		Faults: world.faults, EndMillis: end, Timings: cl.timings, Trace: world.trace,
 	}
 }
 
@@ -106,6 +111,8 @@
 	Failed []Result
 	// EndMillis are the virtual times at which runs ended, in order.
 	EndMillis []int64
+	// Timings are all that were measured, in order.
+	Timings map[Timing][]int64
 }
 
 // RunAll runs seeds of the scenarios on all cores. The summary does not depend
@@ -137,7 +144,7 @@
 		workers.Wait()
 		close(results)
 	}()
-	summary := Summary{Faults: map[string]int{}, Violations: map[oracle.Promise]int{}}
+	summary := Summary{Faults: map[string]int{}, Violations: map[oracle.Promise]int{}, Timings: map[Timing][]int64{}}
 	for result := range results {
 		summary.add(result)
 	}
@@ -145,7 +152,10 @@
 		a, b := summary.Failed[i], summary.Failed[j]
 		return a.Scenario < b.Scenario || (a.Scenario == b.Scenario && a.Seed < b.Seed)
 	})
-	sort.Slice(summary.EndMillis, func(i, j int) bool { return summary.EndMillis[i] < summary.EndMillis[j] })
+	slices.Sort(summary.EndMillis)
+	for _, times := range summary.Timings {
+		slices.Sort(times)
+	}
 	return summary
 }
 
@@ -160,6 +170,9 @@
 	s.NotRun += result.Counts.NotRun
 	s.Unknown += result.Counts.Unknown
 	s.EndMillis = append(s.EndMillis, result.EndMillis)
+	for timing, times := range result.Timings {
+		s.Timings[timing] = append(s.Timings[timing], times...)
+	}
 	for _, violation := range result.Violations {
 		s.Violations[violation.Promise]++
 	}
--- a/consensus/raft.go
+++ b/consensus/raft.go
@@ -140,6 +140,9 @@
 // Commit returns the last committed index.
 func (r *Raft) Commit() uint64 { return r.log.committed }
 
+// CommittedInTerm tells whether the last committed entry is of the current term.
+func (r *Raft) CommittedInTerm() bool { return r.log.matches(r.log.committed, r.term) }
+
 // Membership returns the membership in use: the newest in the log.
 func (r *Raft) Membership() Membership {
 	return r.memberships[len(r.memberships)-1].membership
@@ -387,7 +390,7 @@
 	if r.role != Leader || r.transferee != None {
 		return false
 	}
-	if !r.MembershipCommitted() || !r.log.matches(r.log.committed, r.term) {
+	if !r.MembershipCommitted() || !r.CommittedInTerm() {
 		return false
 	}
 	after := r.Membership().apply(change)
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -242,7 +242,7 @@
 // leader that has not committed in its term yet may not know the newest commit
 // index, so reads wait for that.
 func (r *Raft) releaseReads() {
-	if len(r.reads) == 0 || !r.log.matches(r.log.committed, r.term) {
+	if len(r.reads) == 0 || !r.CommittedInTerm() {
 		return
 	}
 	confirmed := r.confirmedRound()
