Transport: a peer's queue holds pointers; less is allocated for each peer

Cause (hollow, sizes 43 to 340): the leader's memory grew by 1.07 MiB with each node. A link's queue was a channel of 8,192 messages of 104 bytes, 852 kB whether used or not, and two buffers of 64 KiB. Ruled out: the catalog and the ledgers (a follower holds the same in 64 MiB).

--- a/transport/transport.go
+++ b/transport/transport.go
@@ -27,8 +27,10 @@
 const Path = "/internal/messages"
 
 const (
-	queueLength     = 8192
-	bufferSize      = 64 << 10
+	// queueLength and bufferSize are allocated for each peer, of which the
+	// leader of control has as many as there are nodes.
+	queueLength     = 4096
+	bufferSize      = 16 << 10
 	lengthSize      = 4
 	maxMessageBytes = 1 << 30
 	minBackoff      = 50 * time.Millisecond
@@ -94,7 +96,7 @@
 // message is dropped if the queue is full.
 func (t *Transport) Send(address string, message protocol.Message) {
 	select {
-	case t.link(address).queue <- message:
+	case t.link(address).queue <- &message:
 	default:
 		t.Counts.MessagesDropped.Add(1)
 	}
@@ -105,7 +107,7 @@
 	defer t.mutex.Unlock()
 	existing := t.links[address]
 	if existing == nil {
-		existing = &link{transport: t, address: address, queue: make(chan protocol.Message, queueLength)}
+		existing = &link{transport: t, address: address, queue: make(chan *protocol.Message, queueLength)}
 		t.links[address] = existing
 		t.wait.Add(1)
 		go existing.run()
@@ -117,7 +119,7 @@
 type link struct {
 	transport *Transport
 	address   string
-	queue     chan protocol.Message
+	queue     chan *protocol.Message
 	failing   bool
 }
 
@@ -159,7 +161,7 @@
 
 // stream sends messages over one connection until it fails or is idle, and
 // tells whether it carried any.
-func (l *link) stream(first protocol.Message) bool {
+func (l *link) stream(first *protocol.Message) bool {
 	reader, writer := io.Pipe()
 	request, err := http.NewRequestWithContext(l.transport.context, http.MethodPost, "http://"+l.address+Path, reader)
 	if err != nil {
@@ -181,7 +183,7 @@
 	return sent
 }
 
-func (l *link) write(writer io.Writer, first protocol.Message, ended <-chan error) bool {
+func (l *link) write(writer io.Writer, first *protocol.Message, ended <-chan error) bool {
 	buffered := bufio.NewWriterSize(writer, bufferSize)
 	message, sent := first, false
 	for {
@@ -208,7 +210,7 @@
 	}
 }
 
-func (l *link) encode(writer io.Writer, message protocol.Message) error {
+func (l *link) encode(writer io.Writer, message *protocol.Message) error {
 	data, err := cbor.Marshal(message)
 	if err != nil {
 		panic("transport: a message must encode: " + err.Error())
