Bench 'experiment': variants side by side in the simulator

The oracle's counts hold idle and wasted shares for fleet and simulator alike; the fleet had a second computation of its own.

--- a/bench/command/command.go
+++ b/bench/command/command.go
@@ -28,6 +28,7 @@
 	Platform    platformCommand    `cmd:"" help:"Run a stand-in of the platform."`
 	Fleet       fleetCommand       `cmd:"" help:"Run a whole deployment on this machine and report on it."`
 	Simulate    simulateCommand    `cmd:"" help:"Run deployments in virtual time under faults."`
+	Experiment  experimentCommand  `cmd:"" help:"Compare variants of a deployment in virtual time."`
 	Hollow      hollowCommand      `cmd:"" help:"Measure what control costs, with hollow nodes and engines."`
 }
 
--- a/bench/command/simulate.go
+++ b/bench/command/simulate.go
@@ -106,6 +106,7 @@
 	}
 	fmt.Fprintf(out, "  samples submitted %d, delivered %d\n", summary.Submitted, summary.Delivered)
 	fmt.Fprintf(out, "  live answered %d, not run %d, unknown %d\n", summary.Answered, summary.NotRun, summary.Unknown)
+	fmt.Fprintf(out, "  trainer idle share %.3f\n", summary.IdleShare())
 	printTimes(out, "virtual time to the end", summary.EndMillis)
 	for _, timing := range simulate.Timings {
 		printTimes(out, "time "+string(timing), summary.Timings[timing])
--- a/bench/fleet/report.go
+++ b/bench/fleet/report.go
@@ -57,7 +57,6 @@
 	violations, counts := oracle.Check(events, oracle.Expect{AllDelivered: true, LeavingGraceMillis: leavingGraceMillis})
 	report := newReport(f.config.Workload.Name, failed, violations, counts)
 	report.addLatencies(events)
-	report.addWaste(events)
 	return report, nil
 }
 
@@ -85,9 +84,7 @@
 			report.Examples = append(report.Examples, fmt.Sprintf("%s: %s", violation.Promise, violation.Detail))
 		}
 	}
-	if total := counts.WaitMillis + counts.TrainMillis; total > 0 {
-		report.IdleShare = float64(counts.WaitMillis) / float64(total)
-	}
+	report.IdleShare, report.WastedShare = counts.IdleShare(), counts.WastedShare()
 	report.StaleVersionsP50, report.StaleVersionsP99, report.StaleVersionsMax = quantiles(counts.StaleVersions)
 	report.StaleMillisP50, report.StaleMillisP99, report.StaleMillisMax = quantiles(counts.StaleMillis)
 	return report
@@ -121,23 +118,6 @@
 
 // addWaste compares the tokens that engines generated with those that reached
 // a trainer or a caller.
-func (r *Report) addWaste(events []oracle.Event) {
-	generated, used := 0, 0
-	for _, event := range events {
-		switch {
-		case event.Generated != nil:
-			generated += int(event.Generated.Segment.Count)
-		case event.Delivered != nil:
-			used += len(event.Delivered.Tokens)
-		case event.Ended != nil && event.Ended.Outcome == protocol.OutcomeAnswered:
-			used += len(event.Ended.Tokens)
-		}
-	}
-	if generated > 0 {
-		r.WastedShare = max(0, 1-float64(used)/float64(generated))
-	}
-}
-
 func (r *Report) err() error {
 	if len(r.Violations) > 0 || len(r.FailedParts) > 0 {
 		return ErrViolated.New("violations: %v; failed parts: %v", r.Violations, r.FailedParts)
--- a/bench/oracle/check.go
+++ b/bench/oracle/check.go
@@ -55,6 +55,22 @@
 	TokensGenerated, TokensUse int
 }
 
+// IdleShare is the trainers' waiting as a share of their waiting and training.
+func (c Counts) IdleShare() float64 {
+	if total := c.WaitMillis + c.TrainMillis; total > 0 {
+		return float64(c.WaitMillis) / float64(total)
+	}
+	return 0
+}
+
+// WastedShare is the share of generated tokens that reached no trainer and no caller.
+func (c Counts) WastedShare() float64 {
+	if c.TokensGenerated == 0 {
+		return 0
+	}
+	return max(0, 1-float64(c.TokensUse)/float64(c.TokensGenerated))
+}
+
 type sampleName struct {
 	pool  string
 	step  uint64
@@ -312,6 +328,7 @@
 		switch end.ended.Outcome {
 		case protocol.OutcomeAnswered:
 			c.counts.Answered++
+			c.counts.TokensUse += len(end.ended.Tokens)
 			if !slices.Equal(end.ended.Tokens, model.Answer(send.sent.Prompt, send.sent.MaxTokens)) {
 				c.violate(WholeAnswers, end.at, "%s got %d tokens that are not its answer", end.ended.Key, len(end.ended.Tokens))
 			}
--- a/bench/simulate/client.go
+++ b/bench/simulate/client.go
@@ -104,6 +104,8 @@
 // trainerProcess trains steps as the stand-in does. What it has taken over, its
 // cursor and its steps survive its restarts; the rest does not.
 type trainerProcess struct {
+	// waitingSince is when the trainer began to wait for the next step, 0 if it does not.
+	waitingSince int64
 	clientProcess
 	pool      string
 	model     string
@@ -143,14 +145,26 @@
 	case t.submitted < min(step+1, t.steps):
 		t.submit(max(t.submitted+1, step))
 	case t.received[step] < t.samples:
+		if t.waitingSince == 0 {
+			t.waitingSince = t.world.now
+		}
 		t.fetch()
 	default:
-		t.after(t.train, func() {
-			t.done = step
-			t.world.record(oracle.Event{StepDone: &oracle.StepDone{Pool: t.pool, Step: step, TrainMillis: t.train}})
-			t.next()
-		})
+		t.trainStep(step)
+	}
+}
+
+func (t *trainerProcess) trainStep(step uint64) {
+	done := &oracle.StepDone{Pool: t.pool, Step: step, TrainMillis: t.train}
+	if t.waitingSince != 0 {
+		done.WaitMillis = t.world.now - t.waitingSince
 	}
+	t.waitingSince = 0
+	t.after(t.train, func() {
+		t.done = step
+		t.world.record(oracle.Event{StepDone: done})
+		t.next()
+	})
 }
 
 func (t *trainerProcess) publish(version uint64) {
--- a/bench/simulate/run.go
+++ b/bench/simulate/run.go
@@ -113,6 +113,9 @@
 	EndMillis []int64
 	// Timings are all that were measured, in order.
 	Timings map[Timing][]int64
+	// WaitMillis and TrainMillis are those of all trainers.
+	WaitMillis  int64
+	TrainMillis int64
 }
 
 // RunAll runs seeds of the scenarios on all cores. The summary does not depend
@@ -159,6 +162,11 @@
 	return summary
 }
 
+// IdleShare is the trainers' waiting as a share of their waiting and training.
+func (s *Summary) IdleShare() float64 {
+	return oracle.Counts{WaitMillis: s.WaitMillis, TrainMillis: s.TrainMillis}.IdleShare()
+}
+
 func (s *Summary) add(result Result) {
 	s.Seeds++
 	for kind, count := range result.Faults {
@@ -169,6 +177,8 @@
 	s.Answered += result.Counts.Answered
 	s.NotRun += result.Counts.NotRun
 	s.Unknown += result.Counts.Unknown
+	s.WaitMillis += result.Counts.WaitMillis
+	s.TrainMillis += result.Counts.TrainMillis
 	s.EndMillis = append(s.EndMillis, result.EndMillis)
 	for timing, times := range result.Timings {
 		s.Timings[timing] = append(s.Timings[timing], times...)
--- a/bench/simulate/scenario.go
+++ b/bench/simulate/scenario.go
@@ -98,7 +98,7 @@
 // LoadScenario reads and checks a scenario's file. What it leaves out is as in
 // the built-in scenarios.
 func LoadScenario(path string) (Scenario, error) {
-	scenario := baseScenario("", nil, 0)
+	scenario := BaseScenario("")
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return scenario, workload.ErrInvalid.Wrap(err, "read scenario")
@@ -106,12 +106,24 @@
 	if err := config.DecodeStrict(data, &scenario); err != nil {
 		return scenario, workload.ErrInvalid.New("%s: %s", path, yaml.FormatError(err, false, true))
 	}
-	if problem := scenario.problem(); problem != "" {
-		return scenario, workload.ErrInvalid.New("%s: %s", path, problem)
+	if err := scenario.Validate(); err != nil {
+		return scenario, workload.ErrInvalid.New("%s: %s", path, err)
 	}
 	return scenario, nil
 }
 
+// BaseScenario returns a scenario without faults, whose other values are those
+// of the built-in ones.
+func BaseScenario(name string) Scenario { return baseScenario(name, nil, 0) }
+
+// Validate returns an ErrInvalid error that names what is wrong.
+func (s Scenario) Validate() error {
+	if problem := s.problem(); problem != "" {
+		return workload.ErrInvalid.New("%s", problem)
+	}
+	return nil
+}
+
 var faultKinds = []FaultKind{
 	KillControl, KillLeader, FreezeLeader, LoseDisk, LoseTwoDisks, CutZone, CutOneWay, CutLeader, Noise,
 	KillNode, FreezeNode, StopNode, KillEngine, FreezeEngine, FailSwaps, LeaveEngine, KillTrainer,
