A test that cut streams free their slots

Eight callers take all slots of a slow engine and go away after the first byte; a short request must then be answered, which it would not for hours otherwise.

--- a/command/command_test.go
+++ b/command/command_test.go
@@ -27,8 +27,13 @@
 )
 
 const (
-	patience  = time.Minute
-	poll      = 20 * time.Millisecond
+	patience = time.Minute
+	poll     = 20 * time.Millisecond
+	// fastStep and slowStep are engines' times for a token, in milliseconds. At
+	// the slow one the longest answer takes many times the patience.
+	fastStep  = 1.0
+	slowStep  = 100.0
+	slots     = 8
 	poolsYAML = `pools:
   - name: chat
     model: m
@@ -55,13 +60,14 @@
 	return listener, listener.Addr().String()
 }
 
-func newDeployment(t *testing.T) *deployment {
+// newDeployment starts a deployment whose engine takes so long for a token.
+func newDeployment(t *testing.T, stepMillis float64) *deployment {
 	d := &deployment{t: t, folder: t.TempDir()}
 	require.NoError(t, os.Mkdir(filepath.Join(d.folder, "pools"), 0o700))
 	d.write("pools/pools.yaml", poolsYAML)
-	engine := d.startEngine()
+	engine := d.startEngine(stepMillis)
 	platform := httptest.NewServer(http.HandlerFunc(func(response http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(response).Encode([]map[string]any{{"id": "e1", "zone": "a", "region": "r", "group": "g", "address": engine, "slots": 8}})
+		_ = json.NewEncoder(response).Encode([]map[string]any{{"id": "e1", "zone": "a", "region": "r", "group": "g", "address": engine, "slots": slots}})
 	}))
 	t.Cleanup(platform.Close)
 	listener, address := listen(t)
@@ -81,11 +87,11 @@
 	require.NoError(d.t, os.WriteFile(filepath.Join(d.folder, name), []byte(text), 0o600))
 }
 
-func (d *deployment) startEngine() string {
+func (d *deployment) startEngine(stepMillis float64) string {
 	store := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	d.t.Cleanup(store.Close)
 	listener, address := listen(d.t)
-	engine := &standin.Engine{Name: "e1", Model: "m", Slots: 8, StepMillis: 1, ChunkTokens: 8, SwapMillis: 10, WeightStore: store.URL, Tick: time.Millisecond}
+	engine := &standin.Engine{Name: "e1", Model: "m", Slots: slots, StepMillis: stepMillis, ChunkTokens: 1, SwapMillis: 10, WeightStore: store.URL, Tick: time.Millisecond}
 	d.run(func(ctx context.Context) error { return engine.Serve(ctx, listener) })
 	return address
 }
@@ -181,7 +187,7 @@
 // TestVerbs runs each operator verb against a deployment, with its exit codes.
 func TestVerbs(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
+	d := newDeployment(t, fastStep)
 	pools := filepath.Join(d.folder, "pools")
 	d.expect(0, "1 pools are valid", "validate", pools)
 	d.expect(1, "has been initialised before", "control", "init", "--cluster", "test", "--address", d.control,
@@ -239,7 +245,7 @@
 // has been restarted from its folder.
 func TestWholePath(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
+	d := newDeployment(t, fastStep)
 	d.await("owner=n1", "status")
 	d.operate(0, "in force", "apply", filepath.Join(d.folder, "pools"), "--wait")
 	d.operate(0, "version 1", "weights", "publish", "m", "1")
@@ -299,7 +305,7 @@
 // TestBadRequests: each gets a typed error at once.
 func TestBadRequests(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
+	d := newDeployment(t, fastStep)
 	d.await("owner=n1", "status")
 	d.operate(0, "in force", "apply", filepath.Join(d.folder, "pools"), "--wait")
 	good := `{"model":"chat","prompt":"p"}`
@@ -333,3 +339,36 @@
 	response.Body.Close()
 	require.Equal(t, http.StatusMethodNotAllowed, response.StatusCode)
 }
+
+// TestCutStreamsFreeTheirSlots: callers that go away in the middle of an answer
+// leave no stream behind on the engine.
+func TestCutStreamsFreeTheirSlots(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, slowStep)
+	d.await("owner=n1", "status")
+	d.operate(0, "in force", "apply", filepath.Join(d.folder, "pools"), "--wait")
+	d.operate(0, "version 1", "weights", "publish", "m", "1")
+	short := `{"model":"chat","prompt":"hello","max_tokens":1}`
+	answered := func() bool {
+		status, _, _ := d.complete(short, nil)
+		return status == http.StatusOK
+	}
+	require.Eventually(t, answered, patience, poll)
+	for range slots {
+		d.cutStream(`{"model":"chat","prompt":"hello","max_tokens":100000,"stream":true}`)
+	}
+	require.Eventually(t, answered, patience, poll)
+}
+
+// cutStream goes away after the first byte of an answer.
+func (d *deployment) cutStream(body string) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+d.callers+"/v1/completions", strings.NewReader(body))
+	require.NoError(d.t, err)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(d.t, err)
+	require.Equal(d.t, http.StatusOK, response.StatusCode)
+	_, err = io.ReadFull(response.Body, make([]byte, 1))
+	require.NoError(d.t, err)
+	require.NoError(d.t, response.Body.Close())
+}
