--- a/bench/hollow/hollow.go
+++ b/bench/hollow/hollow.go
@@ -54,6 +54,8 @@
 	hollowModel    = "model"
 	pollInterval   = 10 * time.Millisecond
 	settleLimit    = 3 * time.Minute
+	// statusInterval is the accuracy of times that wait for owners.
+	statusInterval = 250 * time.Millisecond
 	restartedNodes = 10
 	sampleTime     = time.Second
 )
@@ -85,7 +87,7 @@
 func Measure(ctx context.Context, config Config) (*Report, error) {
 	r := &Run{config: config, shared: newEngines(config.Load, sampleTime), report: &Report{Nodes: config.Nodes, Workers: config.Workers, Controls: config.Controls}}
 	defer r.close()
-	phases := []func(context.Context) error{r.start, r.settle, r.idle, r.changes, r.weights, r.restarts, r.samples}
+	phases := []func(context.Context) error{r.start, r.settle, r.idle, r.changes, r.weights, r.restarts, r.loseZone, r.samples}
 	for _, phase := range phases {
 		if err := phase(ctx); err != nil {
 			return r.report, err
@@ -158,6 +160,17 @@
 	if err := r.apply(ctx, 0); err != nil {
 		return err
 	}
+	if err := r.awaitOwners(ctx, r.config.Nodes, r.config.Workers); err != nil {
+		return err
+	}
+	r.report.SettleMillis = time.Since(began).Milliseconds()
+	r.say("settled after %d ms", r.report.SettleMillis)
+	return nil
+}
+
+// awaitOwners waits until so many nodes act on the declarations and so many
+// engines are known, each with an owner.
+func (r *Run) awaitOwners(ctx context.Context, nodes, engines int) error {
 	limited, cancel := context.WithTimeout(ctx, settleLimit)
 	defer cancel()
 	for {
@@ -171,17 +184,14 @@
 				unowned++
 			}
 		}
-		if len(status.Nodes) == r.config.Nodes && len(status.Engines) == r.config.Workers && unowned == 0 && r.behind() == 0 {
-			break
+		if len(status.Nodes) == nodes && len(status.Engines) == engines && unowned == 0 && r.behind() == 0 {
+			return nil
 		}
-		if err := pause(limited, time.Second); err != nil {
+		if err := pause(limited, statusInterval); err != nil {
 			return ErrFailed.New("not settled: %d nodes, %d engines, %d without an owner, %d nodes behind",
 				len(status.Nodes), len(status.Engines), unowned, r.behind())
 		}
 	}
-	r.report.SettleMillis = time.Since(began).Milliseconds()
-	r.say("settled after %d ms", r.report.SettleMillis)
-	return nil
 }
 
 func (r *Run) say(format string, arguments ...any) {
@@ -330,6 +340,69 @@
 	return nil
 }
 
+// loseZone kills all nodes and engines of one zone, and measures the time until
+// control has taken the nodes out and the platform's list rules again: every
+// engine that is left has an owner. Then the zone comes back.
+func (r *Run) loseZone(ctx context.Context) error {
+	lost, _ := r.zone(0)
+	kept, gone := r.splitEngines(lost)
+	before := r.nodes
+	r.nodes = nil
+	for number, running := range before {
+		if zone, _ := r.zone(number); zone == lost {
+			running.kill()
+			continue
+		}
+		r.nodes = append(r.nodes, running)
+	}
+	began := time.Now()
+	r.setListed(kept)
+	if err := r.awaitOwners(ctx, len(r.nodes), len(kept)); err != nil {
+		return err
+	}
+	r.report.ZoneLossMillis = time.Since(began).Milliseconds()
+	began = time.Now()
+	r.setListed(append(kept, gone...))
+	for number := range before {
+		zone, region := r.zone(number)
+		if zone != lost {
+			continue
+		}
+		started, err := startNode(before[number].id, zone, region, r.controls.Addresses(), r.shared)
+		if err != nil {
+			return ErrFailed.Wrap(err, "start a node")
+		}
+		r.nodes = append(r.nodes, started)
+	}
+	if err := r.awaitOwners(ctx, len(before), len(kept)+len(gone)); err != nil {
+		return err
+	}
+	r.report.ZoneReturnMillis = time.Since(began).Milliseconds()
+	r.say("a zone of %d nodes and %d engines: owners settled %d ms after its loss, %d ms after its return",
+		len(before)-len(before)*(r.config.Zones-1)/r.config.Zones, len(gone), r.report.ZoneLossMillis, r.report.ZoneReturnMillis)
+	return nil
+}
+
+// splitEngines returns the listed engines outside and inside the zone.
+func (r *Run) splitEngines(zone string) (outside, inside []listedEngine) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, engine := range r.listed {
+		if engine.Zone == zone {
+			inside = append(inside, engine)
+		} else {
+			outside = append(outside, engine)
+		}
+	}
+	return outside, inside
+}
+
+func (r *Run) setListed(listed []listedEngine) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.listed = listed
+}
+
 // samples submits a step for each trainer and fetches all results.
 func (r *Run) samples(ctx context.Context) error {
 	var trainers sync.WaitGroup
--- a/bench/hollow/report.go
+++ b/bench/hollow/report.go
@@ -61,9 +61,13 @@
 	ChangeMillis  Spread  `json:"change_milliseconds"`
 	WeightsMillis []int64 `json:"weights_milliseconds"`
 	RestartMillis Spread  `json:"restart_milliseconds"`
-	Samples       Cost    `json:"samples"`
-	SampleCount   int     `json:"sample_count"`
-	SampleTokens  int     `json:"sample_tokens"`
+	// ZoneLossMillis and ZoneReturnMillis are the times until every engine that
+	// is left, or is back, has an owner.
+	ZoneLossMillis   int64 `json:"zone_loss_milliseconds"`
+	ZoneReturnMillis int64 `json:"zone_return_milliseconds"`
+	Samples          Cost  `json:"samples"`
+	SampleCount      int   `json:"sample_count"`
+	SampleTokens     int   `json:"sample_tokens"`
 }
 
 const fileMode = 0o644
