hollow counts lapsed leases; the test of cut streams cannot pass by deadline

Mutation (no cancel when a caller goes away): the test passed after 66 s, since the streams' own deadline of 60 s freed the slots; with a deadline of an hour it fails as it should, and passes in 8 s without the mutation.

--- a/bench/hollow/hollow.go
+++ b/bench/hollow/hollow.go
@@ -458,6 +458,7 @@
 		before[position] = processUsage(id)
 	}
 	messages, bytes := r.traffic()
+	lapses := r.lapses()
 	own, began := ownProcessor(), time.Now()
 	err := work(ctx)
 	cost := Cost{Seconds: time.Since(began).Seconds()}
@@ -473,6 +474,7 @@
 	cost.NodeCore = (ownProcessor() - own).Seconds() / perNode
 	cost.NodeMessages = float64(laterMessages-messages) / perNode
 	cost.NodeBytes = float64(laterBytes-bytes) / perNode
+	cost.Lapses = r.lapses() - lapses
 	return cost, err
 }
 
@@ -485,3 +487,12 @@
 	}
 	return messages, bytes
 }
+
+// lapses sums up how often leases have ended.
+func (r *Run) lapses() uint64 {
+	sum := uint64(0)
+	for _, counted := range r.nodes {
+		sum += counted.lapses.Load()
+	}
+	return sum
+}
--- a/bench/hollow/node.go
+++ b/bench/hollow/node.go
@@ -50,6 +50,8 @@
 
 	revision atomic.Uint64
 	leased   atomic.Bool
+	// lapses counts how often the lease has ended.
+	lapses atomic.Uint64
 }
 
 // engines are all hollow engines and how they behave.
@@ -132,7 +134,10 @@
 	n.due = later
 	n.core.Tick(now)
 	n.revision.Store(n.core.Revision())
-	n.leased.Store(n.core.Leased())
+	leased := n.core.Leased()
+	if n.leased.Swap(leased) && !leased {
+		n.lapses.Add(1)
+	}
 }
 
 func (n *hollowNode) flush() error {
--- a/bench/hollow/report.go
+++ b/bench/hollow/report.go
@@ -19,12 +19,14 @@
 	NodeMiB      float64 `json:"node_mebibytes"`
 	NodeMessages float64 `json:"node_messages_per_second"`
 	NodeBytes    float64 `json:"node_bytes_per_second"`
+	// Lapses is how often leases of nodes ended.
+	Lapses uint64 `json:"lease_lapses"`
 }
 
 // String returns the cost in one line.
 func (c Cost) String() string {
-	return fmt.Sprintf("control %.3f of a core, %.0f MiB; a node %.4f of a core, %.1f MiB, %.1f messages/s, %.0f B/s",
-		c.ControlCore, c.ControlMiB, c.NodeCore, c.NodeMiB, c.NodeMessages, c.NodeBytes)
+	return fmt.Sprintf("control %.3f of a core, %.0f MiB; a node %.4f of a core, %.1f MiB, %.1f messages/s, %.0f B/s, %d leases lapsed",
+		c.ControlCore, c.ControlMiB, c.NodeCore, c.NodeMiB, c.NodeMessages, c.NodeBytes, c.Lapses)
 }
 
 // Spread sums up measured times, in milliseconds.
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -365,6 +365,8 @@
 	request, err := http.NewRequest(http.MethodPost, "http://"+d.callers+"/v1/completions", strings.NewReader(body))
 	require.NoError(d.t, err)
 	request.Header.Set("Content-Type", "application/json")
+	// Its deadline must not free the slot in the caller's stead.
+	request.Header.Set(server.HeaderTimeout, "3600000")
 	response, err := http.DefaultClient.Do(request)
 	require.NoError(d.t, err)
 	require.Equal(d.t, http.StatusOK, response.StatusCode)
