--- a/storage/storage.go
+++ b/storage/storage.go
@@ -37,18 +37,21 @@
 	fileName      = "control.db"
 	fileMode      = 0o600
 	folderMode    = 0o700
-	formatVersion = 1
+	formatVersion = 2
 	lockTimeout   = time.Second
 	checksumSize  = 4
 )
 
 var (
-	metaBucket  = []byte("meta")
-	logBucket   = []byte("log")
-	identityKey = []byte("identity")
-	stateKey    = []byte("hard-state")
-	snapshotKey = []byte("snapshot")
-	castagnoli  = crc32.MakeTable(crc32.Castagnoli)
+	metaBucket = []byte("meta")
+	logBucket  = []byte("log")
+	// The snapshot has a bucket of its own: bbolt writes all values of a page
+	// again when one changes, and the hard state changes with almost each save.
+	snapshotBucket = []byte("snapshot")
+	identityKey    = []byte("identity")
+	stateKey       = []byte("hard-state")
+	snapshotKey    = []byte("snapshot")
+	castagnoli     = crc32.MakeTable(crc32.Castagnoli)
 )
 
 // Identity says whose data a folder holds.
@@ -105,6 +108,10 @@
 	if _, err := transaction.CreateBucket(logBucket); err != nil {
 		return err
 	}
+	snapshots, err := transaction.CreateBucket(snapshotBucket)
+	if err != nil {
+		return err
+	}
 	if err := put(meta, identityKey, identity); err != nil {
 		return err
 	}
@@ -112,7 +119,7 @@
 	if err := put(meta, stateKey, state); err != nil {
 		return err
 	}
-	return put(meta, snapshotKey, snapshot)
+	return put(snapshots, snapshotKey, snapshot)
 }
 
 func syncFolder(folder string) error {
@@ -180,8 +187,8 @@
 
 func load(transaction *bolt.Tx) (Contents, error) {
 	var contents Contents
-	meta, log := transaction.Bucket(metaBucket), transaction.Bucket(logBucket)
-	if meta == nil || log == nil {
+	meta, log, snapshots := transaction.Bucket(metaBucket), transaction.Bucket(logBucket), transaction.Bucket(snapshotBucket)
+	if meta == nil || log == nil || snapshots == nil {
 		return contents, ErrForeign.New("the file holds no replica")
 	}
 	if err := get(meta, identityKey, &contents.Identity); err != nil {
@@ -190,7 +197,7 @@
 	if err := get(meta, stateKey, &contents.HardState); err != nil {
 		return contents, err
 	}
-	if err := get(meta, snapshotKey, &contents.Snapshot); err != nil {
+	if err := get(snapshots, snapshotKey, &contents.Snapshot); err != nil {
 		return contents, err
 	}
 	expected := contents.Snapshot.Index + 1
@@ -220,7 +227,7 @@
 	err := s.database.Update(func(transaction *bolt.Tx) error {
 		meta, log := transaction.Bucket(metaBucket), transaction.Bucket(logBucket)
 		if ready.Snapshot != nil {
-			if err := saveSnapshot(meta, log, *ready.Snapshot, false); err != nil {
+			if err := saveSnapshot(transaction.Bucket(snapshotBucket), log, *ready.Snapshot, false); err != nil {
 				return err
 			}
 		}
@@ -240,7 +247,7 @@
 // SaveSnapshot persists a snapshot of applied entries and drops those entries.
 func (s *Store) SaveSnapshot(snapshot consensus.Snapshot) error {
 	err := s.database.Update(func(transaction *bolt.Tx) error {
-		return saveSnapshot(transaction.Bucket(metaBucket), transaction.Bucket(logBucket), snapshot, true)
+		return saveSnapshot(transaction.Bucket(snapshotBucket), transaction.Bucket(logBucket), snapshot, true)
 	})
 	if err != nil {
 		return ErrIO.Wrap(err, "save snapshot")
@@ -253,8 +260,8 @@
 
 // saveSnapshot stores the snapshot and drops the entries up to it, or all
 // entries if the snapshot replaces the log.
-func saveSnapshot(meta, log *bolt.Bucket, snapshot consensus.Snapshot, keepLater bool) error {
-	if err := put(meta, snapshotKey, snapshot); err != nil {
+func saveSnapshot(snapshots, log *bolt.Bucket, snapshot consensus.Snapshot, keepLater bool) error {
+	if err := put(snapshots, snapshotKey, snapshot); err != nil {
 		return err
 	}
 	cursor := log.Cursor()
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -119,10 +119,10 @@
 			})
 		}},
 		"short record": {kind: ErrDamaged, damage: func(t *testing.T, path string) {
-			edit(t, path, func(meta, _ *bolt.Bucket) error { return meta.Put(snapshotKey, []byte{1}) })
+			edit(t, path, func(meta, _ *bolt.Bucket) error { return meta.Tx().Bucket(snapshotBucket).Put(snapshotKey, []byte{1}) })
 		}},
 		"snapshot missing": {kind: ErrDamaged, damage: func(t *testing.T, path string) {
-			edit(t, path, func(meta, _ *bolt.Bucket) error { return meta.Delete(snapshotKey) })
+			edit(t, path, func(meta, _ *bolt.Bucket) error { return meta.Tx().Bucket(snapshotBucket).Delete(snapshotKey) })
 		}},
 		"truncated": {kind: ErrDamaged, damage: func(t *testing.T, path string) {
 			info, err := os.Stat(path)
@@ -172,3 +172,20 @@
 		_ = decode(data, &entry)
 	})
 }
+
+// TestSavesDoNotRewriteTheSnapshot: the cost of a save does not grow with the
+// snapshot, which the file would otherwise be seen to hold many times over.
+func TestSavesDoNotRewriteTheSnapshot(t *testing.T) {
+	folder := t.TempDir()
+	const snapshotBytes = 4 << 20
+	require.NoError(t, Init(folder, testCluster, 7, consensus.Snapshot{Index: 1, Term: 1, Data: make([]byte, snapshotBytes)}))
+	store, _, err := Open(folder, testCluster)
+	require.NoError(t, err)
+	defer store.Close()
+	before := store.database.Stats()
+	require.NoError(t, store.Save(consensus.Ready{HardState: &consensus.HardState{Term: 2, Commit: 1}}))
+	after := store.database.Stats()
+	difference := after.Sub(&before)
+	written := difference.TxStats.GetPageAlloc()
+	require.Less(t, written, int64(snapshotBytes)/16)
+}
