--- a/bench/hollow/hollow.go
+++ b/bench/hollow/hollow.go
@@ -114,7 +114,7 @@
 	return fmt.Sprintf("%s-zone-%d", region, zoneNumber), region
 }
 
-func (r *Run) start(context.Context) error {
+func (r *Run) start(ctx context.Context) error {
 	for number := range r.config.Workers {
 		zone, region := r.zone(number)
 		r.listed = append(r.listed, listedEngine{
@@ -135,6 +135,10 @@
 		return err
 	}
 	r.client = client.New(r.controls.Addresses())
+	// Until a replica listens, its port could be taken by a node.
+	if err := r.awaitControls(ctx); err != nil {
+		return err
+	}
 	for number := range r.config.Nodes {
 		zone, region := r.zone(number)
 		started, err := startNode(fmt.Sprintf("node-%d", number), zone, region, r.controls.Addresses(), r.shared)
@@ -146,6 +150,24 @@
 	return nil
 }
 
+func (r *Run) awaitControls(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	for _, address := range r.controls.Addresses() {
+		for {
+			response, err := http.Get("http://" + address + "/healthz")
+			if err == nil {
+				response.Body.Close()
+				break
+			}
+			if err := pause(limited, pollInterval); err != nil {
+				return ErrFailed.Wrap(err, "wait for a replica")
+			}
+		}
+	}
+	return nil
+}
+
 func (r *Run) list(response http.ResponseWriter, _ *http.Request) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
