--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -63,11 +63,11 @@
 	order     []string
 	addresses map[string]string
 	controls  []string
-	engines   []listedEngine
+	engines   []ListedEngine
 }
 
-// listedEngine is an engine in the platform's list.
-type listedEngine struct {
+// ListedEngine is an engine in the platform's list.
+type ListedEngine struct {
 	ID      string `json:"id"`
 	Zone    string `json:"zone"`
 	Region  string `json:"region"`
@@ -208,7 +208,7 @@
 
 func (f *Fleet) startServices() error {
 	f.eachEngine(func(name, zone string, group workload.Group) {
-		f.engines = append(f.engines, listedEngine{
+		f.engines = append(f.engines, ListedEngine{
 			ID: name, Zone: zone, Region: f.config.Workload.Region, Group: group.Name,
 			Address: f.addresses[name], Slots: group.Slots,
 		})
--- /dev/null
+++ b/consensus/election.go
@@ -0,0 +1,137 @@
+package consensus
+
+// quorumActive tells whether a quorum of voters has replied within an election
+// timeout. A leader for which it does not hold gives up, so that a replica
+// that is cut off stops believing in its leadership.
+func (r *Raft) quorumActive() bool {
+	active := 0
+	for _, member := range r.Membership().Members {
+		if !member.Voter {
+			continue
+		}
+		_, silent := r.Match(member.ID)
+		if member.ID == r.config.ID || silent <= r.config.ElectionTicks {
+			active++
+		}
+	}
+	return active >= r.quorum()
+}
+
+func (r *Raft) quorum() int { return r.Membership().Voters()/2 + 1 }
+
+func (r *Raft) isVoter() bool {
+	member, ok := r.Membership().Member(r.config.ID)
+	return ok && member.Voter
+}
+
+// mayCampaign tells whether the replica is a voter or is being removed as one
+// by a change that is not committed yet. In the second case it may be the only
+// one that holds the change, and have to lead until the others have committed
+// it; its own vote does not count (dissertation, 4.2.2).
+func (r *Raft) mayCampaign() bool {
+	if r.isVoter() || r.MembershipCommitted() || len(r.memberships) < 2 {
+		return r.isVoter()
+	}
+	member, ok := r.memberships[len(r.memberships)-2].membership.Member(r.config.ID)
+	return ok && member.Voter
+}
+
+func (r *Raft) resetElectionTimeout() {
+	r.sinceHeard = 0
+	r.electionTimeout = r.config.ElectionTicks + r.random.IntN(r.config.ElectionTicks)
+}
+
+func (r *Raft) becomeFollower(term uint64, leader ReplicaID) {
+	if term > r.term {
+		r.term, r.vote = term, None
+	}
+	if r.role == Leader {
+		r.rejectReads()
+	}
+	r.role, r.leader, r.transferee = Follower, leader, None
+	r.resetElectionTimeout()
+}
+
+func (r *Raft) rejectReads() {
+	for _, read := range r.reads {
+		r.rejectedReads = append(r.rejectedReads, read.context)
+	}
+	r.reads = nil
+}
+
+// campaign asks the other voters for their votes. In a pre-campaign nobody
+// changes its term, so that a replica which was cut off does not depose a
+// working leader when it returns.
+func (r *Raft) campaign(role Role, transfer bool) {
+	r.resetElectionTimeout()
+	// Also a replica that does not know itself to be a voter gives up the
+	// silent leader: it may have been promoted, and its vote be needed.
+	r.leader = None
+	if !r.mayCampaign() {
+		return
+	}
+	r.role = role
+	r.votes = map[ReplicaID]bool{r.config.ID: true}
+	kind, term := MessagePreVote, r.term+1
+	if role == Candidate {
+		r.term, r.vote = r.term+1, r.config.ID
+		kind, term = MessageVote, r.term
+	}
+	for _, member := range r.Membership().Members {
+		if member.Voter && member.ID != r.config.ID {
+			r.send(Message{
+				Kind: kind, To: member.ID, Term: term, Transfer: transfer,
+				Index: r.log.lastIndex(), LogTerm: r.log.lastTerm(),
+			})
+		}
+	}
+	r.countVotes()
+}
+
+func (r *Raft) countVotes() {
+	granted, refused := 0, 0
+	for id, vote := range r.votes {
+		member, ok := r.Membership().Member(id)
+		switch {
+		case !ok || !member.Voter:
+		case vote:
+			granted++
+		default:
+			refused++
+		}
+	}
+	switch {
+	case granted >= r.quorum() && r.role == PreCandidate:
+		r.campaign(Candidate, false)
+	case granted >= r.quorum() && r.role == Candidate:
+		r.becomeLeader()
+	case refused >= r.quorum():
+		r.becomeFollower(r.term, None)
+	}
+}
+
+func (r *Raft) becomeLeader() {
+	r.role, r.leader, r.transferee = Leader, r.config.ID, None
+	r.sinceHeard, r.sinceHeartbeat = 0, 0
+	r.followers = map[ReplicaID]*progress{}
+	r.syncFollowers()
+	r.appendOwn(EntryNormal, nil)
+	r.broadcastAppend()
+}
+
+// syncFollowers makes the leader's followers those of the membership.
+func (r *Raft) syncFollowers() {
+	for id := range r.followers {
+		if r.Membership().find(id) < 0 {
+			delete(r.followers, id)
+		}
+	}
+	for _, member := range r.Membership().Members {
+		if member.ID == r.config.ID || r.followers[member.ID] != nil {
+			continue
+		}
+		r.followers[member.ID] = &progress{
+			next: r.log.lastIndex() + 1, lastReplyTick: r.tick,
+		}
+	}
+}
