--- a/bench/simulate/cluster.go
+++ b/bench/simulate/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"strings"
 
 	"github.com/anishathalye/porcupine"
@@ -307,12 +306,3 @@
 		}
 	})
 }
-
-func sortedKeys[T any](objects map[string]T) []string {
-	keys := make([]string, 0, len(objects))
-	for key := range objects {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/bench/simulate/engine.go
+++ b/bench/simulate/engine.go
@@ -1,6 +1,8 @@
 package simulate
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 
 	"github.com/dillchute/dillchute/bench/model"
@@ -211,7 +213,7 @@
 
 // kill ends the engine; each connection's node notices after a while.
 func (e *engineProcess) kill() {
-	for _, id := range sortedKeys(e.connections) {
+	for _, id := range slices.Sorted(maps.Keys(e.connections)) {
 		if existing := e.connections[id]; !existing.broken {
 			existing.fail(e.world.between(1, breakNoticeMillis), "")
 		}
--- a/bench/simulate/fault.go
+++ b/bench/simulate/fault.go
@@ -1,5 +1,10 @@
 package simulate
 
+import (
+	"maps"
+	"slices"
+)
+
 import "github.com/dillchute/dillchute/bench/oracle"
 
 // FaultKind is a kind of fault that a run injects.
@@ -230,7 +235,7 @@
 
 func (cl *cluster) cutProcess(target *process, duration int64) {
 	cl.world.fault(string(CutLeader), "%s for %d", target.name, duration)
-	for _, name := range sortedKeys(cl.processes) {
+	for _, name := range slices.Sorted(maps.Keys(cl.processes)) {
 		if name != target.name {
 			cl.addCut(target.name, name, duration)
 			cl.addCut(name, target.name, duration)
--- a/bench/simulate/timing.go
+++ b/bench/simulate/timing.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/dillchute/dillchute/bench/oracle"
+	"maps"
+	"slices"
 )
 
 // Timing names a time that is measured in each run, in virtual milliseconds.
@@ -89,7 +91,7 @@
 			}
 		}
 	}
-	for _, engine := range sortedKeys(since) {
+	for _, engine := range slices.Sorted(maps.Keys(since)) {
 		cl.endLeaving(engine, since, last)
 	}
 }
