A caller that leaves its answer unread is given up after 30 s

Cause: a write to a caller that does not read had no limit, so the handler waited in it, did not see the request's end, and kept the request and its stream. Each part of an answer has 30 s now; a caller over it is cut and its request cancelled, which frees the engine's slot.

--- a/server/callers.go
+++ b/server/callers.go
@@ -124,7 +124,7 @@
 		delete(n.callers, id)
 		n.core.Cancel(n.now(), id)
 	})
-	answer := &answer{response: response, id: live.Key, pool: live.Pool, stream: body.Stream}
+	answer := newAnswer(response, live, body.Stream)
 	for {
 		events, ok := box.Take(request.Context())
 		if !ok {
@@ -138,6 +138,9 @@
 			}
 		}
 		answer.flush()
+		if answer.broken {
+			return
+		}
 	}
 }
 
@@ -222,6 +225,12 @@
 // answer writes an answer as one JSON body or as server-sent events.
 type answer struct {
 	response http.ResponseWriter
+	// controller sets the time that each write may take. A caller that does not
+	// read would hold its stream and this request for good otherwise.
+	controller   *http.ResponseController
+	writeTimeout time.Duration
+	// broken is set once a write has failed: the caller has gone or does not read.
+	broken   bool
 	id       string
 	pool     string
 	stream   bool
@@ -231,6 +240,16 @@
 	segments []state.Segment
 }
 
+// callerWriteTimeout is how long a caller may leave a part of its answer unread.
+const callerWriteTimeout = 30 * time.Second
+
+func newAnswer(response http.ResponseWriter, live protocol.LiveRequest, stream bool) *answer {
+	return &answer{
+		response: response, controller: http.NewResponseController(response), writeTimeout: callerWriteTimeout,
+		id: live.Key, pool: live.Pool, stream: stream,
+	}
+}
+
 func (a *answer) add(received node.CallerEvent) {
 	if len(received.Tokens) == 0 {
 		return
@@ -273,16 +292,28 @@
 	if err != nil {
 		panic("server: an event must encode: " + err.Error())
 	}
-	fmt.Fprintf(a.response, "data: %s\n\n", encoded)
+	a.allowWrite()
+	_, err = fmt.Fprintf(a.response, "data: %s\n\n", encoded)
+	a.note(err)
+}
+
+// allowWrite begins the time for the next write. A response that knows no
+// deadlines, as in tests, goes without.
+func (a *answer) allowWrite() {
+	_ = a.controller.SetWriteDeadline(time.Now().Add(a.writeTimeout))
 }
 
+func (a *answer) note(err error) { a.broken = a.broken || err != nil }
+
 func (a *answer) flush() {
-	if flusher, ok := a.response.(http.Flusher); ok && a.started {
-		flusher.Flush()
+	if a.started {
+		a.allowWrite()
+		a.note(a.controller.Flush())
 	}
 }
 
 func (a *answer) end(received node.CallerEvent) {
+	a.allowWrite()
 	if received.Outcome != protocol.OutcomeAnswered {
 		if a.started {
 			a.event(callerError{Error: detailOf(received)})
