--- a/bench/hollow/node.go
+++ b/bench/hollow/node.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,23 +61,23 @@
 	sampleMillis int64
 	// loaded counts the loads of weights that have ended.
 	loaded atomic.Uint64
-	store  chan map[string]*hollowEngine
+
+	mutex sync.Mutex
+	known map[string]*hollowEngine
 }
 
 func newEngines(load, sample time.Duration) *engines {
-	created := &engines{loadMillis: load.Milliseconds(), sampleMillis: sample.Milliseconds(), store: make(chan map[string]*hollowEngine, 1)}
-	created.store <- map[string]*hollowEngine{}
-	return created
+	return &engines{loadMillis: load.Milliseconds(), sampleMillis: sample.Milliseconds(), known: map[string]*hollowEngine{}}
 }
 
-// with runs the function on the engine's memory.
+// with runs the function on what the engine remembers.
 func (e *engines) with(id string, do func(*hollowEngine)) {
-	all := <-e.store
-	defer func() { e.store <- all }()
-	if all[id] == nil {
-		all[id] = &hollowEngine{}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.known[id] == nil {
+		e.known[id] = &hollowEngine{}
 	}
-	do(all[id])
+	do(e.known[id])
 }
 
 func startNode(id, zone, region string, controls []string, shared *engines) (*hollowNode, error) {
