--- a/server/engines_test.go
+++ b/server/engines_test.go
@@ -1,7 +1,9 @@
 package server
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -89,3 +91,25 @@
 		})
 	}
 }
+
+// FuzzReadChunks: whatever bytes an engine streams, the attempt ends with its
+// last chunk or as lost, exactly once, and no chunk of another attempt passes.
+func FuzzReadChunks(f *testing.F) {
+	f.Add([]byte("data: {\"attempt\":\"a\",\"tokens\":[1]}\n\ndata: {\"attempt\":\"a\",\"done\":true}\n\n"))
+	f.Add([]byte("data: {\"attempt\":\"b\"}\n\n"))
+	f.Add([]byte("event: x\ndata: {"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		ends := 0
+		client := newEngineClient(context.Background(), func(_ string, message protocol.EngineMessage) {
+			require.Zero(t, ends, "a message after the end")
+			if message.Chunk != nil {
+				require.Equal(t, "a", message.Chunk.Attempt)
+			}
+			if message.Lost != nil || message.Chunk.Done {
+				ends++
+			}
+		})
+		client.readChunks("e", "a", &http.Response{Body: io.NopCloser(bytes.NewReader(data))})
+		require.Equal(t, 1, ends)
+	})
+}
