--- a/bench/hollow/node.go
+++ b/bench/hollow/node.go
@@ -39,6 +39,8 @@
 // hollowNode is a node without callers whose engines are in the same process.
 type hollowNode struct {
 	id        string
+	zone      string
+	region    string
 	core      *node.Core
 	loop      *eventloop.Loop
 	transport *transport.Transport
@@ -88,7 +90,7 @@
 	logger := zerolog.Nop()
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &hollowNode{
-		id: id, loop: eventloop.New(), started: time.Now(), stop: cancel, ended: make(chan struct{}), shared: shared,
+		id: id, zone: zone, region: region, loop: eventloop.New(), started: time.Now(), stop: cancel, ended: make(chan struct{}), shared: shared,
 		core: node.New(node.Config{
 			ID: id, Zone: zone, Region: region, Address: listener.Addr().String(),
 			Incarnation: uint64(time.Now().UnixMilli()/100) & (1<<31 - 1), Controls: controls, Seed: uint64(time.Now().UnixNano()),
--- a/bench/hollow/phase.go
+++ b/bench/hollow/phase.go
@@ -86,12 +86,11 @@
 func (r *Run) restarts(ctx context.Context) error {
 	var times []int64
 	for number := range min(restartedNodes, len(r.nodes)) {
-		zone, region := r.zone(number)
 		r.nodes[number].kill()
 		began := time.Now()
-		started, err := startNode(r.nodes[number].id, zone, region, r.controls.Addresses(), r.shared)
+		started, err := r.startAgain(r.nodes[number])
 		if err != nil {
-			return ErrFailed.Wrap(err, "restart a node")
+			return err
 		}
 		r.nodes[number] = started
 		if err := r.awaitInForce(ctx); err != nil {
@@ -110,15 +109,7 @@
 func (r *Run) loseZone(ctx context.Context) error {
 	lost, _ := r.zone(0)
 	kept, gone := r.splitEngines(lost)
-	before := r.nodes
-	r.nodes = nil
-	for number, running := range before {
-		if zone, _ := r.zone(number); zone == lost {
-			running.kill()
-			continue
-		}
-		r.nodes = append(r.nodes, running)
-	}
+	killed := r.killZone(lost)
 	began := time.Now()
 	r.setListed(kept)
 	if err := r.awaitOwners(ctx, len(r.nodes), len(kept)); err != nil {
@@ -127,26 +118,46 @@
 	r.report.ZoneLossMillis = time.Since(began).Milliseconds()
 	began = time.Now()
 	r.setListed(append(kept, gone...))
-	for number := range before {
-		zone, region := r.zone(number)
-		if zone != lost {
-			continue
-		}
-		started, err := startNode(before[number].id, zone, region, r.controls.Addresses(), r.shared)
+	for _, ended := range killed {
+		started, err := r.startAgain(ended)
 		if err != nil {
-			return ErrFailed.Wrap(err, "start a node")
+			return err
 		}
 		r.nodes = append(r.nodes, started)
 	}
-	if err := r.awaitOwners(ctx, len(before), len(kept)+len(gone)); err != nil {
+	if err := r.awaitOwners(ctx, len(r.nodes), len(kept)+len(gone)); err != nil {
 		return err
 	}
 	r.report.ZoneReturnMillis = time.Since(began).Milliseconds()
 	r.say("a zone of %d nodes and %d engines: owners settled %d ms after its loss, %d ms after its return",
-		len(before)-len(before)*(r.config.Zones-1)/r.config.Zones, len(gone), r.report.ZoneLossMillis, r.report.ZoneReturnMillis)
+		len(killed), len(gone), r.report.ZoneLossMillis, r.report.ZoneReturnMillis)
 	return nil
 }
 
+// killZone kills the zone's nodes, takes them out of the run and returns them.
+func (r *Run) killZone(zone string) (killed []*hollowNode) {
+	var left []*hollowNode
+	for _, running := range r.nodes {
+		if running.zone != zone {
+			left = append(left, running)
+			continue
+		}
+		running.kill()
+		killed = append(killed, running)
+	}
+	r.nodes = left
+	return killed
+}
+
+// startAgain starts the replacement of a node that was killed.
+func (r *Run) startAgain(ended *hollowNode) (*hollowNode, error) {
+	started, err := startNode(ended.id, ended.zone, ended.region, r.controls.Addresses(), r.shared)
+	if err != nil {
+		return nil, ErrFailed.Wrap(err, "start a node again")
+	}
+	return started, nil
+}
+
 // splitEngines returns the listed engines outside and inside the zone.
 func (r *Run) splitEngines(zone string) (outside, inside []fleet.ListedEngine) {
 	r.mutex.Lock()
--- a/bench/simulate/timing.go
+++ b/bench/simulate/timing.go
@@ -56,7 +56,10 @@
 func (cl *cluster) timeFailover(term uint64) {
 	cl.timeUntil(FailoverTime, func() bool {
 		for _, replica := range cl.controls {
-			if replica.alive && !replica.frozen && replica.leads() && replica.core.Raft().Term() > term && replica.core.CommittedInTerm() {
+			if !replica.alive || replica.frozen || !replica.leads() {
+				continue
+			}
+			if raft := replica.core.Raft(); raft.Term() > term && raft.CommittedInTerm() {
 				return true
 			}
 		}
--- a/control/core.go
+++ b/control/core.go
@@ -136,10 +136,6 @@
 // Machine returns the replicated state, for inspection only.
 func (c *Core) Machine() *state.Machine { return c.machine }
 
-// CommittedInTerm tells whether a leader has committed an entry of its own term,
-// so that it can decide calls.
-func (c *Core) CommittedInTerm() bool { return c.raft.CommittedInTerm() }
-
 // LeaderAddress returns the leader's address, or "" if it is not known.
 func (c *Core) LeaderAddress() string {
 	if c.raft.Role() == consensus.Leader {
--- a/control/lease.go
+++ b/control/lease.go
@@ -112,7 +112,7 @@
 	c.news, c.lastNotified = false, c.clock.Monotonic
 	for _, id := range slices.Sorted(maps.Keys(c.leases)) {
 		if node := c.machine.Catalog.Nodes[id]; node != nil {
-			c.send(node.Address, protocol.Message{Notify: &protocol.Notify{Revision: c.machine.Revision}})
+			c.send(node.Address, protocol.Message{Notify: &protocol.Notify{}})
 		}
 	}
 }
--- a/node/claim.go
+++ b/node/claim.go
@@ -78,7 +78,7 @@
 	for _, segment := range answer.Segments {
 		tokens := answer.Tokens[segment.First : segment.First+segment.Count]
 		c.callerEvents = append(c.callerEvents, CallerEvent{
-			Request: request.id, Version: segment.Version, Tokens: tokens, Recorded: true,
+			Request: request.id, Version: segment.Version, Tokens: tokens,
 		})
 	}
 	c.end(request, protocol.OutcomeAnswered, protocol.ReasonNone)
--- a/node/core.go
+++ b/node/core.go
@@ -73,8 +73,6 @@
 	Reason  protocol.Reason
 	// RetryMillis tells when to come back, with an outcome other than answered.
 	RetryMillis int64
-	// Recorded marks an answer that an earlier arrival of the request got; Tokens is all of it.
-	Recorded bool
 }
 
 // ScoreRequest asks a scoring service for the reward of a result.
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -28,9 +28,7 @@
 // Notify tells a node that its leader has news for it: a change of the catalog
 // or samples that wait. The node asks for them by a heartbeat at once, so that a
 // lost Notify costs no more than the time to the next heartbeat.
-type Notify struct {
-	Revision uint64 `cbor:"1,keyasint"`
-}
+type Notify struct{}
 
 // Join asks the leader to take a replica into the group as a learner.
 type Join struct {
