--- a/cmd/dillchute/main.go
+++ b/cmd/dillchute/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"github.com/dillchute/dillchute/command"
+	"github.com/dillchute/dillchute/platform"
 )
 
 func main() {
-	os.Exit(command.Main(os.Args[1:], command.Streams{Out: os.Stdout, Err: os.Stderr}))
+	os.Exit(command.Main(os.Args[1:], command.Streams{Out: os.Stdout, Err: os.Stderr}, &platform.Roles{}))
 }
--- a/command/command.go
+++ b/command/command.go
@@ -50,14 +50,18 @@
 	Drain    drainCommand    `cmd:"" help:"Drain a node or an engine."`
 	Weights  weightsCommand  `cmd:"" help:"Publish weight versions."`
 	Members  membersCommand  `cmd:"" help:"Change the group of control replicas."`
+
+	// Plugins are further commands, which the program's main brings.
+	kong.Plugins
 }
 
 // Main runs the command line and returns the exit code: 0 if what was asked
 // for is done, 1 if it failed, 2 for wrong usage or an invalid file.
-func Main(arguments []string, streams Streams) int {
+// The plugins are structs of further commands.
+func Main(arguments []string, streams Streams, plugins ...any) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return Run(ctx, "dillchute", "Rollout service for reinforcement learning.", Version, &root{}, arguments, streams)
+	return Run(ctx, "dillchute", "Rollout service for reinforcement learning.", Version, &root{Plugins: plugins}, arguments, streams)
 }
 
 // exited carries the code with which kong wants to exit, as after --help.
--- /dev/null
+++ b/config/roles.go
@@ -0,0 +1,175 @@
+package config
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+)
+
+// Process holds the settings that every role of a deployment with stores has.
+type Process struct {
+	// Cluster names the deployment; a data folder belongs to one.
+	Cluster string `yaml:"cluster"`
+	// Name is the process's unique name.
+	Name   string `yaml:"name"`
+	Zone   string `yaml:"zone"`
+	Region string `yaml:"region"`
+	// InternalAddress is where other processes of dillchute reach this one.
+	InternalAddress string `yaml:"internal_address"`
+	// MetricsAddress is where metrics and profiles are served; empty for none.
+	MetricsAddress string `yaml:"metrics_address"`
+	// Peers are addresses of replicas of the directory.
+	Peers []string `yaml:"peers"`
+	// PeerPort, if it is not 0, is the port of the peers' internal addresses,
+	// in place of the one in Peers.
+	PeerPort int `yaml:"peer_port"`
+	// MemoryLimit is the number of MiB that the process may use; 0 for no limit.
+	MemoryLimit int    `yaml:"memory_limit_mib"`
+	LogLevel    string `yaml:"log_level"`
+	// Grace is how long a planned stop may take.
+	Grace time.Duration `yaml:"grace"`
+}
+
+// Directory holds the settings of a replica of the directory.
+type Directory struct {
+	Process `yaml:",inline"`
+	// ControlAddress is where operators and backends call.
+	ControlAddress string `yaml:"control_address"`
+	DataFolder     string `yaml:"data_folder"`
+	// FirstStart is set only when the whole deployment starts for the first time.
+	FirstStart bool `yaml:"first_start"`
+	// ToleratedLosses is how many machines with a disk may be lost at once; each
+	// group has twice as many voters and one more.
+	ToleratedLosses int `yaml:"tolerated_losses"`
+	// HeartbeatInterval is the time between heartbeats of a backend.
+	HeartbeatInterval time.Duration `yaml:"heartbeat_interval"`
+}
+
+// Ledger holds the settings of a store.
+type Ledger struct {
+	Process    `yaml:",inline"`
+	DataFolder string `yaml:"data_folder"`
+	FirstStart bool   `yaml:"first_start"`
+	// ToleratedLosses is as in Directory.
+	ToleratedLosses int `yaml:"tolerated_losses"`
+	// OrderLease is how long a new leader waits before it gives orders to
+	// engines that an earlier one may have given orders to.
+	OrderLease time.Duration `yaml:"order_lease"`
+	// Retention is how long the results of a step are kept since it was sent.
+	Retention time.Duration `yaml:"retention"`
+}
+
+// Gateway holds the settings of a gateway.
+type Gateway struct {
+	Process `yaml:",inline"`
+	// CallerAddress is where callers' requests are taken in.
+	CallerAddress string `yaml:"caller_address"`
+	// ReadyAddress is where the entry asks whether the gateway is ready.
+	ReadyAddress string `yaml:"ready_address"`
+}
+
+// Voters returns the number of voters of a group that stays in service when so
+// many members are lost at once.
+func Voters(toleratedLosses int) int { return 2*toleratedLosses + 1 }
+
+func defaultProcess() Process {
+	return Process{Cluster: "dillchute", LogLevel: "info", Grace: 8 * time.Second}
+}
+
+// DefaultDirectory returns the settings that hold where a file is silent.
+func DefaultDirectory() Directory {
+	return Directory{Process: defaultProcess(), ToleratedLosses: 1, HeartbeatInterval: time.Second}
+}
+
+// DefaultLedger returns the settings that hold where a file is silent.
+func DefaultLedger() Ledger {
+	return Ledger{
+		Process: defaultProcess(), ToleratedLosses: 1, OrderLease: 3 * time.Second, Retention: 2 * time.Minute,
+	}
+}
+
+// DefaultGateway returns the settings that hold where a file is silent.
+func DefaultGateway() Gateway { return Gateway{Process: defaultProcess()} }
+
+// LoadDirectory reads the settings of a replica of the directory and checks them.
+func LoadDirectory(path string) (Directory, error) {
+	settings := DefaultDirectory()
+	if err := load(path, &settings); err != nil {
+		return settings, err
+	}
+	return settings, settings.Validate()
+}
+
+// LoadLedger reads the settings of a store and checks them.
+func LoadLedger(path string) (Ledger, error) {
+	settings := DefaultLedger()
+	if err := load(path, &settings); err != nil {
+		return settings, err
+	}
+	return settings, settings.Validate()
+}
+
+// LoadGateway reads the settings of a gateway and checks them.
+func LoadGateway(path string) (Gateway, error) {
+	settings := DefaultGateway()
+	if err := load(path, &settings); err != nil {
+		return settings, err
+	}
+	return settings, settings.Validate()
+}
+
+// PeerAddresses returns the internal addresses of the peers.
+func (p Process) PeerAddresses() []string {
+	addresses := make([]string, 0, len(p.Peers))
+	for _, address := range p.Peers {
+		if host, _, err := net.SplitHostPort(address); err == nil && p.PeerPort != 0 {
+			address = net.JoinHostPort(host, strconv.Itoa(p.PeerPort))
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+func (p Process) checks() []check {
+	checks := []check{
+		{"cluster", p.Cluster == "", "must not be empty"},
+		{"name", p.Name == "", "must not be empty"},
+		{"zone", p.Zone == "", "must not be empty"},
+		{"internal_address", !validAddress(p.InternalAddress), "must be an IP address and a port"},
+		{"metrics_address", p.MetricsAddress != "" && !validAddress(p.MetricsAddress), "must be an IP address and a port"},
+		{"peers", len(p.Peers) == 0, "must not be empty"},
+		{"memory_limit_mib", p.MemoryLimit < 0, "must not be negative"},
+		{"log_level", !validLevel(p.LogLevel), "must be debug, info, warn or error"},
+		{"grace", p.Grace <= 0, "must be positive"},
+	}
+	for position, address := range p.Peers {
+		checks = append(checks, check{fmt.Sprintf("peers[%d]", position), !validAddress(address), "must be an IP address and a port"})
+	}
+	return checks
+}
+
+// Validate returns an ErrInvalid error that names every wrong field.
+func (d Directory) Validate() error {
+	return report(append(d.checks(),
+		check{"control_address", !validAddress(d.ControlAddress), "must be an IP address and a port"},
+		check{"data_folder", d.DataFolder == "", "must not be empty"},
+		check{"tolerated_losses", d.ToleratedLosses < 0, "must not be negative"},
+		check{"heartbeat_interval", d.HeartbeatInterval <= 0, "must be positive"}))
+}
+
+// Validate returns an ErrInvalid error that names every wrong field.
+func (l Ledger) Validate() error {
+	return report(append(l.checks(),
+		check{"data_folder", l.DataFolder == "", "must not be empty"},
+		check{"tolerated_losses", l.ToleratedLosses < 0, "must not be negative"},
+		check{"order_lease", l.OrderLease < 0, "must not be negative"},
+		check{"retention", l.Retention <= 0, "must be positive"}))
+}
+
+// Validate returns an ErrInvalid error that names every wrong field.
+func (g Gateway) Validate() error {
+	return report(append(g.checks(),
+		check{"caller_address", !validAddress(g.CallerAddress), "must be an IP address and a port"},
+		check{"ready_address", !validAddress(g.ReadyAddress), "must be an IP address and a port"}))
+}
--- /dev/null
+++ b/directory/command.go
@@ -0,0 +1,128 @@
+// Package directory is the replicated state machine that tells which backends
+// exist and how requests reach them: the routing configuration, registered
+// backends, the newest versions of models' weights, and the members of the
+// ledger's groups. Apply is a pure function of state and command.
+package directory
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/routing"
+)
+
+// Command is one entry of the replicated log. Exactly one pointer is set.
+type Command struct {
+	PutConfiguration *PutConfiguration `cbor:"1,keyasint,omitempty"`
+	PutBackend       *Backend          `cbor:"2,keyasint,omitempty"`
+	RemoveBackend    *RemoveBackend    `cbor:"3,keyasint,omitempty"`
+	NameVersion      *ModelVersion     `cbor:"4,keyasint,omitempty"`
+	PutStore         *Store            `cbor:"5,keyasint,omitempty"`
+	FormGroup        *Group            `cbor:"6,keyasint,omitempty"`
+	ReportGroup      *Group            `cbor:"7,keyasint,omitempty"`
+	Retire           *Retire           `cbor:"8,keyasint,omitempty"`
+}
+
+// PutConfiguration puts a configuration into force if its version is higher
+// than the one held.
+type PutConfiguration struct {
+	Configuration routing.Configuration `cbor:"1,keyasint"`
+	// Source is the document as it was received, which reads return unchanged.
+	Source []byte `cbor:"2,keyasint"`
+}
+
+// RemoveBackend takes out a backend, whose ID never comes back.
+type RemoveBackend struct {
+	ID string `cbor:"1,keyasint"`
+}
+
+// Backend is one incarnation of a process that serves requests.
+type Backend struct {
+	ID      string `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	Address string `cbor:"3,keyasint"`
+	Zone    string `cbor:"4,keyasint"`
+	Slots   int    `cbor:"5,keyasint"`
+	// Draining backends get no new requests; the mark is never taken back.
+	Draining bool `cbor:"6,keyasint"`
+	// Silent backends have sent no heartbeat for some time.
+	Silent bool           `cbor:"7,keyasint"`
+	Models []ModelVersion `cbor:"8,keyasint"`
+}
+
+// ModelVersion is a version of a model's weights.
+type ModelVersion struct {
+	_       struct{} `cbor:",toarray"`
+	Model   string
+	Version uint64
+}
+
+// Store is a process that keeps a replica of the ledger.
+type Store struct {
+	Name    string              `cbor:"1,keyasint"`
+	Address string              `cbor:"2,keyasint"`
+	Zone    string              `cbor:"3,keyasint"`
+	Replica consensus.ReplicaID `cbor:"4,keyasint"`
+	// Fresh is set on a store that has never held data and may be a first
+	// member of a group.
+	Fresh bool `cbor:"5,keyasint"`
+	// Retiring is an operator's wish to empty the store; Retired says that it
+	// holds nothing that the group needs.
+	Retiring bool `cbor:"6,keyasint"`
+	Retired  bool `cbor:"7,keyasint"`
+}
+
+// Group is the membership of a group of ledger replicas, as last reported.
+type Group struct {
+	Members []consensus.Member `cbor:"1,keyasint"`
+	// Number grows with each report, so that a late one is ignored.
+	Number uint64 `cbor:"2,keyasint"`
+}
+
+// Retire asks for a store to be emptied.
+type Retire struct {
+	Name string `cbor:"1,keyasint"`
+	// Replicas is the least number of stores that must remain.
+	Replicas int `cbor:"2,keyasint"`
+}
+
+// RetireOutcome tells what became of a Retire.
+type RetireOutcome uint8
+
+// The outcomes.
+const (
+	RetireAccepted RetireOutcome = iota + 1
+	RetireUnknown
+	RetireTooFew
+)
+
+// Result is the outcome of a command.
+type Result struct {
+	// Version is the configuration's version held after the command.
+	Version uint64        `cbor:"1,keyasint"`
+	Retire  RetireOutcome `cbor:"2,keyasint"`
+}
+
+var deterministic = func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic("directory: encoder options: " + err.Error())
+	}
+	return mode
+}()
+
+// Encode returns the command as bytes for the log.
+func (c Command) Encode() []byte {
+	data, err := deterministic.Marshal(c)
+	if err != nil {
+		panic("directory: a command must encode: " + err.Error())
+	}
+	return data
+}
+
+// DecodeResult reads a command's outcome.
+func DecodeResult(data []byte) (Result, error) {
+	var result Result
+	err := cbor.Unmarshal(data, &result)
+	return result, err
+}
--- /dev/null
+++ b/directory/machine.go
@@ -0,0 +1,356 @@
+package directory
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/routing"
+)
+
+// maxTombstones bounds the removed objects that are remembered, beyond which
+// watchers that trail far take in the whole state.
+const maxTombstones = 20000
+
+// versioned is an object with the revision at which it last changed.
+type versioned[T any] struct {
+	_        struct{} `cbor:",toarray"`
+	Revision uint64
+	Object   T
+}
+
+// tombstone is a removed object.
+type tombstone struct {
+	_        struct{} `cbor:",toarray"`
+	Revision uint64
+	Kind     ObjectKind
+	Name     string
+}
+
+// ObjectKind is a kind of objects that a watcher follows.
+type ObjectKind uint8
+
+// The kinds that can be removed.
+const (
+	KindRoute ObjectKind = iota + 1
+	KindService
+	KindBackend
+)
+
+// contents is what a snapshot holds.
+type contents struct {
+	Revision uint64                                 `cbor:"1,keyasint"`
+	Version  uint64                                 `cbor:"2,keyasint"`
+	Source   []byte                                 `cbor:"3,keyasint"`
+	Routes   map[string]*versioned[routing.Route]   `cbor:"4,keyasint"`
+	Services map[string]*versioned[routing.Service] `cbor:"5,keyasint"`
+	Limits   versioned[routing.Limits]              `cbor:"6,keyasint"`
+	Backends map[string]*versioned[Backend]         `cbor:"7,keyasint"`
+	Models   map[string]*versioned[uint64]          `cbor:"8,keyasint"`
+	Stores   map[string]*versioned[Store]           `cbor:"9,keyasint"`
+	Group    versioned[Group]                       `cbor:"10,keyasint"`
+	// Removed lists tombstones by revision; Floor is the revision up to which
+	// some have been forgotten.
+	Removed []tombstone `cbor:"11,keyasint"`
+	Floor   uint64      `cbor:"12,keyasint"`
+	// Gone are IDs of backends that have left.
+	Gone map[string]uint64 `cbor:"13,keyasint"`
+}
+
+// Machine is the replicated state. Its methods must not be called concurrently.
+type Machine struct {
+	state contents
+}
+
+// NewMachine returns the state before the first command.
+func NewMachine() *Machine {
+	m := &Machine{}
+	m.clear()
+	return m
+}
+
+func (m *Machine) clear() {
+	m.state = contents{
+		Routes:   map[string]*versioned[routing.Route]{},
+		Services: map[string]*versioned[routing.Service]{},
+		Backends: map[string]*versioned[Backend]{},
+		Models:   map[string]*versioned[uint64]{},
+		Stores:   map[string]*versioned[Store]{},
+		Gone:     map[string]uint64{},
+	}
+}
+
+// Snapshot returns the whole state as bytes.
+func (m *Machine) Snapshot() []byte {
+	data, err := deterministic.Marshal(m.state)
+	if err != nil {
+		panic("directory: the machine must encode: " + err.Error())
+	}
+	return data
+}
+
+// Restore replaces the state by a snapshot's; no data is the state before the
+// first command.
+func (m *Machine) Restore(data []byte) error {
+	m.clear()
+	if len(data) == 0 {
+		return nil
+	}
+	return cbor.Unmarshal(data, &m.state)
+}
+
+// Revision grows with each change of an object.
+func (m *Machine) Revision() uint64 { return m.state.Revision }
+
+// Version returns the version of the configuration in force.
+func (m *Machine) Version() uint64 { return m.state.Version }
+
+// Source returns the document of the configuration in force, or nil.
+func (m *Machine) Source() []byte { return m.state.Source }
+
+// Backend returns a registered backend, and whether there is one.
+func (m *Machine) Backend(id string) (Backend, bool) {
+	known := m.state.Backends[id]
+	if known == nil {
+		return Backend{}, false
+	}
+	return known.Object, true
+}
+
+// Gone tells whether a backend of that ID has left.
+func (m *Machine) Gone(id string) bool {
+	_, gone := m.state.Gone[id]
+	return gone
+}
+
+// Backends returns the registered backends, ordered by ID.
+func (m *Machine) Backends() []Backend { return objects(m.state.Backends) }
+
+// Store returns a registered store, and whether there is one.
+func (m *Machine) Store(name string) (Store, bool) {
+	known := m.state.Stores[name]
+	if known == nil {
+		return Store{}, false
+	}
+	return known.Object, true
+}
+
+// Stores returns the registered stores, ordered by name.
+func (m *Machine) Stores() []Store { return objects(m.state.Stores) }
+
+// Group returns the ledger's group.
+func (m *Machine) Group() Group { return m.state.Group.Object }
+
+func objects[T any](known map[string]*versioned[T]) []T {
+	list := make([]T, 0, len(known))
+	for _, name := range slices.Sorted(maps.Keys(known)) {
+		list = append(list, known[name].Object)
+	}
+	return list
+}
+
+// Apply carries out an encoded command and returns the encoded Result. An entry
+// that cannot be decoded has no effect.
+func (m *Machine) Apply(data []byte) []byte {
+	var command Command
+	result := Result{}
+	if cbor.Unmarshal(data, &command) == nil {
+		result.Retire = m.apply(command)
+	}
+	result.Version = m.state.Version
+	encoded, err := deterministic.Marshal(result)
+	if err != nil {
+		panic("directory: a result must encode: " + err.Error())
+	}
+	return encoded
+}
+
+func (m *Machine) apply(command Command) RetireOutcome {
+	switch {
+	case command.PutConfiguration != nil:
+		m.putConfiguration(command.PutConfiguration)
+	case command.PutBackend != nil:
+		m.putBackend(*command.PutBackend)
+	case command.RemoveBackend != nil:
+		m.removeBackend(command.RemoveBackend.ID)
+	case command.NameVersion != nil:
+		m.nameVersion(*command.NameVersion)
+	case command.PutStore != nil:
+		m.putStore(*command.PutStore)
+	case command.FormGroup != nil:
+		m.formGroup(*command.FormGroup)
+	case command.ReportGroup != nil:
+		m.reportGroup(*command.ReportGroup)
+	case command.Retire != nil:
+		return m.retire(*command.Retire)
+	}
+	return 0
+}
+
+func (m *Machine) next() uint64 {
+	m.state.Revision++
+	return m.state.Revision
+}
+
+func (m *Machine) bury(kind ObjectKind, name string) {
+	m.state.Removed = append(m.state.Removed, tombstone{Revision: m.next(), Kind: kind, Name: name})
+	if surplus := len(m.state.Removed) - maxTombstones; surplus > 0 {
+		m.state.Floor = m.state.Removed[surplus-1].Revision
+		m.state.Removed = slices.Clone(m.state.Removed[surplus:])
+	}
+}
+
+// putConfiguration keeps the highest version: any other is ignored.
+func (m *Machine) putConfiguration(command *PutConfiguration) {
+	configuration := command.Configuration
+	if configuration.Version <= m.state.Version {
+		return
+	}
+	m.state.Version, m.state.Source = configuration.Version, command.Source
+	m.next()
+	routes := make(map[string]routing.Route, len(configuration.Routes))
+	for _, route := range configuration.Routes {
+		routes[route.Key()] = route
+	}
+	services := make(map[string]routing.Service, len(configuration.Services))
+	for _, service := range configuration.Services {
+		services[service.Name] = service
+	}
+	syncObjects(m, m.state.Routes, routes, KindRoute)
+	syncObjects(m, m.state.Services, services, KindService)
+	if m.state.Limits.Object != configuration.Limits {
+		m.state.Limits = versioned[routing.Limits]{Revision: m.next(), Object: configuration.Limits}
+	}
+}
+
+// syncObjects makes the known objects those wanted, with as few changes as
+// that takes, in the order of their names.
+func syncObjects[T any](m *Machine, known map[string]*versioned[T], wanted map[string]T, kind ObjectKind) {
+	for _, name := range slices.Sorted(maps.Keys(known)) {
+		if _, ok := wanted[name]; !ok {
+			delete(known, name)
+			m.bury(kind, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(wanted)) {
+		object := wanted[name]
+		if current := known[name]; current == nil || !reflect.DeepEqual(current.Object, object) {
+			known[name] = &versioned[T]{Revision: m.next(), Object: object}
+		}
+	}
+}
+
+// putBackend registers a backend or changes it. An ID that has left stays out,
+// and an address belongs to the newest that names it.
+func (m *Machine) putBackend(backend Backend) {
+	if m.Gone(backend.ID) {
+		return
+	}
+	if known, ok := m.Backend(backend.ID); ok {
+		backend.Draining = backend.Draining || known.Draining
+		if reflect.DeepEqual(known, backend) {
+			return
+		}
+	} else {
+		m.releaseAddress(backend.Address)
+	}
+	m.state.Backends[backend.ID] = &versioned[Backend]{Revision: m.next(), Object: backend}
+}
+
+// releaseAddress takes out the backend that had the address before.
+func (m *Machine) releaseAddress(address string) {
+	for _, earlier := range m.Backends() {
+		if earlier.Address == address {
+			m.removeBackend(earlier.ID)
+		}
+	}
+}
+
+func (m *Machine) removeBackend(id string) {
+	if m.Gone(id) {
+		return
+	}
+	m.state.Gone[id] = m.state.Revision
+	if m.state.Backends[id] != nil {
+		delete(m.state.Backends, id)
+		m.bury(KindBackend, id)
+	}
+	if len(m.state.Gone) > maxTombstones {
+		m.forgetGone()
+	}
+}
+
+// forgetGone drops the older half of the IDs that have left.
+func (m *Machine) forgetGone() {
+	revisions := slices.Sorted(maps.Values(m.state.Gone))
+	limit := revisions[len(revisions)/2]
+	maps.DeleteFunc(m.state.Gone, func(_ string, revision uint64) bool { return revision < limit })
+}
+
+func (m *Machine) nameVersion(named ModelVersion) {
+	if current := m.state.Models[named.Model]; current != nil && current.Object >= named.Version {
+		return
+	}
+	m.state.Models[named.Model] = &versioned[uint64]{Revision: m.next(), Object: named.Version}
+}
+
+// putStore registers a store. One that comes back empty is another replica, and
+// whatever was decided about the earlier one does not concern it.
+func (m *Machine) putStore(store Store) {
+	if known, ok := m.Store(store.Name); ok && known.Replica == store.Replica {
+		store.Retiring, store.Retired = known.Retiring, known.Retired
+		if known == store {
+			return
+		}
+	}
+	m.state.Stores[store.Name] = &versioned[Store]{Revision: m.next(), Object: store}
+}
+
+func (m *Machine) formGroup(group Group) {
+	if len(m.state.Group.Object.Members) > 0 {
+		return
+	}
+	m.state.Group = versioned[Group]{Revision: m.next(), Object: group}
+}
+
+// reportGroup takes in the group's membership, and marks retiring stores that
+// are no longer part of it as retired.
+func (m *Machine) reportGroup(group Group) {
+	if group.Number <= m.state.Group.Object.Number {
+		return
+	}
+	m.state.Group = versioned[Group]{Revision: m.next(), Object: group}
+	for _, store := range m.Stores() {
+		isMember := slices.ContainsFunc(group.Members, func(member consensus.Member) bool { return member.ID == store.Replica })
+		if store.Retiring && !store.Retired && !isMember {
+			store.Retired = true
+			m.state.Stores[store.Name] = &versioned[Store]{Revision: m.next(), Object: store}
+		}
+	}
+}
+
+func (m *Machine) retire(command Retire) RetireOutcome {
+	store, ok := m.Store(command.Name)
+	if !ok {
+		return RetireUnknown
+	}
+	if store.Retiring {
+		return RetireAccepted
+	}
+	remaining := 0
+	for _, other := range m.Stores() {
+		isMember := slices.ContainsFunc(m.Group().Members, func(member consensus.Member) bool { return member.ID == other.Replica })
+		if other.Name != command.Name && !other.Retiring && isMember {
+			remaining++
+		}
+	}
+	if remaining < command.Replicas {
+		return RetireTooFew
+	}
+	store.Retiring = true
+	m.state.Stores[store.Name] = &versioned[Store]{Revision: m.next(), Object: store}
+	return RetireAccepted
+}
--- /dev/null
+++ b/directory/watch.go
@@ -0,0 +1,202 @@
+package directory
+
+import (
+	"slices"
+
+	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/routing"
+)
+
+// Delta is what changed after a revision. A full one replaces all that the
+// watcher knows.
+type Delta struct {
+	Revision uint64            `cbor:"1,keyasint"`
+	Full     bool              `cbor:"2,keyasint,omitempty"`
+	Version  uint64            `cbor:"3,keyasint"`
+	Routes   []routing.Route   `cbor:"4,keyasint,omitempty"`
+	Services []routing.Service `cbor:"5,keyasint,omitempty"`
+	Limits   *routing.Limits   `cbor:"6,keyasint,omitempty"`
+	Backends []Backend         `cbor:"7,keyasint,omitempty"`
+	Models   []ModelVersion    `cbor:"8,keyasint,omitempty"`
+	Stores   []Store           `cbor:"9,keyasint,omitempty"`
+	Group    *Group            `cbor:"10,keyasint,omitempty"`
+	Removed  []Removed         `cbor:"11,keyasint,omitempty"`
+	// Replicas are the addresses of the directory's own replicas.
+	Replicas []consensus.Member `cbor:"12,keyasint,omitempty"`
+}
+
+// Removed names an object that is there no more.
+type Removed struct {
+	_    struct{} `cbor:",toarray"`
+	Kind ObjectKind
+	Name string
+}
+
+// DeltaSince returns what changed after the revision.
+func (m *Machine) DeltaSince(since uint64) Delta {
+	s := &m.state
+	delta := Delta{Revision: s.Revision, Version: s.Version}
+	if since < s.Floor || since > s.Revision {
+		delta.Full, since = true, 0
+	}
+	delta.Full = delta.Full || since == 0
+	delta.Routes = changed(s.Routes, since)
+	delta.Services = changed(s.Services, since)
+	delta.Backends = changed(s.Backends, since)
+	delta.Stores = changed(s.Stores, since)
+	if s.Limits.Revision > since {
+		limits := s.Limits.Object
+		delta.Limits = &limits
+	}
+	if s.Group.Revision > since {
+		group := s.Group.Object
+		delta.Group = &group
+	}
+	for name, version := range s.Models {
+		if version.Revision > since {
+			delta.Models = append(delta.Models, ModelVersion{Model: name, Version: version.Object})
+		}
+	}
+	if !delta.Full {
+		for position := len(s.Removed) - 1; position >= 0 && s.Removed[position].Revision > since; position-- {
+			delta.Removed = append(delta.Removed, Removed{Kind: s.Removed[position].Kind, Name: s.Removed[position].Name})
+		}
+	}
+	return delta
+}
+
+func changed[T any](known map[string]*versioned[T], since uint64) []T {
+	var list []T
+	for _, object := range known {
+		if object.Revision > since {
+			list = append(list, object.Object)
+		}
+	}
+	return list
+}
+
+// Catalog is a watcher's copy of the directory. It is immutable; With returns
+// the next one.
+type Catalog struct {
+	Revision uint64
+	// Version is that of the configuration in force, 0 before the first.
+	Version  uint64
+	Table    *routing.Table
+	Limits   routing.Limits
+	Services map[string]routing.Service
+	Models   map[string]uint64
+	Stores   map[string]Store
+	Group    Group
+	Replicas []consensus.Member
+
+	routes    map[string]routing.Route
+	backends  map[string]Backend
+	byService map[string][]Backend
+}
+
+// NewCatalog returns a catalog that holds nothing.
+func NewCatalog() *Catalog { return &Catalog{Table: routing.NewTable(nil)} }
+
+// Backends returns the service's backends, ordered by ID. The list must not be changed.
+func (c *Catalog) Backends(service string) []Backend { return c.byService[service] }
+
+// Backend returns the backend with the ID, and whether there is one.
+func (c *Catalog) Backend(id string) (Backend, bool) {
+	backend, ok := c.backends[id]
+	return backend, ok
+}
+
+// With returns the catalog after the delta.
+func (c *Catalog) With(delta Delta) *Catalog {
+	base := c
+	if delta.Full {
+		base = NewCatalog()
+	}
+	next := &Catalog{
+		Revision: delta.Revision, Version: delta.Version, Limits: base.Limits, Group: base.Group,
+		Table: base.Table, Replicas: c.Replicas, byService: base.byService,
+	}
+	next.routes = merge(base.routes, delta.Routes, routing.Route.Key, delta.removed(KindRoute))
+	next.Services = merge(base.Services, delta.Services, func(s routing.Service) string { return s.Name }, delta.removed(KindService))
+	next.backends = merge(base.backends, delta.Backends, func(b Backend) string { return b.ID }, delta.removed(KindBackend))
+	next.Stores = merge(base.Stores, delta.Stores, func(s Store) string { return s.Name }, nil)
+	next.Models = mergeModels(base.Models, delta.Models)
+	if delta.Limits != nil {
+		next.Limits = *delta.Limits
+	}
+	if delta.Group != nil {
+		next.Group = *delta.Group
+	}
+	if len(delta.Replicas) > 0 {
+		next.Replicas = delta.Replicas
+	}
+	next.index(delta)
+	return next
+}
+
+// index makes the tables anew that the delta concerns.
+func (c *Catalog) index(delta Delta) {
+	if delta.Full || len(delta.Routes) > 0 || len(delta.removed(KindRoute)) > 0 {
+		routes := make([]routing.Route, 0, len(c.routes))
+		for _, route := range c.routes {
+			routes = append(routes, route)
+		}
+		c.Table = routing.NewTable(routes)
+	}
+	if delta.Full || len(delta.Backends) > 0 || len(delta.removed(KindBackend)) > 0 {
+		c.byService = map[string][]Backend{}
+		for _, backend := range c.backends {
+			c.byService[backend.Service] = append(c.byService[backend.Service], backend)
+		}
+		for _, list := range c.byService {
+			slices.SortFunc(list, func(a, b Backend) int {
+				if a.ID < b.ID {
+					return -1
+				}
+				return 1
+			})
+		}
+	}
+}
+
+func (d Delta) removed(kind ObjectKind) []string {
+	var names []string
+	for _, removed := range d.Removed {
+		if removed.Kind == kind {
+			names = append(names, removed.Name)
+		}
+	}
+	return names
+}
+
+// merge returns the objects after the changes. Without any it returns the same map.
+func merge[T any](known map[string]T, changes []T, key func(T) string, removed []string) map[string]T {
+	if len(changes) == 0 && len(removed) == 0 {
+		return known
+	}
+	merged := make(map[string]T, len(known)+len(changes))
+	for name, object := range known {
+		merged[name] = object
+	}
+	for _, name := range removed {
+		delete(merged, name)
+	}
+	for _, object := range changes {
+		merged[key(object)] = object
+	}
+	return merged
+}
+
+func mergeModels(known map[string]uint64, changes []ModelVersion) map[string]uint64 {
+	if len(changes) == 0 {
+		return known
+	}
+	merged := make(map[string]uint64, len(known)+len(changes))
+	for model, version := range known {
+		merged[model] = version
+	}
+	for _, change := range changes {
+		merged[change.Model] = change.Version
+	}
+	return merged
+}
--- a/event/event.go
+++ b/event/event.go
@@ -24,6 +24,9 @@
 	ApplyFailed         = Event{1007, zerolog.ErrorLevel, "a log entry cannot be applied; the replica stops"}
 	PlatformUnreachable = Event{1008, zerolog.WarnLevel, "the platform's list cannot be read"}
 	JoinRequested       = Event{1009, zerolog.InfoLevel, "asking to join the group as a learner"}
+	ReplicaStarted      = Event{1010, zerolog.InfoLevel, "replica started"}
+	LeaderChanged       = Event{1011, zerolog.InfoLevel, "another replica leads"}
+	MembershipChanged   = Event{1012, zerolog.InfoLevel, "the group's membership has changed"}
 
 	NodeStarted       = Event{2001, zerolog.InfoLevel, "node started"}
 	NodeDraining      = Event{2002, zerolog.InfoLevel, "node is draining"}
@@ -38,15 +41,49 @@
 	MalformedStream = Event{3003, zerolog.WarnLevel, "a stream of messages was malformed and has been closed"}
 
 	HTTPServerFailed = Event{4001, zerolog.ErrorLevel, "an HTTP server failed"}
+	LinesDropped     = Event{4002, zerolog.WarnLevel, "log lines were dropped"}
+
+	BackendRegistered    = Event{5001, zerolog.InfoLevel, "a backend's registration has changed"}
+	BackendLeft          = Event{5002, zerolog.InfoLevel, "a backend has left"}
+	BackendSilent        = Event{5003, zerolog.WarnLevel, "a backend sends no heartbeats"}
+	BackendGone          = Event{5004, zerolog.WarnLevel, "a silent backend has been taken out"}
+	ConfigurationPut     = Event{5005, zerolog.InfoLevel, "a configuration was offered"}
+	ConfigurationRefused = Event{5006, zerolog.WarnLevel, "a configuration is invalid"}
+	VersionNamed         = Event{5007, zerolog.InfoLevel, "a version of weights was named"}
+	StoreRegistered      = Event{5008, zerolog.InfoLevel, "a store has registered"}
+	GroupFormed          = Event{5009, zerolog.InfoLevel, "the first group of stores is formed"}
+	RetireAsked          = Event{5010, zerolog.InfoLevel, "a store is to be emptied"}
+	ConfigurationTaken   = Event{5011, zerolog.InfoLevel, "this process follows another configuration"}
+	DirectoryReachable   = Event{5012, zerolog.InfoLevel, "the directory can be reached again"}
+	DirectoryUnreachable = Event{5013, zerolog.WarnLevel, "no replica of the directory can be reached"}
+
+	StepTaken       = Event{6001, zerolog.InfoLevel, "a step was handed in"}
+	StepKnown       = Event{6002, zerolog.InfoLevel, "a step was handed in again"}
+	StepEnded       = Event{6003, zerolog.InfoLevel, "a step was ended"}
+	SampleStarted   = Event{6004, zerolog.InfoLevel, "a sample starts on an engine"}
+	SampleRunEnded  = Event{6005, zerolog.InfoLevel, "a sample's run has ended"}
+	SampleDead      = Event{6006, zerolog.WarnLevel, "a sample was given up"}
+	ResultsRecorded = Event{6007, zerolog.InfoLevel, "results were recorded"}
+	OrderSent       = Event{6008, zerolog.InfoLevel, "an engine was ordered to load weights"}
+	LoadEnded       = Event{6009, zerolog.InfoLevel, "a load of weights has ended"}
+
+	RequestEnded    = Event{7001, zerolog.InfoLevel, "a request has ended"}
+	GatewayStarted  = Event{7002, zerolog.InfoLevel, "gateway started"}
+	GatewayStopping = Event{7003, zerolog.InfoLevel, "gateway is stopping"}
+	GatewayStopped  = Event{7004, zerolog.InfoLevel, "gateway stopped"}
+	StepForwarded   = Event{7005, zerolog.InfoLevel, "a step was passed to the ledger"}
 )
 
 // All lists the events in the order of their numbers.
 var All = []Event{
 	ControlStarted, ControlStopping, LeadershipGained, LeadershipLost, SnapshotSaved,
-	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested,
+	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged,
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream,
-	HTTPServerFailed,
+	HTTPServerFailed, LinesDropped,
+	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable,
+	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded,
+	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded,
 }
 
 // On returns a log line for the event, to which fields can be added; Send ends it.
@@ -72,6 +109,12 @@
 	return l
 }
 
+// Int adds a number field.
+func (l *Line) Int(key string, value int64) *Line {
+	l.entry.Int64(key, value)
+	return l
+}
+
 // Err adds an error field.
 func (l *Line) Err(err error) *Line {
 	l.entry.Err(err)
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,449 @@
+// Package forward passes requests to the backends of services: it chooses a
+// backend, retries where that is allowed, and tells what became of the request.
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/routing"
+)
+
+// Request is a caller's request.
+type Request struct {
+	ID     string
+	Method string
+	Host   string
+	// Target is the path and query as they were received.
+	Target string
+	Header http.Header
+	Body   []byte
+	// Deadline is when the caller gives up.
+	Deadline time.Time
+}
+
+// Response is a backend's whole answer.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Signature is the backend's mark on its answer.
+	Signature string
+}
+
+// Outcome tells what became of one attempt.
+type Outcome uint8
+
+// The outcomes of an attempt.
+const (
+	// Answered: the backend's whole answer is there.
+	Answered Outcome = iota + 1
+	// NotSent: no byte of the request can have reached the backend.
+	NotSent
+	// Refused: the backend says that it did not run the request.
+	Refused
+	// Misdirected: another backend has the address, and did not run the request.
+	Misdirected
+	// Lost: the request may have run, and there is no whole answer.
+	Lost
+)
+
+// Attempt is the result of sending a request to one backend.
+type Attempt struct {
+	Outcome  Outcome
+	Response Response
+}
+
+// Client sends a request to one backend and returns its whole answer. The
+// backend is given until the context's deadline.
+type Client interface {
+	Send(ctx context.Context, backend directory.Backend, request *Request) Attempt
+}
+
+// Reason says why a request ended without a backend's answer.
+type Reason string
+
+// The reasons.
+const (
+	// NoBackend: no backend of the services can take requests.
+	NoBackend Reason = "no_backend"
+	// Full: every backend that was asked refused.
+	Full Reason = "full"
+	// Expired: the request's time is over.
+	Expired Reason = "expired"
+	// NoAnswer: backends that may have run the request gave no whole answer.
+	NoAnswer Reason = "no_answer"
+	// Abandoned: the caller has left.
+	Abandoned Reason = "abandoned"
+)
+
+// Result is what became of a request.
+type Result struct {
+	// Response is nil if no backend's answer is there; Reason says why.
+	Response *Response
+	Reason   Reason
+	// MayHaveRun is set unless it is certain that no backend ran the request.
+	MayHaveRun bool
+	Attempts   int
+	// Failures counts the backends that ran the request and failed.
+	Failures int
+	// Backend is the one whose answer this is.
+	Backend string
+	Service string
+}
+
+const (
+	// hedgeShare of the route's target is how long a repeatable request waits
+	// for an answer before another backend is asked as well.
+	hedgeShare = 0.5
+	minHedge   = 30 * time.Millisecond
+	// penalty is how long a backend that failed is avoided.
+	penalty     = 1500 * time.Millisecond
+	fullPenalty = 50 * time.Millisecond
+	// slowPenalty is how long a backend is avoided whose answer was not waited
+	// for, after slowFactor of its usual time.
+	slowPenalty = 500 * time.Millisecond
+	slowFactor  = 4
+	// smoothing is the weight of the newest latency.
+	smoothing = 0.2
+	// budgetShare of all requests may be hedged, and budgetBurst more at once.
+	budgetShare = 0.25
+	budgetBurst = 20
+)
+
+// backendState is what this process knows of a backend.
+type backendState struct {
+	inFlight     int
+	latency      time.Duration
+	avoidedUntil time.Time
+}
+
+// Forwarder passes requests to backends. Its methods may be called concurrently.
+type Forwarder struct {
+	client Client
+	zone   string
+
+	mutex    sync.Mutex
+	backends map[string]*backendState
+	// credits holds the smooth weighted round robin of each split route.
+	credits map[string][]float64
+	budget  float64
+}
+
+// New returns a forwarder of a process in the zone.
+func New(client Client, zone string) *Forwarder {
+	return &Forwarder{
+		client: client, zone: zone, backends: map[string]*backendState{},
+		credits: map[string][]float64{}, budget: budgetBurst,
+	}
+}
+
+// run is one request on its way.
+type run struct {
+	forwarder *Forwarder
+	catalog   *directory.Catalog
+	route     routing.Route
+	request   *Request
+	services  []string
+	tried     map[string]bool
+	pending   int
+	result    Result
+	attempts  chan attempted
+	// fallback is a backend's failure, which is passed on if nothing better comes.
+	fallback *attempted
+}
+
+type attempted struct {
+	attempt Attempt
+	backend directory.Backend
+}
+
+// Do passes the request to the route's services. It returns when there is an
+// answer, or as soon as it is certain that none comes.
+func (f *Forwarder) Do(ctx context.Context, catalog *directory.Catalog, route routing.Route, request *Request) Result {
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	r := &run{
+		forwarder: f, catalog: catalog, route: route, request: request, services: f.order(route),
+		tried: map[string]bool{}, attempts: make(chan attempted, max(route.Attempts, 1)),
+	}
+	return r.do(ctx)
+}
+
+func (r *run) do(ctx context.Context) Result {
+	if !r.start(ctx) {
+		return r.end(NoBackend)
+	}
+	hedge := time.NewTimer(r.hedgeDelay())
+	defer hedge.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return r.end(reasonOf(ctx))
+		case <-hedge.C:
+			if r.route.Kind == routing.Repeatable && r.forwarder.spend() {
+				r.start(ctx)
+			}
+			hedge.Reset(r.hedgeDelay())
+		case done := <-r.attempts:
+			r.pending--
+			if r.take(done) {
+				return r.result
+			}
+			if ctx.Err() != nil {
+				return r.end(reasonOf(ctx))
+			}
+			if r.mayRepeat(done.attempt.Outcome) {
+				r.start(ctx)
+			}
+			if r.pending == 0 {
+				return r.end(r.reason(done.attempt.Outcome))
+			}
+		}
+	}
+}
+
+func reasonOf(ctx context.Context) Reason {
+	if ctx.Err() == context.DeadlineExceeded {
+		return Expired
+	}
+	return Abandoned
+}
+
+func (r *run) reason(last Outcome) Reason {
+	if r.result.MayHaveRun || last == Lost {
+		return NoAnswer
+	}
+	return Full
+}
+
+func (r *run) hedgeDelay() time.Duration {
+	return max(time.Duration(float64(r.route.TargetMillis)*hedgeShare)*time.Millisecond, minHedge)
+}
+
+// mayRepeat tells whether another backend may be asked after the outcome.
+func (r *run) mayRepeat(outcome Outcome) bool {
+	switch outcome {
+	case NotSent, Refused, Misdirected:
+		return true
+	default:
+		return r.route.Kind == routing.Repeatable
+	}
+}
+
+// take notes an attempt's end and tells whether it ends the request.
+func (r *run) take(done attempted) bool {
+	switch done.attempt.Outcome {
+	case Answered:
+		r.result.MayHaveRun = true
+		if r.route.Kind == routing.Repeatable && done.attempt.Response.Status >= http.StatusInternalServerError {
+			r.fallback = &done
+			r.result.Failures++
+			return false
+		}
+		r.answer(done)
+		return true
+	case Lost:
+		r.result.MayHaveRun = true
+	}
+	return false
+}
+
+func (r *run) answer(done attempted) {
+	response := done.attempt.Response
+	r.result.Response, r.result.Backend, r.result.Service = &response, done.backend.ID, done.backend.Service
+}
+
+func (r *run) end(reason Reason) Result {
+	if r.pending > 0 {
+		r.result.MayHaveRun = true
+	}
+	if r.fallback != nil && reason != Abandoned {
+		r.answer(*r.fallback)
+		return r.result
+	}
+	r.result.Reason = reason
+	return r.result
+}
+
+// start sends the request to one more backend, and tells whether there is one.
+func (r *run) start(ctx context.Context) bool {
+	if r.result.Attempts >= max(r.route.Attempts, 1) {
+		return false
+	}
+	backend, ok := r.forwarder.choose(r.catalog, r.services, r.tried)
+	if !ok {
+		return false
+	}
+	r.tried[backend.ID] = true
+	r.result.Attempts++
+	r.pending++
+	go func() {
+		started := time.Now()
+		attempt := r.forwarder.client.Send(ctx, backend, r.request)
+		r.forwarder.note(backend.ID, attempt, time.Since(started), ctx.Err() != nil)
+		r.attempts <- attempted{attempt: attempt, backend: backend}
+	}()
+	return true
+}
+
+// order returns the route's services, the one whose turn it is first.
+func (f *Forwarder) order(route routing.Route) []string {
+	services := make([]string, 0, len(route.Shares))
+	if len(route.Shares) == 1 {
+		return append(services, route.Shares[0].Service)
+	}
+	chosen := f.turn(route)
+	services = append(services, route.Shares[chosen].Service)
+	for position, share := range route.Shares {
+		if position != chosen && share.Weight > 0 {
+			services = append(services, share.Service)
+		}
+	}
+	return services
+}
+
+// turn chooses a share by smooth weighted round robin. Processes start at
+// random places, so that they do not choose alike.
+func (f *Forwarder) turn(route routing.Route) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	credits := f.credits[route.Key()]
+	if len(credits) != len(route.Shares) {
+		credits = make([]float64, len(route.Shares))
+		for position, share := range route.Shares {
+			credits[position] = rand.Float64() * share.Weight
+		}
+		f.credits[route.Key()] = credits
+	}
+	best, total := 0, 0.0
+	for position, share := range route.Shares {
+		credits[position] += share.Weight
+		total += share.Weight
+		if credits[position] > credits[best] {
+			best = position
+		}
+	}
+	credits[best] -= total
+	return best
+}
+
+// choose takes a backend of the first service that has one, and counts the
+// request there.
+func (f *Forwarder) choose(catalog *directory.Catalog, services []string, tried map[string]bool) (directory.Backend, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := time.Now()
+	for _, service := range services {
+		var best directory.Backend
+		bestCost := -1.0
+		for _, backend := range catalog.Backends(service) {
+			if backend.Draining || tried[backend.ID] {
+				continue
+			}
+			if cost := f.cost(backend, now); bestCost < 0 || cost < bestCost {
+				best, bestCost = backend, cost
+			}
+		}
+		if bestCost >= 0 {
+			f.state(best.ID).inFlight++
+			return best, true
+		}
+	}
+	return directory.Backend{}, false
+}
+
+const (
+	avoidedCost = 1e6
+	silentCost  = 1e5
+	remoteCost  = 0.3
+	// spreadCost is the random part of a cost, which spreads equal backends.
+	spreadCost    = 0.2
+	unknownMillis = 10.0
+)
+
+// cost rates a backend: the expected wait, with much more for those that fail.
+func (f *Forwarder) cost(backend directory.Backend, now time.Time) float64 {
+	state := f.state(backend.ID)
+	latency := max(float64(state.latency.Milliseconds()), unknownMillis)
+	cost := latency * float64(state.inFlight+1)
+	if backend.Zone != f.zone {
+		cost *= 1 + remoteCost
+	}
+	cost *= 1 + spreadCost*rand.Float64()
+	if now.Before(state.avoidedUntil) {
+		cost += avoidedCost
+	}
+	if backend.Silent {
+		cost += silentCost
+	}
+	return cost
+}
+
+func (f *Forwarder) state(id string) *backendState {
+	state := f.backends[id]
+	if state == nil {
+		state = &backendState{}
+		f.backends[id] = state
+	}
+	return state
+}
+
+// note takes in what an attempt tells of its backend.
+func (f *Forwarder) note(id string, attempt Attempt, took time.Duration, cancelled bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	state := f.state(id)
+	state.inFlight--
+	f.budget = min(f.budget+budgetShare, budgetBurst)
+	if cancelled && attempt.Outcome != Answered {
+		// It was slower than another backend, or than its caller's patience.
+		if took > slowFactor*state.latency && took > minHedge {
+			state.avoidedUntil = time.Now().Add(slowPenalty)
+		}
+		state.observe(took)
+		return
+	}
+	switch attempt.Outcome {
+	case Answered:
+		state.observe(took)
+		state.avoidedUntil = time.Time{}
+	case Refused:
+		state.avoidedUntil = time.Now().Add(fullPenalty)
+	default:
+		state.avoidedUntil = time.Now().Add(penalty)
+	}
+}
+
+func (s *backendState) observe(took time.Duration) {
+	if s.latency == 0 {
+		s.latency = took
+		return
+	}
+	s.latency += time.Duration(smoothing * float64(took-s.latency))
+}
+
+func (f *Forwarder) spend() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.budget < 1 {
+		return false
+	}
+	f.budget--
+	return true
+}
+
+// Forget drops what is known of backends that the catalog does not hold.
+func (f *Forwarder) Forget(catalog *directory.Catalog) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for id, state := range f.backends {
+		if _, ok := catalog.Backend(id); !ok && state.inFlight == 0 {
+			delete(f.backends, id)
+		}
+	}
+}
--- /dev/null
+++ b/ledger/command.go
@@ -0,0 +1,119 @@
+// Package ledger is the replicated record of steps: what a trainer handed in,
+// and the results in the order in which they became known. Apply is a pure
+// function of state and command.
+package ledger
+
+import (
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Command is one entry of the replicated log. Exactly one pointer is set.
+type Command struct {
+	Submit *Step   `cbor:"1,keyasint,omitempty"`
+	Record *Record `cbor:"2,keyasint,omitempty"`
+	End    *End    `cbor:"3,keyasint,omitempty"`
+	Prune  *Prune  `cbor:"4,keyasint,omitempty"`
+}
+
+// Field is one header field of a sample's request.
+type Field struct {
+	_     struct{} `cbor:",toarray"`
+	Name  string
+	Value string
+}
+
+// Reward is the call that scores a sample's text.
+type Reward struct {
+	ID   string `cbor:"1,keyasint"`
+	Host string `cbor:"2,keyasint"`
+	Path string `cbor:"3,keyasint"`
+	Body []byte `cbor:"4,keyasint"`
+}
+
+// Sample is one request for tokens of a step.
+type Sample struct {
+	ID     string  `cbor:"1,keyasint"`
+	Path   string  `cbor:"2,keyasint"`
+	Header []Field `cbor:"3,keyasint"`
+	Body   []byte  `cbor:"4,keyasint"`
+	// Group names the samples that share a prompt and count only together.
+	Group  string  `cbor:"5,keyasint"`
+	Reward *Reward `cbor:"6,keyasint"`
+	// Predicted is the expected number of tokens that come out, 0 if unknown.
+	Predicted int `cbor:"7,keyasint"`
+}
+
+// Step is what a trainer hands in at once.
+type Step struct {
+	ID   string `cbor:"1,keyasint"`
+	Host string `cbor:"2,keyasint"`
+	// Number counts the trainer's steps, from 0.
+	Number int    `cbor:"3,keyasint"`
+	Model  string `cbor:"4,keyasint"`
+	// OldestVersion is the oldest version of the weights that may make tokens.
+	OldestVersion uint64 `cbor:"5,keyasint"`
+	SingleVersion bool   `cbor:"6,keyasint"`
+	// Wanted is the number of groups that the trainer waits for.
+	Wanted int `cbor:"7,keyasint"`
+	// Attempts is the number of failures after which a sample is given up.
+	Attempts int `cbor:"8,keyasint"`
+	// The times are in milliseconds since 1970, by the leader's clock.
+	SubmittedAt int64    `cbor:"9,keyasint"`
+	DueAt       int64    `cbor:"10,keyasint"`
+	GiveUpAt    int64    `cbor:"11,keyasint"`
+	Samples     []Sample `cbor:"12,keyasint"`
+}
+
+// State says how a sample ended.
+type State uint8
+
+// The states.
+const (
+	// Succeeded: the text is whole and scored.
+	Succeeded State = iota + 1
+	// Dead: the sample was given up.
+	Dead
+)
+
+// Result is the end of one sample.
+type Result struct {
+	Sample string `cbor:"1,keyasint"`
+	State  State  `cbor:"2,keyasint"`
+	// Text holds the data of all events, separated by line feeds.
+	Text     string   `cbor:"3,keyasint"`
+	Versions []uint64 `cbor:"4,keyasint"`
+	Score    string   `cbor:"5,keyasint"`
+}
+
+// Record adds results to a step.
+type Record struct {
+	Step    string   `cbor:"1,keyasint"`
+	Results []Result `cbor:"2,keyasint"`
+}
+
+// End closes a step: no more of it is run.
+type End struct {
+	Step string `cbor:"1,keyasint"`
+}
+
+// Prune forgets steps that have ended and whose results nobody may ask for.
+type Prune struct {
+	Steps []string `cbor:"1,keyasint"`
+}
+
+var encoder = func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic("ledger: encoder options: " + err.Error())
+	}
+	return mode
+}()
+
+// Encode returns the command as bytes for the log.
+func (c Command) Encode() []byte {
+	data, err := encoder.Marshal(c)
+	if err != nil {
+		panic("ledger: a command must encode: " + err.Error())
+	}
+	return data
+}
--- /dev/null
+++ b/ledger/machine.go
@@ -0,0 +1,147 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Entry is a step with its results so far.
+type Entry struct {
+	Step    *Step    `cbor:"1,keyasint"`
+	Results []Result `cbor:"2,keyasint"`
+	Ended   bool     `cbor:"3,keyasint"`
+	// listed holds the samples that have a result.
+	listed map[string]bool
+}
+
+// Listed tells whether the sample has a result.
+func (e *Entry) Listed(sample string) bool { return e.listed[sample] }
+
+// Sample returns the sample with the ID, or nil.
+func (e *Entry) Sample(id string) *Sample {
+	for position := range e.Step.Samples {
+		if e.Step.Samples[position].ID == id {
+			return &e.Step.Samples[position]
+		}
+	}
+	return nil
+}
+
+// Machine is the replicated state. Its methods must not be called concurrently.
+type Machine struct {
+	steps map[string]*Entry
+	// Generation grows with each change.
+	Generation uint64
+}
+
+// NewMachine returns the state before the first command.
+func NewMachine() *Machine { return &Machine{steps: map[string]*Entry{}} }
+
+// Snapshot returns the whole state as bytes.
+func (m *Machine) Snapshot() []byte {
+	data, err := encoder.Marshal(m.steps)
+	if err != nil {
+		panic("ledger: the machine must encode: " + err.Error())
+	}
+	return data
+}
+
+// Restore replaces the state by a snapshot's.
+func (m *Machine) Restore(data []byte) error {
+	m.steps = map[string]*Entry{}
+	m.Generation++
+	if len(data) == 0 {
+		return nil
+	}
+	if err := cbor.Unmarshal(data, &m.steps); err != nil {
+		return err
+	}
+	for _, entry := range m.steps {
+		entry.index()
+	}
+	return nil
+}
+
+func (e *Entry) index() {
+	e.listed = make(map[string]bool, len(e.Step.Samples))
+	for _, result := range e.Results {
+		e.listed[result.Sample] = true
+	}
+}
+
+// Step returns the step with the ID, or nil.
+func (m *Machine) Step(id string) *Entry { return m.steps[id] }
+
+// Steps returns all steps in the order of their submission.
+func (m *Machine) Steps() []*Entry {
+	entries := slices.Collect(maps.Values(m.steps))
+	slices.SortFunc(entries, func(a, b *Entry) int {
+		switch {
+		case a.Step.SubmittedAt != b.Step.SubmittedAt:
+			return int(a.Step.SubmittedAt - b.Step.SubmittedAt)
+		case a.Step.ID < b.Step.ID:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return entries
+}
+
+// Apply carries out an encoded command. It returns nothing: each command can
+// be repeated, and its effect is read from the state. An entry that cannot be
+// decoded has no effect.
+func (m *Machine) Apply(data []byte) []byte {
+	var command Command
+	if cbor.Unmarshal(data, &command) != nil {
+		return nil
+	}
+	m.Generation++
+	switch {
+	case command.Submit != nil:
+		m.submit(command.Submit)
+	case command.Record != nil:
+		m.record(command.Record)
+	case command.End != nil:
+		m.end(command.End.Step)
+	case command.Prune != nil:
+		for _, id := range command.Prune.Steps {
+			delete(m.steps, id)
+		}
+	}
+	return nil
+}
+
+// submit takes a step once.
+func (m *Machine) submit(step *Step) {
+	if m.steps[step.ID] != nil {
+		return
+	}
+	entry := &Entry{Step: step}
+	entry.index()
+	m.steps[step.ID] = entry
+}
+
+// record adds the results of samples that have none yet. The position of a
+// result never changes.
+func (m *Machine) record(record *Record) {
+	entry := m.steps[record.Step]
+	if entry == nil || entry.Ended {
+		return
+	}
+	for _, result := range record.Results {
+		if entry.listed[result.Sample] || entry.Sample(result.Sample) == nil {
+			continue
+		}
+		entry.listed[result.Sample] = true
+		entry.Results = append(entry.Results, result)
+	}
+}
+
+func (m *Machine) end(id string) {
+	if entry := m.steps[id]; entry != nil {
+		entry.Ended = true
+	}
+}
--- /dev/null
+++ b/replica/core.go
@@ -0,0 +1,343 @@
+// Package replica keeps a state machine in agreement among a group of
+// processes. Core is the pure part: consensus, proposals, confirmed reads and
+// the reconcile loop of the group's membership, without clock, disk or socket.
+// Replica runs a Core in a process.
+package replica
+
+import (
+	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/protocol"
+)
+
+// Machine is a replicated state. Apply must be a pure function of the state and
+// the command.
+type Machine interface {
+	// Apply carries out a command and returns its encoded result.
+	Apply(command []byte) []byte
+	// Snapshot returns the whole state; Restore replaces it by such a state.
+	Snapshot() []byte
+	Restore(data []byte) error
+}
+
+// CoreConfig holds what a Core needs to start.
+type CoreConfig struct {
+	Consensus consensus.Config
+	// Address is where other processes reach this replica.
+	Address string
+	// Voters is the number of voters that the membership loop aims at.
+	Voters int
+	// SilentTicks is how long a voter must be silent before a caught-up
+	// learner takes its place.
+	SilentTicks int
+	// SnapshotBytes is the least size of the log that makes a snapshot.
+	SnapshotBytes int
+	// SnapshotEntries is the least number of entries that makes a snapshot, so
+	// that a log of many small entries is bounded too.
+	SnapshotEntries int
+}
+
+// Outcome tells what became of a request.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Done: the command is committed and applied, or the read is confirmed.
+	Done Outcome = iota + 1
+	// NotLeader: this replica cannot serve the request, and nothing was done.
+	NotLeader
+	// Unknown: the command may or may not be carried out.
+	Unknown
+)
+
+// Reply answers a request.
+type Reply struct {
+	ID      uint64
+	Outcome Outcome
+	Result  []byte
+}
+
+// Outgoing is a message for another replica.
+type Outgoing struct {
+	Address string
+	Message protocol.Message
+}
+
+type waiter struct {
+	term uint64
+	id   uint64
+}
+
+type pendingRead struct {
+	id    uint64
+	index uint64
+}
+
+// Core is one replica. Its methods must not be called concurrently.
+type Core struct {
+	config  CoreConfig
+	raft    *consensus.Raft
+	machine Machine
+	applied uint64
+
+	waiting   map[uint64]waiter
+	contexts  uint64
+	reads     map[uint64]uint64
+	confirmed []pendingRead
+	addresses map[consensus.ReplicaID]string
+	// leadingTerm is the term that this replica leads in, or 0.
+	leadingTerm uint64
+	ticks       int
+	// retiring are the replicas that the operator wants out of the group.
+	retiring map[consensus.ReplicaID]bool
+	// superseded are replicas whose process has come back under another identity.
+	superseded map[consensus.ReplicaID]bool
+
+	logBytes     int
+	snapshotSize int
+	snapshot     *consensus.Snapshot
+	outbox       []Outgoing
+	replies      []Reply
+}
+
+// NewCore returns a replica that continues from what storage held. It fails if
+// the stored snapshot cannot be decoded.
+func NewCore(config CoreConfig, machine Machine) (*Core, error) {
+	if err := machine.Restore(config.Consensus.Snapshot.Data); err != nil {
+		return nil, err
+	}
+	c := &Core{
+		config: config, raft: consensus.New(config.Consensus), machine: machine,
+		applied: config.Consensus.Snapshot.Index,
+		waiting: map[uint64]waiter{}, reads: map[uint64]uint64{},
+		addresses: map[consensus.ReplicaID]string{}, retiring: map[consensus.ReplicaID]bool{},
+		superseded: map[consensus.ReplicaID]bool{}, snapshotSize: len(config.Consensus.Snapshot.Data),
+	}
+	for _, entry := range config.Consensus.Entries {
+		c.logBytes += len(entry.Data)
+	}
+	return c, nil
+}
+
+// Raft returns the replica's consensus state, for inspection only.
+func (c *Core) Raft() *consensus.Raft { return c.raft }
+
+// Leading tells whether this replica leads.
+func (c *Core) Leading() bool { return c.raft.Role() == consensus.Leader }
+
+// Serving tells whether this replica leads and has applied all that earlier
+// leaders have committed, so that it may act on its state.
+func (c *Core) Serving() bool {
+	return c.Leading() && c.raft.CommittedInTerm() && c.applied == c.raft.Commit()
+}
+
+// LeaderAddress returns the leader's address, or "" if it is not known.
+func (c *Core) LeaderAddress() string {
+	if c.Leading() {
+		return c.config.Address
+	}
+	return c.address(c.raft.Leader())
+}
+
+func (c *Core) address(id consensus.ReplicaID) string {
+	if member, ok := c.raft.Membership().Member(id); ok {
+		return member.Address
+	}
+	return c.addresses[id]
+}
+
+// Tick advances consensus by one tick and runs the leader's membership loop.
+func (c *Core) Tick() {
+	c.ticks++
+	c.raft.Tick()
+	c.noticeLeadership()
+	if c.Leading() && c.ticks%reconcileTicks == 0 {
+		c.reconcileMembership()
+	}
+}
+
+// Receive takes in a message of another replica.
+func (c *Core) Receive(message protocol.Message) {
+	switch {
+	case message.Consensus != nil:
+		c.addresses[message.Consensus.From] = message.From
+		c.raft.Step(*message.Consensus)
+	case message.Join != nil:
+		c.receiveJoin(*message.Join)
+	}
+	c.noticeLeadership()
+}
+
+// Propose asks for a command to be committed; the reply carries the ID.
+func (c *Core) Propose(id uint64, command []byte) {
+	index, term, ok := c.raft.Propose(command)
+	if !ok {
+		c.answer(id, NotLeader, nil)
+		return
+	}
+	c.waiting[index] = waiter{term: term, id: id}
+}
+
+// Read asks for a confirmation that the machine reflects every command that
+// was acknowledged before the call; the reply carries the ID.
+func (c *Core) Read(id uint64) {
+	if !c.Leading() {
+		c.answer(id, NotLeader, nil)
+		return
+	}
+	c.contexts++
+	c.reads[c.contexts] = id
+	c.raft.ReadIndex(c.contexts)
+}
+
+// TransferLeadership hands leadership to the most complete other voter, and
+// tells whether there is one.
+func (c *Core) TransferLeadership() bool {
+	best, bestMatch := consensus.None, uint64(0)
+	for _, member := range c.raft.Membership().Members {
+		match, silent := c.raft.Match(member.ID)
+		eligible := member.Voter && member.ID != c.raft.ID() && !c.retiring[member.ID] &&
+			silent <= c.config.Consensus.ElectionTicks
+		if eligible && match >= bestMatch {
+			best, bestMatch = member.ID, match
+		}
+	}
+	return best != consensus.None && c.raft.TransferLeadership(best)
+}
+
+func (c *Core) answer(id uint64, outcome Outcome, result []byte) {
+	if id != 0 {
+		c.replies = append(c.replies, Reply{ID: id, Outcome: outcome, Result: result})
+	}
+}
+
+// noticeLeadership answers all who wait when a leadership ends.
+func (c *Core) noticeLeadership() {
+	if c.Leading() {
+		c.leadingTerm = c.raft.Term()
+		return
+	}
+	if c.leadingTerm == 0 {
+		return
+	}
+	c.leadingTerm = 0
+	for index, waiting := range c.waiting {
+		c.answer(waiting.id, Unknown, nil)
+		delete(c.waiting, index)
+	}
+}
+
+// HasReady tells whether there is anything to persist, send or apply.
+func (c *Core) HasReady() bool { return c.raft.HasReady() }
+
+// Ready returns what has to be persisted before Advance.
+func (c *Core) Ready() consensus.Ready { return c.raft.Ready() }
+
+// Advance carries on after the Ready has been persisted: it sends its messages
+// and applies its committed entries. It fails if a snapshot cannot be decoded.
+func (c *Core) Advance(ready consensus.Ready) error {
+	for _, message := range ready.Messages {
+		consensusMessage := message
+		c.send(c.address(message.To), protocol.Message{Consensus: &consensusMessage})
+	}
+	for _, entry := range ready.Entries {
+		c.logBytes += len(entry.Data)
+	}
+	if ready.Snapshot != nil {
+		if err := c.machine.Restore(ready.Snapshot.Data); err != nil {
+			return err
+		}
+		c.applied, c.logBytes, c.snapshotSize = ready.Snapshot.Index, 0, len(ready.Snapshot.Data)
+	}
+	for _, entry := range ready.Committed {
+		c.applyEntry(entry)
+	}
+	c.raft.Advance(ready)
+	c.noticeLeadership()
+	c.confirmReads(ready)
+	c.compact()
+	return nil
+}
+
+func (c *Core) send(address string, message protocol.Message) {
+	if address == "" {
+		return
+	}
+	message.From = c.config.Address
+	c.outbox = append(c.outbox, Outgoing{Address: address, Message: message})
+}
+
+func (c *Core) applyEntry(entry consensus.Entry) {
+	c.applied = entry.Index
+	if entry.Kind != consensus.EntryNormal || len(entry.Data) == 0 {
+		return
+	}
+	result := c.machine.Apply(entry.Data)
+	waiting, ok := c.waiting[entry.Index]
+	if !ok {
+		return
+	}
+	delete(c.waiting, entry.Index)
+	if waiting.term != entry.Term {
+		c.answer(waiting.id, Unknown, nil)
+		return
+	}
+	c.answer(waiting.id, Done, result)
+}
+
+func (c *Core) confirmReads(ready consensus.Ready) {
+	for _, context := range ready.RejectedReads {
+		c.answer(c.reads[context], NotLeader, nil)
+		delete(c.reads, context)
+	}
+	for _, confirmed := range ready.ReadStates {
+		if id, ok := c.reads[confirmed.Context]; ok {
+			c.confirmed = append(c.confirmed, pendingRead{id: id, index: confirmed.Index})
+			delete(c.reads, confirmed.Context)
+		}
+	}
+	kept := c.confirmed[:0]
+	for _, read := range c.confirmed {
+		if read.index > c.applied {
+			kept = append(kept, read)
+			continue
+		}
+		c.answer(read.id, Done, nil)
+	}
+	c.confirmed = kept
+}
+
+// compact makes a snapshot when the log has outgrown both the configured size
+// and the last snapshot, so that snapshots cost in proportion to the log.
+func (c *Core) compact() {
+	entries := c.raft.LogSize()
+	grown := c.logBytes >= max(c.config.SnapshotBytes, c.snapshotSize)
+	if !grown && (c.config.SnapshotEntries == 0 || entries < c.config.SnapshotEntries) {
+		return
+	}
+	data := c.machine.Snapshot()
+	if snapshot, ok := c.raft.Compact(c.applied, data); ok {
+		c.snapshot = &snapshot
+		c.logBytes, c.snapshotSize = 0, len(data)
+	}
+}
+
+// TakeSnapshot returns a snapshot to be persisted, or nil.
+func (c *Core) TakeSnapshot() *consensus.Snapshot {
+	snapshot := c.snapshot
+	c.snapshot = nil
+	return snapshot
+}
+
+// TakeMessages returns the messages to be sent and forgets them.
+func (c *Core) TakeMessages() []Outgoing {
+	messages := c.outbox
+	c.outbox = nil
+	return messages
+}
+
+// TakeReplies returns the replies and forgets them.
+func (c *Core) TakeReplies() []Reply {
+	replies := c.replies
+	c.replies = nil
+	return replies
+}
--- /dev/null
+++ b/replica/http.go
@@ -0,0 +1,40 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/dillchute/dillchute/transport"
+)
+
+// maxResponseBytes bounds what is read of an answer of another process.
+const maxResponseBytes = 256 << 20
+
+// PostInternal sends a body to another process of the system and returns the
+// body of its answer. Any status but 200 is an ErrUnavailable error.
+func PostInternal(ctx context.Context, client *http.Client, url string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, ErrUnavailable.New("%s answered %d", url, response.StatusCode)
+	}
+	return data, nil
+}
+
+// NewInternalClient returns a client for calls between the system's processes.
+func NewInternalClient() *http.Client {
+	return &http.Client{Transport: transport.NewHTTPTransport()}
+}
--- /dev/null
+++ b/replica/membership.go
@@ -0,0 +1,110 @@
+package replica
+
+import (
+	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/protocol"
+)
+
+const (
+	// reconcileTicks is the number of ticks between runs of the membership loop.
+	reconcileTicks = 2
+	// maxLearnerLag is how many entries a learner may trail to count as caught up.
+	maxLearnerLag = 64
+	// forgetFactor times SilentTicks is how long a learner may be silent.
+	forgetFactor = 8
+)
+
+// receiveJoin takes a replica into the group as a learner. A member at the same
+// address under another identity has lost its disk: it never comes back.
+func (c *Core) receiveJoin(join protocol.Join) {
+	if !c.Leading() {
+		return
+	}
+	membership := c.raft.Membership()
+	for _, member := range membership.Members {
+		if member.Address == join.Address && member.ID != join.ID {
+			c.superseded[member.ID] = true
+		}
+	}
+	if _, ok := membership.Member(join.ID); ok || c.retiring[join.ID] {
+		return
+	}
+	c.raft.ProposeMembership(consensus.MembershipChange{
+		Action: consensus.AddLearner, ID: join.ID, Address: join.Address,
+	})
+}
+
+// SetRetiring names the replicas that are to leave the group.
+func (c *Core) SetRetiring(retiring map[consensus.ReplicaID]bool) { c.retiring = retiring }
+
+// membershipView sorts the members by what the loop may do with them.
+type membershipView struct {
+	voters int
+	// leaving is a voter that should go: superseded, retiring or silent.
+	leaving consensus.ReplicaID
+	// useless is a learner that should go.
+	useless consensus.ReplicaID
+	// ready is a learner that holds almost all of the log.
+	ready consensus.ReplicaID
+}
+
+func (c *Core) viewMembership() membershipView {
+	var view membershipView
+	for _, member := range c.raft.Membership().Members {
+		match, silent := c.raft.Match(member.ID)
+		unwanted := c.superseded[member.ID] || c.retiring[member.ID]
+		switch {
+		case member.Voter:
+			view.voters++
+			gone := member.ID != c.raft.ID() && silent > c.config.SilentTicks
+			if c.superseded[member.ID] || view.leaving == consensus.None && (unwanted || gone) {
+				view.leaving = member.ID
+			}
+		case unwanted || silent > forgetFactor*c.config.SilentTicks:
+			view.useless = member.ID
+		case match+maxLearnerLag >= c.raft.Commit() && match > 0 && silent <= c.config.Consensus.ElectionTicks:
+			view.ready = member.ID
+		}
+	}
+	return view
+}
+
+// reconcileMembership moves the membership one step towards the wanted number
+// of voters that are alive. One change is under way at a time; the consensus
+// package refuses a second. A voter whose disk is lost is removed first, which
+// leaves the quorum at the same number of live voters; any other voter leaves
+// only once a caught-up learner can take its place.
+func (c *Core) reconcileMembership() {
+	view := c.viewMembership()
+	switch {
+	case view.leaving != consensus.None && c.superseded[view.leaving] && view.voters > 1:
+		c.remove(view.leaving)
+	case view.ready != consensus.None && view.voters < c.config.Voters:
+		c.raft.ProposeMembership(consensus.MembershipChange{Action: consensus.PromoteLearner, ID: view.ready})
+	case view.leaving != consensus.None && view.voters > c.config.Voters:
+		c.remove(view.leaving)
+	case view.leaving != consensus.None && view.ready != consensus.None:
+		c.replace(view)
+	case view.useless != consensus.None:
+		c.remove(view.useless)
+	}
+}
+
+// replace puts the learner in the place of the voter. A silent voter goes
+// first: with it, a larger group would need all others for a quorum. A retiring
+// one still helps, so the learner comes first.
+func (c *Core) replace(view membershipView) {
+	if !c.retiring[view.leaving] {
+		c.remove(view.leaving)
+		return
+	}
+	c.raft.ProposeMembership(consensus.MembershipChange{Action: consensus.PromoteLearner, ID: view.ready})
+}
+
+func (c *Core) remove(id consensus.ReplicaID) {
+	if id == c.raft.ID() {
+		c.TransferLeadership()
+		return
+	}
+	c.raft.ProposeMembership(consensus.MembershipChange{Action: consensus.RemoveReplica, ID: id})
+}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,430 @@
+package replica
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
+	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/eventloop"
+	"github.com/dillchute/dillchute/protocol"
+	"github.com/dillchute/dillchute/storage"
+	"github.com/dillchute/dillchute/transport"
+)
+
+const (
+	// TickInterval is the unit of consensus timing.
+	TickInterval   = 50 * time.Millisecond
+	electionTicks  = 10
+	heartbeatTicks = 2
+	// silentTicks is how long a voter is silent before a learner replaces it.
+	silentTicks    = 30
+	maxAppendBytes = 1 << 20
+	joinInterval   = 300 * time.Millisecond
+	transferWait   = time.Second
+	// ExecutePath is where a leader takes in commands of other replicas.
+	ExecutePath     = "/internal/execute"
+	maxCommandBytes = 64 << 20
+	snapshotBytes   = 8 << 20
+	snapshotEntries = 4000
+)
+
+var (
+	namespace = errorx.NewNamespace("replica")
+	// ErrUnavailable: there is no leader within reach, and nothing was done.
+	ErrUnavailable = namespace.NewType("unavailable")
+	// ErrUnknown: the command may or may not have been carried out.
+	ErrUnknown = namespace.NewType("unknown")
+)
+
+// Settings say which replica of which group a process is.
+type Settings struct {
+	Cluster    string
+	Address    string
+	DataFolder string
+	// Voters is the number of voters that the group aims at.
+	Voters int
+	// Founders are the first members, if this process is one of them and the
+	// folder is empty; otherwise a replica without data joins the group.
+	Founders consensus.Membership
+	// Replica is the identity for an empty folder.
+	Replica consensus.ReplicaID
+	// Contacts returns addresses of processes that may be members.
+	Contacts func() []string
+}
+
+// Replica runs a Core in a process.
+type Replica struct {
+	settings  Settings
+	logger    *zerolog.Logger
+	store     *storage.Store
+	core      *Core
+	loop      *eventloop.Loop
+	transport *transport.Transport
+	client    *http.Client
+
+	nextID   uint64
+	waiting  map[uint64]chan Reply
+	lastTick time.Time
+	led      bool
+	leader   string
+	status   atomic.Pointer[Status]
+	// changed is closed and made anew with each change of the machine.
+	changed atomic.Pointer[chan struct{}]
+}
+
+// Status is what other goroutines may know without entering the loop.
+type Status struct {
+	ID      consensus.ReplicaID
+	Leading bool
+	// Serving is set on a leader that has applied all that is committed.
+	Serving bool
+	// Heard is set while a leader is known.
+	Heard   bool
+	Leader  string
+	Term    uint64
+	Commit  uint64
+	LogSize int
+	Members []consensus.Member
+	// MembersCommitted is set once no leader can go back to earlier members.
+	MembersCommitted bool
+}
+
+// Open opens the data folder, or sets it up if it is empty.
+func Open(settings Settings, machine Machine, logger *zerolog.Logger) (*Replica, error) {
+	if settings.Replica == consensus.None {
+		settings.Replica = NewIdentity()
+	}
+	store, contents, err := openOrSetUp(settings)
+	if err != nil {
+		return nil, err
+	}
+	core, err := NewCore(CoreConfig{
+		Consensus: consensus.Config{
+			ID: contents.Identity.Replica, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+			MaxAppendBytes: maxAppendBytes, Seed: rand.Uint64(),
+			HardState: contents.HardState, Snapshot: contents.Snapshot, Entries: contents.Entries,
+		},
+		Address: settings.Address, Voters: settings.Voters, SilentTicks: silentTicks,
+		SnapshotBytes: snapshotBytes, SnapshotEntries: snapshotEntries,
+	}, machine)
+	if err != nil {
+		store.Close()
+		return nil, storage.ErrDamaged.Wrap(err, "restore the snapshot")
+	}
+	r := &Replica{
+		settings: settings, logger: logger, store: store, core: core, loop: eventloop.New(),
+		client: &http.Client{Transport: transport.NewHTTPTransport()}, waiting: map[uint64]chan Reply{},
+	}
+	r.status.Store(&Status{ID: core.Raft().ID()})
+	changed := make(chan struct{})
+	r.changed.Store(&changed)
+	r.transport = transport.New(logger, r.receive)
+	return r, nil
+}
+
+// NewIdentity returns a random identity that no founder has.
+func NewIdentity() consensus.ReplicaID {
+	return consensus.ReplicaID(rand.Uint64()>>1 | 1<<62)
+}
+
+// openOrSetUp opens the data folder. It sets up one that holds no replica.
+func openOrSetUp(settings Settings) (*storage.Store, storage.Contents, error) {
+	store, contents, err := storage.Open(settings.DataFolder, settings.Cluster)
+	if err == nil || !errorx.IsOfType(err, storage.ErrMissing) {
+		return store, contents, err
+	}
+	var first consensus.Snapshot
+	if _, founder := settings.Founders.Member(settings.Replica); founder {
+		// All founders start from the same made-up entry, so that the
+		// membership is part of what they agree on.
+		first = consensus.Snapshot{Index: 1, Term: 1, Membership: settings.Founders}
+	}
+	if err := storage.Init(settings.DataFolder, settings.Cluster, settings.Replica, first); err != nil {
+		return nil, contents, err
+	}
+	return storage.Open(settings.DataFolder, settings.Cluster)
+}
+
+// Status returns the newest status.
+func (r *Replica) Status() *Status { return r.status.Load() }
+
+// Changed returns a channel that is closed at the next change of the machine.
+func (r *Replica) Changed() <-chan struct{} { return *r.changed.Load() }
+
+// Handle adds what other replicas call to the router.
+func (r *Replica) Handle(router *mux.Router) {
+	router.Handle(transport.Path, r.transport).Methods(http.MethodPost)
+	router.HandleFunc(ExecutePath, r.serveExecute).Methods(http.MethodPost)
+}
+
+// Counts returns the transport's totals.
+func (r *Replica) Counts() *transport.Counts { return &r.transport.Counts }
+
+// Run runs the replica until the context ends, then hands leadership over. It
+// returns an error if storage fails.
+func (r *Replica) Run(ctx context.Context) error {
+	defer r.store.Close()
+	defer r.transport.Close()
+	event.ReplicaStarted.On(r.logger).Str("address", r.settings.Address).Uint("replica", uint64(r.core.Raft().ID())).
+		Uint("commit", r.core.Raft().Commit()).Send()
+	loopContext, stopLoop := context.WithCancel(context.Background())
+	defer stopLoop()
+	go r.askToJoin(ctx)
+	go func() {
+		<-ctx.Done()
+		r.handOver()
+		stopLoop()
+	}()
+	r.lastTick = time.Now()
+	return r.loop.Run(loopContext, TickInterval, r.tick, r.flush)
+}
+
+func (r *Replica) receive(message protocol.Message) {
+	r.loop.Call(func() { r.core.Receive(message) })
+}
+
+// tick makes up for ticks that were missed: a leader that stood still must
+// notice that its time has passed before it acts again.
+func (r *Replica) tick() {
+	now := time.Now()
+	missed := int(now.Sub(r.lastTick) / TickInterval)
+	r.lastTick = now
+	for range min(max(missed, 1), 2*electionTicks) {
+		r.core.Tick()
+	}
+}
+
+// flush persists, applies and sends what the calls of a batch have produced.
+// One sync serves all entries of the batch.
+func (r *Replica) flush() error {
+	advanced := false
+	for r.core.HasReady() {
+		ready := r.core.Ready()
+		if err := r.store.Save(ready); err != nil {
+			event.StorageFailed.On(r.logger).Err(err).Send()
+			return err
+		}
+		if err := r.core.Advance(ready); err != nil {
+			event.ApplyFailed.On(r.logger).Err(err).Send()
+			return err
+		}
+		advanced = advanced || len(ready.Committed) > 0 || ready.Snapshot != nil
+		if snapshot := r.core.TakeSnapshot(); snapshot != nil {
+			if err := r.store.SaveSnapshot(*snapshot); err != nil {
+				event.StorageFailed.On(r.logger).Err(err).Send()
+				return err
+			}
+			event.SnapshotSaved.On(r.logger).Uint("index", snapshot.Index).Uint("bytes", uint64(len(snapshot.Data))).Send()
+		}
+	}
+	r.updateStatus()
+	for _, outgoing := range r.core.TakeMessages() {
+		r.transport.Send(outgoing.Address, outgoing.Message)
+	}
+	for _, reply := range r.core.TakeReplies() {
+		if waiting, ok := r.waiting[reply.ID]; ok {
+			delete(r.waiting, reply.ID)
+			waiting <- reply
+		}
+	}
+	if advanced {
+		r.signal()
+	}
+	return nil
+}
+
+func (r *Replica) signal() {
+	next := make(chan struct{})
+	close(*r.changed.Swap(&next))
+}
+
+func (r *Replica) updateStatus() {
+	raft := r.core.Raft()
+	previous := r.status.Load()
+	status := &Status{
+		ID: raft.ID(), Leading: r.core.Leading(), Serving: r.core.Serving(), Heard: raft.Leader() != consensus.None,
+		Leader: r.core.LeaderAddress(), Term: raft.Term(), Commit: raft.Commit(), LogSize: raft.LogSize(),
+		Members: raft.Membership().Members, MembersCommitted: raft.MembershipCommitted(),
+	}
+	if previous.same(status) {
+		return
+	}
+	r.status.Store(status)
+	r.logLeadership(previous, status)
+	if previous.Serving != status.Serving {
+		r.signal()
+	}
+}
+
+func (s *Status) same(other *Status) bool {
+	return s.Leading == other.Leading && s.Serving == other.Serving && s.Heard == other.Heard && s.Leader == other.Leader &&
+		s.Term == other.Term && s.Commit == other.Commit && s.MembersCommitted == other.MembersCommitted &&
+		s.LogSize == other.LogSize && slices.Equal(s.Members, other.Members)
+}
+
+func (r *Replica) logLeadership(previous, status *Status) {
+	switch {
+	case status.Leading && !previous.Leading:
+		event.LeadershipGained.On(r.logger).Uint("term", status.Term).Uint("commit", status.Commit).Send()
+	case previous.Leading && !status.Leading:
+		event.LeadershipLost.On(r.logger).Uint("term", status.Term).Send()
+	case previous.Leader != status.Leader:
+		event.LeaderChanged.On(r.logger).Str("leader", status.Leader).Uint("term", status.Term).Send()
+	}
+	if len(previous.Members) != len(status.Members) {
+		event.MembershipChanged.On(r.logger).Uint("members", uint64(len(status.Members))).Send()
+	}
+}
+
+// Do runs the function in the replica's loop, where the machine may be read.
+// It returns false if the replica has stopped.
+func (r *Replica) Do(function func()) bool {
+	_, ok := eventloop.Ask(r.loop, func() struct{} {
+		function()
+		return struct{}{}
+	})
+	return ok
+}
+
+// SetRetiring names the replicas that are to leave the group.
+func (r *Replica) SetRetiring(retiring map[consensus.ReplicaID]bool) {
+	r.loop.Call(func() { r.core.SetRetiring(retiring) })
+}
+
+// ask starts a request under an ID in the loop and waits for its reply.
+func (r *Replica) ask(ctx context.Context, start func(id uint64)) Reply {
+	answered := make(chan Reply, 1)
+	var id uint64
+	queued := r.loop.Call(func() {
+		r.nextID++
+		id = r.nextID
+		r.waiting[id] = answered
+		start(id)
+	})
+	if !queued {
+		return Reply{Outcome: NotLeader}
+	}
+	select {
+	case reply := <-answered:
+		return reply
+	case <-r.loop.Done():
+	case <-ctx.Done():
+		r.loop.Call(func() { delete(r.waiting, id) })
+	}
+	return Reply{Outcome: Unknown}
+}
+
+// Confirm waits until the machine reflects every command that was acknowledged
+// before the call. It fails on a replica that does not lead.
+func (r *Replica) Confirm(ctx context.Context) error {
+	switch r.ask(ctx, func(id uint64) { r.core.Read(id) }).Outcome {
+	case Done:
+		return nil
+	default:
+		return ErrUnavailable.New("this replica cannot confirm a read")
+	}
+}
+
+// Execute has the command carried out, by the leader wherever that is, and
+// returns its encoded result.
+func (r *Replica) Execute(ctx context.Context, command []byte) ([]byte, error) {
+	reply := r.ask(ctx, func(id uint64) { r.core.Propose(id, command) })
+	switch reply.Outcome {
+	case Done:
+		return reply.Result, nil
+	case Unknown:
+		return nil, ErrUnknown.New("leadership was lost before the command was committed")
+	}
+	leader := r.Status().Leader
+	if leader == "" || leader == r.settings.Address {
+		return nil, ErrUnavailable.New("no leader is known")
+	}
+	return r.executeAt(ctx, leader, command)
+}
+
+func (r *Replica) executeAt(ctx context.Context, leader string, command []byte) ([]byte, error) {
+	response, err := PostInternal(ctx, r.client, "http://"+leader+ExecutePath, command)
+	if err != nil {
+		return nil, ErrUnknown.Wrap(err, "forward a command to %s", leader)
+	}
+	return response, nil
+}
+
+func (r *Replica) serveExecute(response http.ResponseWriter, request *http.Request) {
+	command, err := io.ReadAll(io.LimitReader(request.Body, maxCommandBytes))
+	if err != nil {
+		return
+	}
+	reply := r.ask(request.Context(), func(id uint64) { r.core.Propose(id, command) })
+	if reply.Outcome != Done {
+		http.Error(response, "not the leader", http.StatusServiceUnavailable)
+		return
+	}
+	response.Header().Set("Content-Type", "application/cbor")
+	response.Write(reply.Result)
+}
+
+// handOver gives leadership to another voter before a planned stop.
+func (r *Replica) handOver() {
+	deadline := time.Now().Add(transferWait)
+	for time.Now().Before(deadline) {
+		led, ok := eventloop.Ask(r.loop, func() bool { return r.core.Leading() && r.core.TransferLeadership() })
+		if !ok || !led {
+			return
+		}
+		time.Sleep(TickInterval)
+	}
+}
+
+// askToJoin asks whoever may be a member for admission, while this replica is
+// not a member or hears no leader for long: it may have been replaced while it
+// was away.
+func (r *Replica) askToJoin(ctx context.Context) {
+	ticker := time.NewTicker(joinInterval)
+	defer ticker.Stop()
+	for {
+		if r.outside() {
+			r.sendJoin()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Replica) outside() bool {
+	status := r.Status()
+	if !status.Heard {
+		return true
+	}
+	for _, member := range status.Members {
+		if member.ID == status.ID {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Replica) sendJoin() {
+	message := protocol.Message{
+		From: r.settings.Address,
+		Join: &protocol.Join{ID: r.Status().ID, Address: r.settings.Address},
+	}
+	for _, address := range r.settings.Contacts() {
+		if address != r.settings.Address {
+			r.transport.Send(address, message)
+		}
+	}
+}
--- /dev/null
+++ b/server/gateway.go
@@ -0,0 +1,257 @@
+package server
+
+import (
+	"context"
+	"hash/fnv"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/dillchute/dillchute/config"
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/forward"
+	"github.com/dillchute/dillchute/ledger"
+	"github.com/dillchute/dillchute/replica"
+	"github.com/dillchute/dillchute/routing"
+)
+
+const (
+	// ledgerAttemptTimeout is how long one replica is waited for, beyond the
+	// time for which a call may be held.
+	ledgerAttemptTimeout = 900 * time.Millisecond
+	ledgerPause          = 60 * time.Millisecond
+	// RetryAfter is when a caller whose request has not run should come back.
+	RetryAfter = 100 * time.Millisecond
+)
+
+// spread returns a number that differs between processes.
+func spread(name string) int {
+	hash := fnv.New32a()
+	hash.Write([]byte(name))
+	return int(hash.Sum32() >> 1)
+}
+
+// Gateway takes callers' requests: it passes them to backends, and steps to
+// the ledger.
+type Gateway struct {
+	settings  config.Gateway
+	logger    *zerolog.Logger
+	watcher   *Watcher
+	forwarder *forward.Forwarder
+	client    *http.Client
+
+	stopping atomic.Bool
+	inFlight atomic.Int64
+
+	mutex  sync.Mutex
+	leader string
+}
+
+// NewGateway returns a gateway that reaches backends through the client.
+func NewGateway(settings config.Gateway, backends forward.Client, logger *zerolog.Logger) *Gateway {
+	return &Gateway{
+		settings: settings, logger: logger,
+		watcher:   NewWatcher(func() []string { return settings.PeerAddresses() }, spread(settings.Name), logger),
+		forwarder: forward.New(backends, settings.Zone), client: replica.NewInternalClient(),
+	}
+}
+
+// Run follows the directory until the context ends.
+func (g *Gateway) Run(ctx context.Context) {
+	go g.watcher.Run(ctx)
+	for ctx.Err() == nil {
+		changed := g.watcher.Changed()
+		g.forwarder.Forget(g.watcher.Catalog())
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+// Stop has the gateway call itself not ready from now on.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Stopping tells whether a planned stop has begun.
+func (g *Gateway) Stopping() bool { return g.stopping.Load() }
+
+// Ready tells whether the gateway should get new connections.
+func (g *Gateway) Ready() bool { return !g.Stopping() && g.watcher.Catalog().Version > 0 }
+
+// Catalog returns the directory as the gateway knows it.
+func (g *Gateway) Catalog() *directory.Catalog { return g.watcher.Catalog() }
+
+// Begin counts a request, and the function that it returns ends it.
+func (g *Gateway) Begin() func() {
+	g.inFlight.Add(1)
+	return func() { g.inFlight.Add(-1) }
+}
+
+// InFlight returns the number of requests that have not ended.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// Match returns the route of a request. It fails with ErrUnavailable while no
+// configuration is known, and with ErrNotFound if there is no route.
+func (g *Gateway) Match(host, path string) (routing.Route, *directory.Catalog, error) {
+	catalog := g.watcher.Catalog()
+	if catalog.Version == 0 {
+		return routing.Route{}, catalog, replica.ErrUnavailable.New("no configuration is known yet")
+	}
+	route, ok := catalog.Table.Match(host, path)
+	if !ok {
+		return routing.Route{}, catalog, ErrNotFound.New("no route for host %q and path %q", host, path)
+	}
+	return route, catalog, nil
+}
+
+// Forward passes a request to the route's services.
+func (g *Gateway) Forward(ctx context.Context, catalog *directory.Catalog, route routing.Route, request *forward.Request) forward.Result {
+	started := time.Now()
+	timeout := started.Add(time.Duration(route.TimeoutMillis) * time.Millisecond)
+	if request.Deadline.IsZero() || request.Deadline.After(timeout) {
+		request.Deadline = timeout
+	}
+	result := g.forwarder.Do(ctx, catalog, route, request)
+	line := event.RequestEnded.On(g.logger).Str("request", request.ID).Str("route", route.Name).
+		Uint("attempts", uint64(result.Attempts)).Int("ms", time.Since(started).Milliseconds()).
+		Uint("version", catalog.Version).Uint("revision", catalog.Revision)
+	if result.Response != nil {
+		line.Str("outcome", "answered").Str("backend", result.Backend).Uint("status", uint64(result.Response.Status))
+	} else {
+		line.Str("outcome", string(result.Reason)).Uint("may_have_run", boolToUint(result.MayHaveRun))
+	}
+	line.Send()
+	return result
+}
+
+// SubmitOutcome tells what became of a step that was handed in.
+type SubmitOutcome uint8
+
+// The outcomes.
+const (
+	// SubmitTaken: the step is durable, and all of it will be run.
+	SubmitTaken SubmitOutcome = iota + 1
+	// SubmitRefused: none of it runs.
+	SubmitRefused
+	// SubmitUnknown: it may have been taken.
+	SubmitUnknown
+)
+
+// Submit hands a step to the ledger. Its due and give-up times are given
+// relative to now.
+func (g *Gateway) Submit(ctx context.Context, step *ledger.Step) SubmitOutcome {
+	answer, reached, err := g.callLedger(ctx, ledgerCall{Submit: step}, 0)
+	outcome := SubmitTaken
+	switch {
+	case err != nil && !reached:
+		outcome = SubmitRefused
+	case err != nil || !answer.Found:
+		outcome = SubmitUnknown
+	}
+	event.StepForwarded.On(g.logger).Str("step", step.ID).Uint("outcome", uint64(outcome)).Send()
+	return outcome
+}
+
+// Results returns a step's number of samples and its results from the position
+// on; it waits for one that long.
+func (g *Gateway) Results(ctx context.Context, step string, after int, wait time.Duration) (int, []ledger.Result, error) {
+	answer, _, err := g.callLedger(ctx, ledgerCall{Results: &resultsCall{Step: step, After: after, Wait: wait}}, wait)
+	if err == nil && !answer.Found {
+		err = ErrNotFound.New("no step %q", step)
+	}
+	return answer.Total, answer.Results, err
+}
+
+// SampleBody returns the body of a sample.
+func (g *Gateway) SampleBody(ctx context.Context, step, sample string) ([]byte, error) {
+	answer, _, err := g.callLedger(ctx, ledgerCall{Sample: &sampleCall{Step: step, ID: sample}}, 0)
+	if err == nil && !answer.Found {
+		err = ErrNotFound.New("no sample %q of step %q", sample, step)
+	}
+	return answer.Body, err
+}
+
+// End closes a step.
+func (g *Gateway) End(ctx context.Context, step string) error {
+	answer, _, err := g.callLedger(ctx, ledgerCall{End: &ledger.End{Step: step}}, 0)
+	if err == nil && !answer.Found {
+		err = ErrNotFound.New("no step %q", step)
+	}
+	return err
+}
+
+// callLedger asks the members of the group until the leader has answered. It
+// tells whether a leader may have carried the call out, also when it fails.
+func (g *Gateway) callLedger(ctx context.Context, call ledgerCall, wait time.Duration) (answer ledgerAnswer, reached bool, err error) {
+	body, marshalErr := cbor.Marshal(call)
+	if marshalErr != nil {
+		panic("server: a call must encode: " + marshalErr.Error())
+	}
+	err = replica.ErrUnavailable.New("no member of the ledger's group is known")
+	for round := 0; ctx.Err() == nil; round++ {
+		for _, address := range g.ledgerAddresses() {
+			answer, err = g.askLedger(ctx, address, body, wait)
+			if err == nil && !answer.NotLeader {
+				reached = true
+			}
+			if err != nil && !isDialError(err) {
+				reached = true
+			}
+			if err == nil && !answer.NotLeader && !answer.Unknown {
+				g.setLeader(address)
+				return answer, true, nil
+			}
+			if err == nil && answer.NotLeader && answer.Leader != "" && answer.Leader != address {
+				g.setLeader(answer.Leader)
+				break
+			}
+			if ctx.Err() != nil {
+				break
+			}
+		}
+		sleep(ctx, ledgerPause)
+	}
+	if err == nil {
+		err = replica.ErrUnavailable.New("the ledger has no leader")
+	}
+	return answer, reached, err
+}
+
+func (g *Gateway) setLeader(address string) {
+	g.mutex.Lock()
+	g.leader = address
+	g.mutex.Unlock()
+}
+
+// ledgerAddresses returns the group's members, the one that led last first.
+func (g *Gateway) ledgerAddresses() []string {
+	g.mutex.Lock()
+	leader := g.leader
+	g.mutex.Unlock()
+	var addresses []string
+	if leader != "" {
+		addresses = append(addresses, leader)
+	}
+	for _, member := range g.watcher.Catalog().Group.Members {
+		if member.Address != leader {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
+func (g *Gateway) askLedger(ctx context.Context, address string, body []byte, wait time.Duration) (ledgerAnswer, error) {
+	limited, cancel := context.WithTimeout(ctx, wait+ledgerAttemptTimeout)
+	defer cancel()
+	var answer ledgerAnswer
+	data, err := replica.PostInternal(limited, g.client, "http://"+address+ledgerCallPath, body)
+	if err != nil {
+		return answer, err
+	}
+	return answer, cbor.Unmarshal(data, &answer)
+}
--- /dev/null
+++ b/server/load.go
@@ -0,0 +1,118 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/scheduler"
+)
+
+const (
+	orderTimeout  = 800 * time.Millisecond
+	reportTimeout = 500 * time.Millisecond
+	// loadTime is how long an engine loads at least, before it is asked.
+	loadTime = 900 * time.Millisecond
+	// loadPoll is the time between questions whether a load has ended.
+	loadPoll = 150 * time.Millisecond
+	// loadLimit is how long a load may take before it counts as failed.
+	loadLimit = 8 * time.Second
+	// conflictPause is waited after an order that met another one.
+	conflictPause = 250 * time.Millisecond
+)
+
+// load carries an order through: it is sent until the engine holds the version.
+// Each send names the sequence that the engine must be at, so that of an order
+// which is carried out late and its repetition only one takes effect.
+func (t *tenure) load(order scheduler.Order) {
+	limited, cancel := context.WithTimeout(t.context, loadLimit)
+	defer cancel()
+	held := t.loadUntilHeld(limited, order)
+	t.loop.Call(func() {
+		line := event.LoadEnded.On(t.logger).Str("engine", order.Backend.ID).Str("model", order.Model).
+			Uint("version", order.Version).Uint("held", held)
+		line.Send()
+		if held >= order.Version {
+			t.scheduler.LoadEnded(order.Backend.ID, order.Model, held)
+			return
+		}
+		t.scheduler.LoadFailed(nowMillis(), order.Backend.ID)
+	})
+}
+
+func (t *tenure) loadUntilHeld(ctx context.Context, order scheduler.Order) uint64 {
+	for ctx.Err() == nil {
+		report, err := t.report(ctx, order.Backend)
+		if err != nil {
+			return 0
+		}
+		if held := report.version(order.Model); held >= order.Version {
+			return held
+		}
+		if report.Busy {
+			sleep(ctx, loadPoll)
+			continue
+		}
+		request := LoadRequest{Order: order, Holder: t.settings.Name, Fence: t.term, Sequence: report.Sequence}
+		answer := t.sendOrder(ctx, request)
+		switch answer {
+		case LoadHeld:
+			return order.Version
+		case LoadRefused:
+			return 0
+		case LoadConflict, LoadUnanswered:
+			sleep(ctx, conflictPause)
+		case LoadStarted:
+			sleep(ctx, loadTime)
+			if held := t.awaitLoad(ctx, order); held >= order.Version {
+				return held
+			}
+		}
+	}
+	return 0
+}
+
+func (t *tenure) sendOrder(ctx context.Context, request LoadRequest) LoadAnswer {
+	limited, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	answer := t.engines.Load(limited, request)
+	event.OrderSent.On(t.logger).Str("engine", request.Order.Backend.ID).Uint("version", request.Order.Version).
+		Uint("fence", request.Fence).Uint("sequence", request.Sequence).Uint("answer", uint64(answer)).Send()
+	return answer
+}
+
+// awaitLoad asks the engine until it has loaded, and returns what it holds.
+func (t *tenure) awaitLoad(ctx context.Context, order scheduler.Order) uint64 {
+	for ctx.Err() == nil {
+		report, err := t.report(ctx, order.Backend)
+		held := report.version(order.Model)
+		if err != nil || held >= order.Version || !report.Busy {
+			return held
+		}
+		sleep(ctx, loadPoll)
+	}
+	return 0
+}
+
+func (t *tenure) report(ctx context.Context, backend directory.Backend) (EngineReport, error) {
+	limited, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return t.engines.Report(limited, backend)
+}
+
+func (r EngineReport) version(model string) uint64 {
+	for _, held := range r.Models {
+		if held.Model == model {
+			return held.Version
+		}
+	}
+	return 0
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(duration):
+	}
+}
--- /dev/null
+++ b/server/watch.go
@@ -0,0 +1,180 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/replica"
+)
+
+const (
+	// watchSlack is how much longer than watchWait an answer may take.
+	watchSlack   = 500 * time.Millisecond
+	watchBackoff = 50 * time.Millisecond
+)
+
+// Watcher keeps a copy of the directory up to date.
+type Watcher struct {
+	logger *zerolog.Logger
+	client *http.Client
+	seeds  func() []string
+	// start spreads processes over the replicas.
+	start int
+
+	catalog  atomic.Pointer[directory.Catalog]
+	syncedAt atomic.Int64
+	mutex    sync.Mutex
+	changed  chan struct{}
+	leader   string
+}
+
+// NewWatcher returns a watcher that asks the seeds first, and later the members
+// that it has learnt of.
+func NewWatcher(seeds func() []string, start int, logger *zerolog.Logger) *Watcher {
+	w := &Watcher{
+		logger: logger, client: replica.NewInternalClient(), seeds: seeds, start: start, changed: make(chan struct{}),
+	}
+	w.catalog.Store(directory.NewCatalog())
+	return w
+}
+
+// Catalog returns the newest copy.
+func (w *Watcher) Catalog() *directory.Catalog { return w.catalog.Load() }
+
+// Changed returns a channel that is closed when there is a newer copy.
+func (w *Watcher) Changed() <-chan struct{} {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.changed
+}
+
+// Run follows the directory until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	connected := true
+	failures := 0
+	for position := w.start; ctx.Err() == nil; {
+		addresses := w.addresses()
+		if len(addresses) == 0 {
+			return
+		}
+		address := addresses[position%len(addresses)]
+		if err := w.poll(ctx, address); err == nil {
+			if !connected {
+				event.DirectoryReachable.On(w.logger).Str("replica", address).Uint("revision", w.Catalog().Revision).Send()
+			}
+			connected, failures = true, 0
+			continue
+		} else if failures == len(addresses) && connected && ctx.Err() == nil {
+			connected = false
+			event.DirectoryUnreachable.On(w.logger).Uint("revision", w.Catalog().Revision).Err(err).Send()
+		}
+		position++
+		failures++
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchBackoff):
+		}
+	}
+}
+
+// addresses returns the replicas known, the members first.
+func (w *Watcher) addresses() []string {
+	var addresses []string
+	for _, member := range w.Catalog().Replicas {
+		addresses = append(addresses, member.Address)
+	}
+	for _, seed := range w.seeds() {
+		if !slices.Contains(addresses, seed) {
+			addresses = append(addresses, seed)
+		}
+	}
+	return addresses
+}
+
+func (w *Watcher) poll(ctx context.Context, address string) error {
+	limited, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	catalog := w.Catalog()
+	url := fmt.Sprintf("http://%s%s?since=%d", address, directoryWatchPath, catalog.Revision)
+	request, err := http.NewRequestWithContext(limited, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := w.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxInternalBytes))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return replica.ErrUnavailable.New("%s answered %d", address, response.StatusCode)
+	}
+	var delta directory.Delta
+	if err := cbor.Unmarshal(body, &delta); err != nil {
+		return err
+	}
+	w.take(catalog, delta)
+	return nil
+}
+
+func (w *Watcher) take(catalog *directory.Catalog, delta directory.Delta) {
+	w.syncedAt.Store(time.Now().UnixMilli())
+	if delta.Revision == catalog.Revision && len(delta.Replicas) == len(catalog.Replicas) {
+		return
+	}
+	if delta.Revision == catalog.Revision {
+		delta.Version = catalog.Version
+	}
+	next := catalog.With(delta)
+	w.catalog.Store(next)
+	if next.Version != catalog.Version {
+		event.ConfigurationTaken.On(w.logger).Uint("version", next.Version).Uint("revision", next.Revision).Send()
+	}
+	w.mutex.Lock()
+	close(w.changed)
+	w.changed = make(chan struct{})
+	w.mutex.Unlock()
+}
+
+// call has the directory's leader carry out the call, trying each replica.
+func (w *Watcher) call(ctx context.Context, call directoryCall) (directoryAnswer, error) {
+	w.mutex.Lock()
+	addresses := w.addresses()
+	if position := slices.Index(addresses, w.leader); position > 0 {
+		addresses[0], addresses[position] = addresses[position], addresses[0]
+	}
+	w.mutex.Unlock()
+	var answer directoryAnswer
+	err := error(replica.ErrUnavailable.New("no replica of the directory is known"))
+	for _, address := range addresses {
+		limited, cancel := context.WithTimeout(ctx, time.Second)
+		answer, err = callDirectory(limited, w.client, address, call)
+		cancel()
+		if err == nil {
+			w.mutex.Lock()
+			w.leader = address
+			w.mutex.Unlock()
+			return answer, nil
+		}
+	}
+	return answer, err
+}
+
+// ageSeconds returns the time since the directory last answered.
+func (w *Watcher) ageSeconds() float64 {
+	return float64(time.Now().UnixMilli()-w.syncedAt.Load()) / millisPerSecond
+}
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -5,7 +5,9 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"hash/crc32"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -84,9 +86,15 @@
 	if _, err := os.Stat(path); err == nil {
 		return ErrExists.New("%s has been initialised before", folder)
 	}
-	database, err := bolt.Open(path, fileMode, &bolt.Options{Timeout: lockTimeout})
+	// The file gets its name once it is whole, so that a set-up which was cut
+	// short is never taken for a replica.
+	unnamed := path + ".new"
+	if err := os.Remove(unnamed); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return ErrIO.Wrap(err, "remove %s", unnamed)
+	}
+	database, err := bolt.Open(unnamed, fileMode, &bolt.Options{Timeout: lockTimeout})
 	if err != nil {
-		return ErrIO.Wrap(err, "create %s", path)
+		return ErrIO.Wrap(err, "create %s", unnamed)
 	}
 	err = database.Update(func(transaction *bolt.Tx) error {
 		return initBuckets(transaction, Identity{Format: formatVersion, Cluster: cluster, Replica: replica}, snapshot)
@@ -94,6 +102,9 @@
 	if closeErr := database.Close(); err == nil {
 		err = closeErr
 	}
+	if err == nil {
+		err = os.Rename(unnamed, path)
+	}
 	if err != nil {
 		return ErrIO.Wrap(err, "initialise %s", path)
 	}
