Scheduler: each model is followed by as many engines as loads allow

An engine that loaded one model also took no samples of the others. Change: homes of a model in proportion to its work, bounded by the time that loads take; the least served model loads first; only the loading model's samples wait.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -83,15 +83,11 @@
 type Scheduler struct {
 	engines map[string]*engine
 	// order lists the engines' IDs, sorted.
-	order []string
-	steps map[string]*stepState
-	// newest is the newest version of each model.
-	newest map[string]uint64
-	// lag is, for each model, how many versions behind the newest its steps allow.
-	lag map[string]uint64
-	// planned is, for each model, the version for which loads have been planned.
-	planned map[string]uint64
-	wanted  map[string]map[string]bool
+	order  []string
+	steps  map[string]*stepState
+	models map[string]*modelState
+	// loadMillis is the usual time that a load takes.
+	loadMillis float64
 }
 
 type stepState struct {
@@ -104,14 +100,14 @@
 // New returns a scheduler that knows nothing.
 func New() *Scheduler {
 	return &Scheduler{
-		engines: map[string]*engine{}, steps: map[string]*stepState{}, newest: map[string]uint64{},
-		lag: map[string]uint64{}, planned: map[string]uint64{}, wanted: map[string]map[string]bool{},
+		engines: map[string]*engine{}, steps: map[string]*stepState{}, models: map[string]*modelState{},
+		loadMillis: defaultLoadMillis,
 	}
 }
 
 // SyncEngines takes in the engines that exist and the newest versions. It
 // returns the tasks that ran on engines which are gone; they wait again.
-func (s *Scheduler) SyncEngines(backends []directory.Backend, newest map[string]uint64) []*Task {
+func (s *Scheduler) SyncEngines(now int64, backends []directory.Backend, newest map[string]uint64) []*Task {
 	present := make(map[string]bool, len(backends))
 	for _, backend := range backends {
 		present[backend.ID] = true
@@ -136,7 +132,7 @@
 		delete(s.engines, id)
 	}
 	for model, version := range newest {
-		s.newest[model] = version
+		s.model(model).noteNewest(now, version)
 	}
 	s.order = s.order[:0]
 	for id := range s.engines {
@@ -163,9 +159,7 @@
 	// The longest first: the tail decides when a step is whole.
 	slices.SortStableFunc(state.queue, func(a, b *Task) int { return b.Sample.Predicted - a.Sample.Predicted })
 	s.steps[step.ID] = state
-	if newest := s.newest[step.Model]; newest > step.OldestVersion {
-		s.lag[step.Model] = newest - step.OldestVersion
-	}
+	s.model(step.Model).noteStep(step)
 }
 
 // Has tells whether the step is known.
@@ -327,7 +321,9 @@
 	switch {
 	case !slices.Contains(services, known.backend.Service):
 		return false
-	case known.backend.Draining || known.loading != nil || now < known.avoidedUntil:
+	case known.backend.Draining || now < known.avoidedUntil:
+		return false
+	case known.loading != nil && known.loading.Model == task.Step.Model:
 		return false
 	case len(known.running) >= max(known.backend.Slots, 1):
 		return false
@@ -452,6 +448,3 @@
 		e.failures = 0
 	}
 }
-
-// Idle tells whether nothing waits, runs or loads.
-func (s *Scheduler) Idle() bool { return len(s.steps) == 0 && !s.loading() }
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,87 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/ledger"
+)
+
+// engines returns backends that hold version 1 of each model.
+func engines(count, slots int, models ...string) []directory.Backend {
+	var backends []directory.Backend
+	for number := range count {
+		backend := directory.Backend{ID: fmt.Sprintf("e%02d", number), Service: "engines", Address: fmt.Sprintf("10.0.0.%d:80", number), Slots: slots}
+		for _, model := range models {
+			backend.Models = append(backend.Models, directory.ModelVersion{Model: model, Version: 1})
+		}
+		backends = append(backends, backend)
+	}
+	return backends
+}
+
+func entry(id, model string, oldest uint64, samples int) *ledger.Entry {
+	step := &ledger.Step{ID: id, Model: model, OldestVersion: oldest, Attempts: 3}
+	for number := range samples {
+		step.Samples = append(step.Samples, ledger.Sample{
+			ID: fmt.Sprintf("%s-%d", id, number), Group: fmt.Sprintf("g%d", number/4), Predicted: number,
+		})
+	}
+	machine := ledger.NewMachine()
+	machine.Apply(ledger.Command{Submit: step}.Encode())
+	return machine.Step(id)
+}
+
+func anywhere(*Task) ([]string, bool) { return []string{"engines"}, true }
+
+// TestLoadTouchesOneModel: samples of other models go on starting on an engine
+// that loads weights.
+func TestLoadTouchesOneModel(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(1, 8, "a", "b"), map[string]uint64{"a": 2})
+	require.Len(t, s.Orders(0), 1)
+	s.AddStep(entry("of-a", "a", 1, 2))
+	s.AddStep(entry("of-b", "b", 1, 2))
+	for _, assignment := range s.Assign(0, anywhere) {
+		require.Equal(t, "b", assignment.Task.Step.Model)
+	}
+	s.LoadEnded(0, "e00", "a", 2)
+	require.Len(t, s.Assign(0, anywhere), 2)
+}
+
+// TestLoadsFitTheTime: with three models on nine engines that load two at a
+// time, the loads of a publication interval end within it, and no model starves.
+func TestLoadsFitTheTime(t *testing.T) {
+	const loadMillis, interval = 1000, 4000
+	s := New()
+	backends := engines(9, 8, "a", "b", "c")
+	newest := map[string]uint64{"a": 1, "b": 1, "c": 1}
+	s.SyncEngines(0, backends, newest)
+	underWay := map[int64][]Order{}
+	for now := int64(0); now < 60*interval; now += 100 {
+		if now%interval == 0 && now > 0 {
+			for model := range newest {
+				newest[model]++
+				s.SyncEngines(now, backends, newest)
+				id := fmt.Sprintf("%s%d", model, now)
+				s.AddStep(entry(id, model, newest[model]-1, 64))
+				s.EndStep(id)
+			}
+		}
+		for _, order := range underWay[now] {
+			s.LoadEnded(now, order.Backend.ID, order.Model, order.Version)
+		}
+		for _, order := range s.Orders(now) {
+			underWay[now+loadMillis] = append(underWay[now+loadMillis], order)
+		}
+		if now > 4*interval && now%interval == interval-100 {
+			for name, model := range s.models {
+				require.Equal(t, 1.0, model.servedShare(s.holders(model)), "model %s at %d ms", name, now)
+				require.GreaterOrEqual(t, len(model.homes), minHolders)
+			}
+		}
+	}
+}
--- a/server/executor.go
+++ b/server/executor.go
@@ -212,7 +212,7 @@
 	if catalog := t.watcher.Catalog(); catalog != t.catalog {
 		t.catalog = catalog
 		t.forwarder.Forget(catalog)
-		for _, task := range t.scheduler.SyncEngines(engineBackends(catalog), catalog.Models) {
+		for _, task := range t.scheduler.SyncEngines(nowMillis(), engineBackends(catalog), catalog.Models) {
 			t.cancel(task)
 			t.scheduler.Requeue(task)
 		}
@@ -319,7 +319,7 @@
 		Events: task.Text.Events[:len(task.Text.Events):len(task.Text.Events)], Last: task.Text.Last, Versions: append([]uint64(nil), task.Text.Versions...),
 	}
 	stall := stallTimeout
-	if t.scheduler.Loading(assignment.Backend.ID) {
+	if t.scheduler.Loading(assignment.Backend.ID, task.Step.Model) {
 		stall = loadStall
 	}
 	go func() {
--- a/server/load.go
+++ b/server/load.go
@@ -34,7 +34,7 @@
 			Uint("version", order.Version).Uint("held", held)
 		line.Send()
 		if held >= order.Version {
-			t.scheduler.LoadEnded(order.Backend.ID, order.Model, held)
+			t.scheduler.LoadEnded(nowMillis(), order.Backend.ID, order.Model, held)
 			return
 		}
 		t.scheduler.LoadFailed(nowMillis(), order.Backend.ID)
