SIGHUP reads the settings again; tests of replica, directory, routing, ledger

Change: Seeds reads the settings file at SIGHUP, and when every replica of the directory that is known has failed. Tests: TestHangUpReadsSettingsAgain failed first (the test process died); the others pin what the thin path already does.

--- a/event/event.go
+++ b/event/event.go
@@ -42,6 +42,9 @@
 
 	HTTPServerFailed = Event{4001, zerolog.ErrorLevel, "an HTTP server failed"}
 	LinesDropped     = Event{4002, zerolog.WarnLevel, "log lines were dropped"}
+	ReloadAsked      = Event{4003, zerolog.InfoLevel, "told to read the settings again"}
+	SettingsTaken    = Event{4004, zerolog.InfoLevel, "changed settings are in use"}
+	SettingsRefused  = Event{4005, zerolog.WarnLevel, "the settings file is wrong; the earlier settings hold"}
 
 	BackendRegistered    = Event{5001, zerolog.InfoLevel, "a backend's registration has changed"}
 	BackendLeft          = Event{5002, zerolog.InfoLevel, "a backend has left"}
@@ -80,7 +83,7 @@
 	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged,
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream,
-	HTTPServerFailed, LinesDropped,
+	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
 	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable,
 	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded,
--- /dev/null
+++ b/replica/core_test.go
@@ -0,0 +1,351 @@
+package replica
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dillchute/dillchute/consensus"
+	_ "github.com/dillchute/dillchute/internal/fixedseed"
+	"github.com/dillchute/dillchute/protocol"
+)
+
+// numbers is a machine that keeps the numbers it is given, in order.
+type numbers struct{ list []uint64 }
+
+func (n *numbers) Apply(command []byte) []byte {
+	n.list = append(n.list, binary.BigEndian.Uint64(command))
+	return command
+}
+
+func (n *numbers) Snapshot() []byte {
+	var data []byte
+	for _, number := range n.list {
+		data = binary.BigEndian.AppendUint64(data, number)
+	}
+	return data
+}
+
+func (n *numbers) Restore(data []byte) error {
+	n.list = nil
+	for ; len(data) >= 8; data = data[8:] {
+		n.list = append(n.list, binary.BigEndian.Uint64(data))
+	}
+	return nil
+}
+
+// process is one machine of a test group: what its disk holds and, while it
+// runs, its core.
+type process struct {
+	address  string
+	identity consensus.ReplicaID
+	state    consensus.HardState
+	snapshot consensus.Snapshot
+	entries  []consensus.Entry
+	core     *Core
+	machine  *numbers
+	cut      bool
+}
+
+// group is a set of processes with a network that loses what is sent to
+// processes that are down or cut off.
+type group struct {
+	t         require.TestingT
+	processes []*process
+	inbox     []Outgoing
+	nextID    uint64
+	identity  consensus.ReplicaID
+	// acknowledged are the numbers that a leader has answered as done.
+	acknowledged []uint64
+	proposals    map[uint64]uint64
+	voters       int
+}
+
+func newGroup(t require.TestingT, founders, voters int) *group {
+	g := &group{t: t, proposals: map[uint64]uint64{}, identity: 100, voters: voters}
+	var membership consensus.Membership
+	for number := range founders {
+		address := fmt.Sprintf("m%d", number)
+		membership.Members = append(membership.Members, consensus.Member{
+			ID: consensus.ReplicaID(number + 1), Address: address, Voter: true,
+		})
+	}
+	for number := range founders {
+		p := &process{
+			address: membership.Members[number].Address, identity: membership.Members[number].ID,
+			snapshot: consensus.Snapshot{Index: 1, Term: 1, Membership: membership},
+			state:    consensus.HardState{Term: 1, Commit: 1},
+		}
+		g.processes = append(g.processes, p)
+		g.start(p)
+	}
+	return g
+}
+
+func (g *group) start(p *process) {
+	p.machine = &numbers{}
+	core, err := NewCore(CoreConfig{
+		Consensus: consensus.Config{
+			ID: p.identity, ElectionTicks: 10, HeartbeatTicks: 2, MaxAppendBytes: 1 << 10, Seed: uint64(p.identity),
+			HardState: p.state, Snapshot: p.snapshot, Entries: slices.Clone(p.entries),
+		},
+		Address: p.address, Voters: g.voters, SilentTicks: 30, SnapshotBytes: 1 << 20, SnapshotEntries: 40,
+	}, p.machine)
+	require.NoError(g.t, err)
+	p.core = core
+}
+
+// wipe takes a process down, loses its disk and gives it a new identity.
+func (g *group) wipe(p *process) {
+	g.identity++
+	*p = process{address: p.address, identity: g.identity}
+}
+
+// add brings a new machine with an empty disk.
+func (g *group) add() *process {
+	g.identity++
+	p := &process{address: fmt.Sprintf("m%d", len(g.processes)), identity: g.identity}
+	g.processes = append(g.processes, p)
+	g.start(p)
+	return p
+}
+
+func (p *process) persist(ready consensus.Ready) {
+	if ready.Snapshot != nil {
+		p.snapshot, p.entries = *ready.Snapshot, nil
+	}
+	if ready.HardState != nil {
+		p.state = *ready.HardState
+	}
+	if len(ready.Entries) > 0 {
+		first := ready.Entries[0].Index
+		for len(p.entries) > 0 && p.entries[len(p.entries)-1].Index >= first {
+			p.entries = p.entries[:len(p.entries)-1]
+		}
+		p.entries = append(p.entries, ready.Entries...)
+	}
+}
+
+func (g *group) flush(p *process) {
+	for p.core.HasReady() {
+		ready := p.core.Ready()
+		p.persist(ready)
+		require.NoError(g.t, p.core.Advance(ready))
+		if snapshot := p.core.TakeSnapshot(); snapshot != nil {
+			p.snapshot = *snapshot
+			for len(p.entries) > 0 && p.entries[0].Index <= snapshot.Index {
+				p.entries = p.entries[1:]
+			}
+		}
+	}
+	for _, message := range p.core.TakeMessages() {
+		if !p.cut {
+			g.inbox = append(g.inbox, message)
+		}
+	}
+	for _, reply := range p.core.TakeReplies() {
+		if number, ok := g.proposals[reply.ID]; ok && reply.Outcome == Done {
+			g.acknowledged = append(g.acknowledged, number)
+		}
+		delete(g.proposals, reply.ID)
+	}
+}
+
+// step lets one tick pass and delivers all messages.
+func (g *group) step() {
+	for _, p := range g.processes {
+		if p.core == nil {
+			continue
+		}
+		p.core.Tick()
+		g.join(p)
+		g.flush(p)
+	}
+	for len(g.inbox) > 0 {
+		batch := g.inbox
+		g.inbox = nil
+		for _, message := range batch {
+			for _, p := range g.processes {
+				if p.core != nil && !p.cut && p.address == message.Address {
+					p.core.Receive(message.Message)
+					g.flush(p)
+				}
+			}
+		}
+	}
+}
+
+// join asks all others for admission, as a process outside of the group does.
+func (g *group) join(p *process) {
+	_, member := p.core.Raft().Membership().Member(p.identity)
+	if member && p.core.Raft().Leader() != consensus.None || p.cut {
+		return
+	}
+	for _, other := range g.processes {
+		g.inbox = append(g.inbox, Outgoing{Address: other.address, Message: protocol.Message{
+			From: p.address, Join: &protocol.Join{ID: p.identity, Address: p.address},
+		}})
+	}
+}
+
+func (g *group) steps(count int) {
+	for range count {
+		g.step()
+	}
+}
+
+func (g *group) leader() *process {
+	for _, p := range g.processes {
+		if p.core != nil && !p.cut && p.core.Serving() {
+			return p
+		}
+	}
+	return nil
+}
+
+// propose has the leader take a new number, if there is a leader.
+func (g *group) propose() {
+	if leader := g.leader(); leader != nil {
+		g.nextID++
+		g.proposals[g.nextID] = g.nextID
+		leader.core.Propose(g.nextID, binary.BigEndian.AppendUint64(nil, g.nextID))
+		g.flush(leader)
+	}
+}
+
+// check requires that the leader holds all that was acknowledged.
+func (g *group) check() {
+	leader := g.leader()
+	require.NotNil(g.t, leader, "there is no leader")
+	for _, number := range g.acknowledged {
+		require.Contains(g.t, leader.machine.list, number)
+	}
+}
+
+// whole tells whether every process is a voter that holds the whole log.
+func (g *group) whole() bool {
+	leader := g.leader()
+	if leader == nil {
+		return false
+	}
+	for _, p := range g.processes {
+		member, ok := leader.core.Raft().Membership().Member(p.identity)
+		match, _ := leader.core.Raft().Match(p.identity)
+		if !ok || !member.Voter || p.cut || p.core == nil || match < leader.core.Raft().Commit() {
+			return false
+		}
+	}
+	return leader.core.Raft().MembershipCommitted()
+}
+
+// voterCount returns the number of voters as the leader sees it.
+func (g *group) voterCount() int { return g.leader().core.Raft().Membership().Voters() }
+
+// TestWipedVotersComeBackOneByOne: each of three machines loses its disk in
+// turn, 4 s apart, and each is a voter again well within that time.
+func TestWipedVotersComeBackOneByOne(t *testing.T) {
+	g := newGroup(t, 3, 3)
+	g.steps(40)
+	for round := range 6 {
+		for range 10 {
+			g.propose()
+			g.step()
+		}
+		p := g.processes[round%3]
+		g.wipe(p)
+		g.steps(20)
+		g.start(p)
+		g.steps(60)
+		g.check()
+		require.Equal(t, 3, g.voterCount(), "round %d", round)
+		member, ok := g.leader().core.Raft().Membership().Member(p.identity)
+		require.True(t, ok && member.Voter, "round %d", round)
+	}
+}
+
+// TestMachineIsReplacedAtAnotherAddress: a voter that is gone for good gives
+// its place to a machine that has come in with an empty disk.
+func TestMachineIsReplacedAtAnotherAddress(t *testing.T) {
+	g := newGroup(t, 3, 3)
+	g.steps(40)
+	g.propose()
+	g.processes[1].core = nil
+	g.steps(20)
+	added := g.add()
+	g.steps(80)
+	g.check()
+	require.Equal(t, 3, g.voterCount())
+	member, ok := g.leader().core.Raft().Membership().Member(added.identity)
+	require.True(t, ok && member.Voter)
+}
+
+// TestRetiringVoterLeaves: with a fourth machine there, a retiring one leaves
+// the group, which keeps three voters.
+func TestRetiringVoterLeaves(t *testing.T) {
+	g := newGroup(t, 3, 3)
+	g.steps(40)
+	g.add()
+	g.steps(20)
+	retired := g.leader()
+	for range 100 {
+		if leader := g.leader(); leader != nil {
+			leader.core.SetRetiring(map[consensus.ReplicaID]bool{retired.identity: true})
+		}
+		g.step()
+	}
+	g.check()
+	require.Equal(t, 3, g.voterCount())
+	_, ok := g.leader().core.Raft().Membership().Member(retired.identity)
+	require.False(t, ok)
+}
+
+// TestNothingAcknowledgedIsLost plays random wipes of one machine at a time,
+// kills of several, cuts and restarts.
+func TestNothingAcknowledgedIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(t, 3, 3)
+		g.steps(40)
+		for range rapid.IntRange(5, 40).Draw(t, "rounds") {
+			p := g.processes[rapid.IntRange(0, 2).Draw(t, "process")]
+			switch rapid.IntRange(0, 5).Draw(t, "fault") {
+			case 0:
+				// A disk is lost only while the others hold all of theirs.
+				if g.whole() {
+					g.wipe(p)
+					g.steps(rapid.IntRange(0, 30).Draw(t, "down"))
+					g.start(p)
+				}
+			case 1:
+				p.core = nil
+			case 2:
+				for _, other := range g.processes {
+					other.core = nil
+				}
+			case 3:
+				p.cut = !p.cut
+			}
+			for range rapid.IntRange(0, 20).Draw(t, "steps") {
+				g.propose()
+				g.step()
+			}
+			for _, other := range g.processes {
+				if other.core == nil && rapid.Bool().Draw(t, "restart") {
+					g.start(other)
+				}
+			}
+		}
+		for _, p := range g.processes {
+			p.cut = false
+			if p.core == nil {
+				g.start(p)
+			}
+		}
+		g.steps(300)
+		g.check()
+		require.Equal(t, 3, g.voterCount())
+	})
+}
--- a/server/directory.go
+++ b/server/directory.go
@@ -107,13 +107,13 @@
 }
 
 // NewDirectory opens the replica's data folder or sets it up.
-func NewDirectory(settings config.Directory, logger *zerolog.Logger) (*Directory, error) {
+func NewDirectory(settings config.Directory, seeds *Seeds, logger *zerolog.Logger) (*Directory, error) {
 	machine := directory.NewMachine()
 	founders, identity := directoryFounders(settings)
 	opened, err := replica.Open(replica.Settings{
 		Cluster: settings.Cluster + "-directory", Address: settings.InternalAddress, DataFolder: settings.DataFolder,
 		Voters: config.Voters(settings.ToleratedLosses), Founders: founders, Replica: identity,
-		Contacts: func() []string { return settings.PeerAddresses() },
+		Contacts: seeds.Addresses,
 	}, machine, logger)
 	if err != nil {
 		return nil, err
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -53,10 +53,10 @@
 }
 
 // NewGateway returns a gateway that reaches backends through the client.
-func NewGateway(settings config.Gateway, backends forward.Client, logger *zerolog.Logger) *Gateway {
+func NewGateway(settings config.Gateway, seeds *Seeds, backends forward.Client, logger *zerolog.Logger) *Gateway {
 	return &Gateway{
 		settings: settings, logger: logger,
-		watcher:   NewWatcher(func() []string { return settings.PeerAddresses() }, spread(settings.Name), logger),
+		watcher:   NewWatcher(seeds, spread(settings.Name), logger),
 		forwarder: forward.New(backends, settings.Zone), client: replica.NewInternalClient(),
 	}
 }
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -86,8 +86,7 @@
 }
 
 // NewLedger prepares a store. The clients reach engines and other backends.
-func NewLedger(settings config.Ledger, engines EngineClient, backends forward.Client, logger *zerolog.Logger) *Ledger {
-	seeds := func() []string { return settings.PeerAddresses() }
+func NewLedger(settings config.Ledger, seeds *Seeds, engines EngineClient, backends forward.Client, logger *zerolog.Logger) *Ledger {
 	l := &Ledger{
 		settings: settings, logger: logger, machine: ledger.NewMachine(),
 		watcher:  NewWatcher(seeds, spread(settings.Name), logger),
--- a/server/watch.go
+++ b/server/watch.go
@@ -28,7 +28,7 @@
 type Watcher struct {
 	logger *zerolog.Logger
 	client *http.Client
-	seeds  func() []string
+	seeds  *Seeds
 	// start spreads processes over the replicas.
 	start int
 
@@ -41,7 +41,7 @@
 
 // NewWatcher returns a watcher that asks the seeds first, and later the members
 // that it has learnt of.
-func NewWatcher(seeds func() []string, start int, logger *zerolog.Logger) *Watcher {
+func NewWatcher(seeds *Seeds, start int, logger *zerolog.Logger) *Watcher {
 	w := &Watcher{
 		logger: logger, client: replica.NewInternalClient(), seeds: seeds, start: start, changed: make(chan struct{}),
 	}
@@ -61,31 +61,34 @@
 
 // Run follows the directory until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
-	connected := true
 	failures := 0
 	for position := w.start; ctx.Err() == nil; {
 		addresses := w.addresses()
-		if len(addresses) == 0 {
-			return
-		}
 		address := addresses[position%len(addresses)]
-		if err := w.poll(ctx, address); err == nil {
-			if !connected {
+		err := w.poll(ctx, address)
+		if err == nil {
+			if failures >= len(addresses) {
 				event.DirectoryReachable.On(w.logger).Str("replica", address).Uint("revision", w.Catalog().Revision).Send()
 			}
-			connected, failures = true, 0
+			failures = 0
 			continue
-		} else if failures == len(addresses) && connected && ctx.Err() == nil {
-			connected = false
-			event.DirectoryUnreachable.On(w.logger).Uint("revision", w.Catalog().Revision).Err(err).Send()
 		}
 		position++
 		failures++
-		select {
-		case <-ctx.Done():
-		case <-time.After(watchBackoff):
-		}
+		w.noteFailure(ctx, failures, len(addresses), err)
+	}
+}
+
+// noteFailure pauses before the next replica is asked. When all have failed,
+// the settings may name others by now.
+func (w *Watcher) noteFailure(ctx context.Context, failures, addresses int, err error) {
+	if failures == addresses && ctx.Err() == nil {
+		event.DirectoryUnreachable.On(w.logger).Uint("revision", w.Catalog().Revision).Err(err).Send()
+	}
+	if failures%addresses == 0 {
+		w.seeds.Refresh()
 	}
+	sleep(ctx, watchBackoff)
 }
 
 // addresses returns the replicas known, the members first.
@@ -94,7 +97,7 @@
 	for _, member := range w.Catalog().Replicas {
 		addresses = append(addresses, member.Address)
 	}
-	for _, seed := range w.seeds() {
+	for _, seed := range w.seeds.Addresses() {
 		if !slices.Contains(addresses, seed) {
 			addresses = append(addresses, seed)
 		}
