--- a/ledger/command.go
+++ b/ledger/command.go
@@ -62,6 +62,8 @@
 	DueAt       int64    `cbor:"10,keyasint"`
 	GiveUpAt    int64    `cbor:"11,keyasint"`
 	Samples     []Sample `cbor:"12,keyasint"`
+	// Priority ranks the step among others; 0 is the most urgent.
+	Priority int `cbor:"13,keyasint"`
 }
 
 // State says how a sample ended.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -155,9 +155,7 @@
 			state.tasks = append(state.tasks, &Task{Step: step, Sample: sample})
 		}
 	}
-	state.queue = slices.Clone(state.tasks)
-	// The longest first: the tail decides when a step is whole.
-	slices.SortStableFunc(state.queue, func(a, b *Task) int { return b.Sample.Predicted - a.Sample.Predicted })
+	state.queue = s.queueOf(state)
 	s.steps[step.ID] = state
 	s.model(step.Model).noteStep(step)
 }
@@ -221,8 +219,8 @@
 // ServiceOf tells the services that may run a sample, and whether a route leads there.
 type ServiceOf func(task *Task) (services []string, ok bool)
 
-// Assign starts as many waiting tasks as there is room for. Earlier steps come
-// first, and in a step the order of its queue.
+// Assign starts as many waiting tasks as there is room for. More urgent and then
+// earlier steps come first, and in a step the order of its queue.
 func (s *Scheduler) Assign(now int64, serviceOf ServiceOf) []Assignment {
 	var assignments []Assignment
 	for _, state := range s.stepsInOrder() {
@@ -251,6 +249,9 @@
 		states = append(states, state)
 	}
 	slices.SortFunc(states, func(a, b *stepState) int {
+		if a.step.Priority != b.step.Priority {
+			return a.step.Priority - b.step.Priority
+		}
 		if a.step.DueAt != b.step.DueAt {
 			return int(a.step.DueAt - b.step.DueAt)
 		}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -85,3 +85,32 @@
 		}
 	}
 }
+
+// TestNeededGroupsStartFirst: of four groups the trainer waits for three; the
+// one with the most work starts last, and of the rest the longest sample first.
+func TestNeededGroupsStartFirst(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(1, 1, "a"), nil)
+	step := entry("x", "a", 1, 16)
+	step.Step.Wanted = 3
+	s.AddStep(step)
+	var order []int
+	for range 16 {
+		assignment := s.Assign(0, anywhere)[0]
+		order = append(order, assignment.Task.Sample.Predicted)
+		s.Finish(assignment.Task)
+	}
+	require.Equal(t, []int{11, 10, 9, 8, 7, 6, 5, 4, 3, 2, 1, 0, 15, 14, 13, 12}, order)
+}
+
+// TestMoreUrgentStepStartsFirst: also where it was handed in later.
+func TestMoreUrgentStepStartsFirst(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(1, 1, "a"), nil)
+	later := entry("later", "a", 1, 1)
+	earlier := entry("earlier", "a", 1, 1)
+	earlier.Step.Priority, later.Step.DueAt = 1, 10
+	s.AddStep(earlier)
+	s.AddStep(later)
+	require.Equal(t, "later", s.Assign(0, anywhere)[0].Task.Step.ID)
+}
