Loads where samples wait; orders recorded so that a new leader waits for few engines

Ruled out: runs that broke off (50 of 2,296). Change: each order is an entry of the ledger's log before it is given, and a new leader leaves an engine alone for the lease after its last order; loads at once rounded to the nearest; a load goes to the engine that serves least else.

--- a/ledger/command.go
+++ b/ledger/command.go
@@ -13,6 +13,17 @@
 	Record *Record `cbor:"2,keyasint,omitempty"`
 	End    *End    `cbor:"3,keyasint,omitempty"`
 	Prune  *Prune  `cbor:"4,keyasint,omitempty"`
+	Order  *Order  `cbor:"5,keyasint,omitempty"`
+}
+
+// Order says that a leader is about to give an order to an engine, so that the
+// next leader knows for how long it must not.
+type Order struct {
+	Engine string `cbor:"1,keyasint"`
+	// Holder is the process that gives the order.
+	Holder string `cbor:"2,keyasint"`
+	// At is in milliseconds since 1970, by the holder's clock.
+	At int64 `cbor:"3,keyasint"`
 }
 
 // Field is one header field of a sample's request.
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -32,16 +32,26 @@
 // Machine is the replicated state. Its methods must not be called concurrently.
 type Machine struct {
 	steps map[string]*Entry
+	// orders holds the newest order to each engine.
+	orders map[string]Order
 	// Generation grows with each change.
 	Generation uint64
 }
 
 // NewMachine returns the state before the first command.
-func NewMachine() *Machine { return &Machine{steps: map[string]*Entry{}} }
+func NewMachine() *Machine {
+	return &Machine{steps: map[string]*Entry{}, orders: map[string]Order{}}
+}
+
+// contents is what a snapshot holds.
+type contents struct {
+	Steps  map[string]*Entry `cbor:"1,keyasint"`
+	Orders map[string]Order  `cbor:"2,keyasint"`
+}
 
 // Snapshot returns the whole state as bytes.
 func (m *Machine) Snapshot() []byte {
-	data, err := encoder.Marshal(m.steps)
+	data, err := encoder.Marshal(contents{Steps: m.steps, Orders: m.orders})
 	if err != nil {
 		panic("ledger: the machine must encode: " + err.Error())
 	}
@@ -50,12 +60,12 @@
 
 // Restore replaces the state by a snapshot's.
 func (m *Machine) Restore(data []byte) error {
-	m.steps = map[string]*Entry{}
+	m.steps, m.orders = map[string]*Entry{}, map[string]Order{}
 	m.Generation++
 	if len(data) == 0 {
 		return nil
 	}
-	if err := cbor.Unmarshal(data, &m.steps); err != nil {
+	if err := cbor.Unmarshal(data, &contents{Steps: m.steps, Orders: m.orders}); err != nil {
 		return err
 	}
 	for _, entry := range m.steps {
@@ -98,6 +108,10 @@
 	if cbor.Unmarshal(data, &command) != nil {
 		return nil
 	}
+	if command.Order != nil {
+		m.order(*command.Order)
+		return nil
+	}
 	m.Generation++
 	switch {
 	case command.Submit != nil:
@@ -145,3 +159,20 @@
 		entry.Ended = true
 	}
 }
+
+// maxOrders bounds the orders that are remembered, and orderRetention is how
+// long, in milliseconds, one is remembered beyond that number.
+const (
+	maxOrders      = 1000
+	orderRetention = 600000
+)
+
+func (m *Machine) order(order Order) {
+	m.orders[order.Engine] = order
+	if len(m.orders) > maxOrders {
+		maps.DeleteFunc(m.orders, func(_ string, known Order) bool { return known.At < order.At-orderRetention })
+	}
+}
+
+// Orders returns the newest order to each engine. It must not be changed.
+func (m *Machine) Orders() map[string]Order { return m.orders }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -21,6 +21,8 @@
 	// groupSlack is how many more runs an engine may have than the least loaded
 	// one to be preferred for holding the group's prompt.
 	groupSlack = 2
+	// paceSmoothing is the weight of the newest run in the usual pace.
+	paceSmoothing = 0.02
 )
 
 // Text is what a sample has produced so far.
@@ -63,8 +65,10 @@
 	Failures int
 	Attempts int
 	// Run counts the runs, so that the end of an earlier one is known as such.
-	Run       uint64
-	notBefore int64
+	Run uint64
+	// startedAt is when the current run began, and from the event it began after.
+	startedAt int64
+	from      uint64
 }
 
 // engine is what is known of one engine.
@@ -86,8 +90,11 @@
 	order  []string
 	steps  map[string]*stepState
 	models map[string]*modelState
-	// loadMillis is the usual time that a load takes.
-	loadMillis float64
+	// orderAfter is the time before which an engine gets no orders.
+	orderAfter map[string]int64
+	// loadMillis is the usual time that a load takes, and tokenMillis that of a
+	// predicted token in one slot.
+	loadMillis, tokenMillis float64
 }
 
 type stepState struct {
@@ -101,7 +108,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		engines: map[string]*engine{}, steps: map[string]*stepState{}, models: map[string]*modelState{},
-		loadMillis: defaultLoadMillis,
+		orderAfter: map[string]int64{}, loadMillis: defaultLoadMillis, tokenMillis: defaultTokenMillis,
 	}
 }
 
@@ -214,6 +221,9 @@
 	Task    *Task
 	Backend directory.Backend
 	Run     uint64
+	// startedAt is when the current run began, and from the event it began after.
+	startedAt int64
+	from      uint64
 }
 
 // ServiceOf tells the services that may run a sample, and whether a route leads there.
@@ -265,9 +275,6 @@
 
 // place chooses an engine for the task and counts it there.
 func (s *Scheduler) place(now int64, task *Task, serviceOf ServiceOf) (directory.Backend, bool) {
-	if now < task.notBefore {
-		return directory.Backend{}, false
-	}
 	services, ok := serviceOf(task)
 	if !ok {
 		return directory.Backend{}, false
@@ -293,6 +300,7 @@
 	}
 	least.running[task] = true
 	task.State, task.Engine = Running, least.backend.ID
+	task.startedAt, task.from = now, task.Text.Last
 	return least.backend, true
 }
 
@@ -367,6 +375,7 @@
 	switch end {
 	case Complete:
 		known.recover()
+		s.observePace(now, task)
 		task.State = Scoring
 		if !s.usable(task) {
 			s.restart(task)
@@ -387,6 +396,15 @@
 	return true
 }
 
+// observePace takes in how long a whole run took.
+func (s *Scheduler) observePace(now int64, task *Task) {
+	if task.from > 0 {
+		return
+	}
+	pace := float64(now-task.startedAt) / float64(max(task.Sample.Predicted, 1))
+	s.tokenMillis += paceSmoothing * (pace - s.tokenMillis)
+}
+
 // usable tells whether the text was made under versions that the step allows.
 func (s *Scheduler) usable(task *Task) bool {
 	if task.Step.SingleVersion && len(task.Text.Versions) > 1 {
--- a/scheduler/weights.go
+++ b/scheduler/weights.go
@@ -10,16 +10,23 @@
 
 const (
 	// loadDivisor bounds the engines that load at the same time to that part of
-	// all, since loads slow each other down.
-	loadDivisor = 4
-	// loadShare is the part of the time in which loads may be under way; the
-	// rest makes up for failures, and lets a load begin when it is called for.
-	loadShare = 0.7
-	// minHolders is the least number of engines that follow a model's versions.
+	// all, rounded to the nearest, since loads slow each other down.
+	loadDivisor = 5
+	// loadShare is the part of the time that is planned for loads; the rest
+	// serves samples that wait, and makes up for failures.
+	loadShare = 0.8
+	// waitShare of a load's time is how long samples must wait for engines to
+	// be worth a load.
+	waitShare = 0.5
+	// drainMillis is the time within which the samples of a step should have
+	// started.
+	drainMillis = 1500
+	// minHolders is the least number of engines that hold a model's newest version.
 	minHolders = 2
 	// defaultLoadMillis and defaultPublicationMillis hold until measured.
 	defaultLoadMillis        = 1000
 	defaultPublicationMillis = 4000
+	defaultTokenMillis       = 1
 	// smoothing is the weight of the newest measurement.
 	smoothing = 0.3
 )
@@ -47,19 +54,12 @@
 	lag uint64
 	// work is the expected number of tokens of its newest step.
 	work float64
-	// homes are the engines that follow the model's versions.
-	homes map[string]bool
-	// planned is the version for which wanted has been chosen.
-	planned uint64
-	// wanted are the engines that load the newest version although they could
-	// still do without.
-	wanted map[string]bool
 }
 
 func (s *Scheduler) model(name string) *modelState {
 	known := s.models[name]
 	if known == nil {
-		known = &modelState{name: name, newest: 1, interval: defaultPublicationMillis, work: 1, homes: map[string]bool{}}
+		known = &modelState{name: name, newest: 1, interval: defaultPublicationMillis, work: 1}
 		s.models[name] = known
 	}
 	return known
@@ -88,26 +88,20 @@
 }
 
 // Orders returns the orders to send now. Steps allow versions behind the newest
-// by some lag, so that an engine need not load every version: of lag + 1
-// engines one loads at each publication, those first that fall out of use.
-// Where loads would take more time than there is, each model is followed by a
-// part of the engines only.
+// by some lag, so that an engine need not load every version. Loads slow each
+// other down, so that there is time for a few only, and they are spent where
+// they help most: first on models whose samples wait for engines, then on
+// models that too few engines could serve after the next publication.
 func (s *Scheduler) Orders(now int64) []Order {
-	s.chooseHomes()
-	candidates := s.dueLoads()
-	most := max(len(s.engines)/loadDivisor, 1)
+	most := max((len(s.engines)+loadDivisor/2+1)/loadDivisor, 1)
 	var orders []Order
-	for _, candidate := range candidates {
-		if s.loadsUnderWay() >= most {
+	for s.loadsUnderWay() < most {
+		known, model := s.nextLoad(now, most)
+		if known == nil {
 			break
 		}
-		known := candidate.engine
-		if known.loading != nil || now < known.avoidedUntil {
-			continue
-		}
 		order := Order{
-			Backend: known.backend, Model: candidate.model.name, Version: candidate.model.newest,
-			Keep: known.mayChangeVersion(), SentAt: now,
+			Backend: known.backend, Model: model.name, Version: model.newest, Keep: known.mayChangeVersion(), SentAt: now,
 		}
 		known.loading = &order
 		orders = append(orders, order)
@@ -125,159 +119,135 @@
 	return count
 }
 
-// dueLoad is a load that should be done.
-type dueLoad struct {
-	model  *modelState
-	engine *engine
-	// served is the part of the model's homes that can serve its next step.
-	served float64
-}
-
-// dueLoads returns the loads to be done, the most urgent first: of models with
-// the smallest part of engines in use, then the oldest versions.
-func (s *Scheduler) dueLoads() []dueLoad {
-	var due []dueLoad
+// nextLoad chooses the load that helps most, or nil.
+func (s *Scheduler) nextLoad(now int64, most int) (*engine, *modelState) {
+	var chosen *engine
+	var chosenModel *modelState
+	highest := 0.0
 	for _, name := range slices.Sorted(maps.Keys(s.models)) {
 		model := s.models[name]
-		holders := s.holders(model)
-		model.plan(holders)
-		served := model.servedShare(holders)
-		for _, known := range holders {
-			held := known.versions[name]
-			expired := held+model.lag < model.newest
-			if held < model.newest && (expired || model.wanted[known.backend.ID]) {
-				due = append(due, dueLoad{model: model, engine: known, served: served})
-			}
+		need := s.need(model, most)
+		if need <= highest {
+			continue
 		}
-	}
-	slices.SortStableFunc(due, func(a, b dueLoad) int {
-		switch {
-		case a.served < b.served:
-			return -1
-		case a.served > b.served:
-			return 1
-		default:
-			return int(a.model.namedAt - b.model.namedAt)
+		if known := s.cheapest(now, model); known != nil {
+			chosen, chosenModel, highest = known, model, need
 		}
-	})
-	return due
+	}
+	return chosen, chosenModel
 }
 
-func (m *modelState) servedShare(holders []*engine) float64 {
-	served := 0
-	for _, known := range holders {
-		if known.versions[m.name]+m.lag >= m.newest {
-			served++
+// need rates how much another engine with the model's newest version helps.
+// Above 1, samples wait longer for engines than a load takes; below, it is the
+// part of the engines that are missing for the next step.
+func (s *Scheduler) need(model *modelState, most int) float64 {
+	serving, current := 0, 0
+	for _, known := range s.engines {
+		version := known.versions[model.name]
+		if known.loading != nil && known.loading.Model == model.name {
+			version = known.loading.Version
+		}
+		if known.backend.Draining || version == 0 {
+			continue
 		}
+		if version+model.lag >= model.newest {
+			serving++
+		}
+		if version == model.newest {
+			current++
+		}
+	}
+	if wait := s.waitingMillis(model) / float64(max(serving, 1)); wait > waitShare*s.loadMillis {
+		return 1 + wait/s.loadMillis
 	}
-	return float64(served) / float64(max(len(holders), 1))
+	wanted := s.wantedEngines(model, most)
+	return float64(wanted-current) / float64(wanted)
 }
 
-// holders returns the model's homes, the oldest version first and among equals
-// those that run least.
-func (s *Scheduler) holders(model *modelState) []*engine {
-	var holders []*engine
-	for _, id := range s.order {
-		if known := s.engines[id]; model.homes[id] && !known.backend.Draining {
-			holders = append(holders, known)
+// waitingMillis returns the time that one engine would take for the model's
+// waiting samples.
+func (s *Scheduler) waitingMillis(model *modelState) float64 {
+	tokens := 0
+	for _, state := range s.steps {
+		if state.step.Model != model.name {
+			continue
 		}
-	}
-	slices.SortStableFunc(holders, func(a, b *engine) int {
-		if a.versions[model.name] != b.versions[model.name] {
-			return int(a.versions[model.name]) - int(b.versions[model.name])
+		for _, task := range state.queue {
+			tokens += max(task.Sample.Predicted, 1)
 		}
-		return len(a.running) - len(b.running)
-	})
-	return holders
-}
-
-// plan chooses, once for each version, the engines that load it.
-func (m *modelState) plan(holders []*engine) {
-	if m.planned == m.newest {
-		return
-	}
-	m.planned = m.newest
-	share := (len(holders) + int(m.lag)) / int(m.lag+1)
-	m.wanted = map[string]bool{}
-	for _, known := range holders[:min(share, len(holders))] {
-		m.wanted[known.backend.ID] = true
 	}
+	return float64(tokens) * s.tokenMillis / s.slots()
 }
 
-// chooseHomes gives each model as many engines as can follow it, in proportion
-// to its work. Engines stay with their models where that is possible.
-func (s *Scheduler) chooseHomes() {
-	sizes := s.homeSizes()
-	burden := map[string]float64{}
-	for _, name := range slices.Sorted(maps.Keys(s.models)) {
-		s.models[name].keepHomes(s, sizes[name], burden)
-	}
-	for _, name := range slices.Sorted(maps.Keys(s.models)) {
-		s.models[name].fillHomes(s, sizes[name], burden)
+func (s *Scheduler) slots() float64 {
+	total := 0
+	for _, known := range s.engines {
+		total += max(known.backend.Slots, 1)
 	}
+	return float64(max(total, 1)) / float64(max(len(s.engines), 1))
 }
 
-// homeSizes returns the number of engines for each model.
-func (s *Scheduler) homeSizes() map[string]int {
-	total, pairs := 0.0, 0.0
-	for _, model := range s.models {
-		total += model.work
-		pairs += model.interval * float64(model.lag+1) / float64(len(s.models))
+// wantedEngines returns how many engines should hold the newest version before
+// the next publication: as many as start the model's steps soon, and no more
+// than its part of the loads that there is time for.
+func (s *Scheduler) wantedEngines(model *modelState, most int) int {
+	work, share := 0.0, 0.0
+	for _, other := range s.models {
+		work += other.work
 	}
-	usable := 0
-	for _, known := range s.engines {
-		if !known.backend.Draining {
-			usable++
-		}
-	}
-	most := float64(max(len(s.engines)/loadDivisor, 1))
-	pairs = max(loadShare*most*pairs/s.loadMillis, float64(usable))
-	sizes := map[string]int{}
-	for name, model := range s.models {
-		size := int(pairs*model.work/total + 0.5)
-		sizes[name] = min(max(size, minHolders), usable)
+	if work > 0 {
+		share = model.work / work
 	}
-	return sizes
+	affordable := int(loadShare * float64(most) * model.interval / s.loadMillis * share)
+	useful := int(model.work*s.tokenMillis/(s.slots()*drainMillis)) + 1
+	return min(max(min(affordable, useful), minHolders), max(len(s.engines), 1))
 }
 
-// keepHomes drops homes that are gone, and those beyond the size with the
-// oldest versions.
-func (m *modelState) keepHomes(s *Scheduler, size int, burden map[string]float64) {
-	for id := range m.homes {
-		if known := s.engines[id]; known == nil || known.backend.Draining {
-			delete(m.homes, id)
+// cheapest returns the engine that is to load the model next: one that cannot
+// serve the model now, where there is one, and of these the one that serves the
+// least work of other models.
+func (s *Scheduler) cheapest(now int64, model *modelState) *engine {
+	var best *engine
+	bestCost := 0.0
+	for _, id := range s.order {
+		known := s.engines[id]
+		version := known.versions[model.name]
+		if version == 0 || version >= model.newest || known.loading != nil || known.backend.Draining ||
+			now < known.avoidedUntil || now < s.orderAfter[id] {
+			continue
+		}
+		if cost := s.loadCost(known, model); best == nil || cost < bestCost {
+			best, bestCost = known, cost
 		}
 	}
-	holders := s.holders(m)
-	for position := 0; position < len(holders)-size; position++ {
-		delete(m.homes, holders[position].backend.ID)
-	}
-	for id := range m.homes {
-		burden[id] += m.work / float64(size)
-	}
+	return best
 }
 
-// fillHomes adds the engines that carry least, until there are enough.
-func (m *modelState) fillHomes(s *Scheduler, size int, burden map[string]float64) {
-	for len(m.homes) < size {
-		best := ""
-		for _, id := range s.order {
-			if s.engines[id].backend.Draining || m.homes[id] || s.engines[id].versions[m.name] == 0 {
-				continue
-			}
-			if best == "" || burden[id] < burden[best] {
-				best = id
-			}
-		}
-		if best == "" {
-			return
+const (
+	// servingCost is added for an engine that can serve the model already.
+	servingCost = 1000
+	runningCost = 0.01
+)
+
+func (s *Scheduler) loadCost(known *engine, model *modelState) float64 {
+	cost, total := 0.0, 0.0
+	for _, other := range s.models {
+		total += other.work
+	}
+	for name, other := range s.models {
+		switch serves := known.versions[name]+other.lag >= other.newest; {
+		case serves && name == model.name:
+			cost += servingCost
+		case serves:
+			cost += other.work / max(total, 1)
 		}
-		m.homes[best] = true
-		m.planned = 0
-		burden[best] += m.work / float64(size)
 	}
+	return cost + runningCost*float64(len(known.running))
 }
 
+// DeferOrders has the engine given no orders before the time.
+func (s *Scheduler) DeferOrders(id string, until int64) { s.orderAfter[id] = until }
+
 // mayChangeVersion tells whether no running sample needs a single version.
 func (e *engine) mayChangeVersion() bool {
 	for task := range e.running {
--- a/server/executor.go
+++ b/server/executor.go
@@ -85,9 +85,10 @@
 	// of a run whose engine loads weights meanwhile.
 	stallTimeout = 1200 * time.Millisecond
 	loadStall    = 5 * time.Second
-	// orderMargin is added to the lease: an earlier leader may have given its
-	// last order shortly after this one was elected.
-	orderMargin = 700 * time.Millisecond
+	// orderMargin is added to the lease: an order is sent up to orderDelay after
+	// it was recorded, and clocks differ.
+	orderMargin = 800 * time.Millisecond
+	orderDelay  = 400 * time.Millisecond
 	// rewardBackoff is the pause before a reward call is repeated.
 	rewardBackoff = 100 * time.Millisecond
 	recordTimeout = 2 * time.Second
@@ -129,9 +130,10 @@
 	defer stop()
 	t := &tenure{
 		Executor: x, context: leadership, replica: opened, machine: machine, term: term,
-		loop: eventloop.New(), scheduler: scheduler.New(), began: time.Now(),
+		loop: eventloop.New(), scheduler: scheduler.New(),
 		cancels: map[*scheduler.Task]context.CancelFunc{},
 	}
+	t.deferOrders()
 	go t.follow(stop)
 	t.loop.Run(leadership, executorTick, t.tick, t.flush)
 }
@@ -145,7 +147,6 @@
 	term      uint64
 	loop      *eventloop.Loop
 	scheduler *scheduler.Scheduler
-	began     time.Time
 
 	catalog    *directory.Catalog
 	generation uint64
@@ -160,6 +161,19 @@
 	result ledger.Result
 }
 
+// deferOrders leaves engines alone that an earlier leader has given orders to,
+// until its lease has ended.
+func (t *tenure) deferOrders() {
+	wait := (t.settings.OrderLease + orderMargin).Milliseconds()
+	t.replica.Do(func() {
+		for id, order := range t.machine.Orders() {
+			if order.Holder != t.settings.Name {
+				t.scheduler.DeferOrders(id, order.At+wait)
+			}
+		}
+	})
+}
+
 // follow wakes the loop when the ledger or the directory has changed.
 func (t *tenure) follow(stop context.CancelFunc) {
 	for {
@@ -276,10 +290,8 @@
 		return nil
 	}
 	now := nowMillis()
-	if time.Since(t.began) > t.settings.OrderLease+orderMargin || t.term <= firstTerm {
-		for _, order := range t.scheduler.Orders(now) {
-			go t.load(order)
-		}
+	for _, order := range t.scheduler.Orders(now) {
+		go t.load(order)
 	}
 	for _, assignment := range t.scheduler.Assign(now, t.servicesOf) {
 		t.start(assignment)
@@ -288,9 +300,6 @@
 	return nil
 }
 
-// firstTerm is the term of a group's first leader, which has no predecessor.
-const firstTerm = 2
-
 func (t *tenure) servicesOf(task *scheduler.Task) ([]string, bool) {
 	path, _, _ := strings.Cut(task.Sample.Path, "?")
 	route, ok := t.catalog.Table.Match(task.Step.Host, path)
--- a/server/load.go
+++ b/server/load.go
@@ -6,6 +6,7 @@
 
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/scheduler"
 )
 
@@ -73,9 +74,16 @@
 	return 0
 }
 
+// sendOrder gives an order, which is recorded first: the next leader must know
+// of it. An order that was recorded too long ago is not given any more.
 func (t *tenure) sendOrder(ctx context.Context, request LoadRequest) LoadAnswer {
 	limited, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	began := time.Now()
+	record := &ledger.Order{Engine: request.Order.Backend.ID, Holder: t.settings.Name, At: began.UnixMilli()}
+	if _, err := t.replica.Execute(limited, ledger.Command{Order: record}.Encode()); err != nil || time.Since(began) > orderDelay {
+		return LoadConflict
+	}
 	answer := t.engines.Load(limited, request)
 	event.OrderSent.On(t.logger).Str("engine", request.Order.Backend.ID).Uint("version", request.Order.Version).
 		Uint("fence", request.Fence).Uint("sequence", request.Sequence).Uint("answer", uint64(answer)).Send()
