Texts kept for later steps; shorter first elections; Retry-After while starting

Ruled out: the gateways' own start (0.05 s). Change: the scheduler keeps what a sample had produced for two later steps and counts its group as needed; a replica that starts campaigns after 5 to 10 ticks; a gateway without a configuration says 0.5 s. TestNeededGroupsStartFirst counts predictions from 1: a prediction of 0 means unknown and ties with 1.

--- a/consensus/raft.go
+++ b/consensus/raft.go
@@ -29,6 +29,11 @@
 	// ElectionTicks is the least number of ticks without a leader after which
 	// a replica campaigns; the actual number is drawn from [n, 2n).
 	ElectionTicks int
+	// FirstElectionTicks, if not 0, takes the place of ElectionTicks until the
+	// replica has heard a leader or campaigned: whoever starts does not wait for
+	// a leader's silence. Where there is a leader, its followers refuse the
+	// pre-vote.
+	FirstElectionTicks int
 	// HeartbeatTicks is the number of ticks between a leader's heartbeats.
 	HeartbeatTicks int
 	// MaxAppendBytes bounds the entries' data in one message, though one
@@ -122,6 +127,9 @@
 	r.noteMemberships(config.Snapshot.Index + 1)
 	r.log.committed = max(r.log.committed, min(config.HardState.Commit, r.log.lastIndex()))
 	r.resetElectionTimeout()
+	if config.FirstElectionTicks > 0 {
+		r.electionTimeout = config.FirstElectionTicks + r.random.IntN(config.FirstElectionTicks)
+	}
 	return r
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -69,6 +69,7 @@
 	ResultsRecorded = Event{6007, zerolog.InfoLevel, "results were recorded"}
 	OrderSent       = Event{6008, zerolog.InfoLevel, "an engine was ordered to load weights"}
 	LoadEnded       = Event{6009, zerolog.InfoLevel, "a load of weights has ended"}
+	SampleKept      = Event{6010, zerolog.InfoLevel, "a sample's text was kept from an earlier step"}
 
 	RequestEnded    = Event{7001, zerolog.InfoLevel, "a request has ended"}
 	GatewayStarted  = Event{7002, zerolog.InfoLevel, "gateway started"}
@@ -85,7 +86,7 @@
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
 	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable,
-	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded,
+	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded,
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -23,9 +23,11 @@
 
 const (
 	// TickInterval is the unit of consensus timing.
-	TickInterval   = 50 * time.Millisecond
-	electionTicks  = 10
-	heartbeatTicks = 2
+	TickInterval  = 50 * time.Millisecond
+	electionTicks = 8
+	// firstElectionTicks leaves time for three heartbeats of a leader.
+	firstElectionTicks = 5
+	heartbeatTicks     = 2
 	// silentTicks is how long a voter is silent before a learner replaces it.
 	silentTicks    = 30
 	maxAppendBytes = 1 << 20
@@ -110,7 +112,7 @@
 	}
 	core, err := NewCore(CoreConfig{
 		Consensus: consensus.Config{
-			ID: contents.Identity.Replica, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+			ID: contents.Identity.Replica, ElectionTicks: electionTicks, FirstElectionTicks: firstElectionTicks, HeartbeatTicks: heartbeatTicks,
 			MaxAppendBytes: maxAppendBytes, Seed: rand.Uint64(),
 			HardState: contents.HardState, Snapshot: contents.Snapshot, Entries: contents.Entries,
 		},
--- /dev/null
+++ b/scheduler/kept.go
@@ -0,0 +1,88 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/dillchute/dillchute/ledger"
+)
+
+// keptSteps is how many later steps of a model a text is kept for.
+const keptSteps = 2
+
+// keptText is what a sample had produced when its step ended.
+type keptText struct {
+	text   Text
+	number int
+}
+
+// keptTexts holds texts of samples that may come again in a later step, and the
+// groups that earlier steps had.
+type keptTexts struct {
+	texts map[string]map[string]keptText
+	// groups holds, for each model, the number of the last step with the group.
+	groups map[string]map[string]int
+}
+
+func newKeptTexts() *keptTexts {
+	return &keptTexts{texts: map[string]map[string]keptText{}, groups: map[string]map[string]int{}}
+}
+
+// keep remembers a text, unless a longer one is there already.
+func (k *keptTexts) keep(step *ledger.Step, sample *ledger.Sample, text Text) {
+	if text.Last == 0 {
+		return
+	}
+	texts := k.texts[step.Model]
+	if texts == nil {
+		texts = map[string]keptText{}
+		k.texts[step.Model] = texts
+	}
+	if known, ok := texts[sample.ID]; ok && known.text.Last > text.Last {
+		return
+	}
+	texts[sample.ID] = keptText{text: text, number: step.Number}
+}
+
+// take returns the text of a sample if all its versions are allowed by the step.
+func (k *keptTexts) take(step *ledger.Step, sample *ledger.Sample) (Text, bool) {
+	known, ok := k.texts[step.Model][sample.ID]
+	if !ok || len(known.text.Versions) == 0 || slices.Min(known.text.Versions) < step.OldestVersion {
+		return Text{}, false
+	}
+	if step.SingleVersion && len(known.text.Versions) > 1 {
+		return Text{}, false
+	}
+	return known.text, true
+}
+
+// cameBefore tells whether an earlier step had the group. The trainer waits for
+// such groups whichever others are whole.
+func (k *keptTexts) cameBefore(step *ledger.Step, group string) bool {
+	number, ok := k.groups[step.Model][group]
+	return ok && number < step.Number
+}
+
+// note takes in a step's groups, and forgets what is too old to come again.
+func (k *keptTexts) note(step *ledger.Step) {
+	groups := k.groups[step.Model]
+	if groups == nil {
+		groups = map[string]int{}
+		k.groups[step.Model] = groups
+	}
+	for group, number := range groups {
+		if number+keptSteps < step.Number {
+			delete(groups, group)
+		}
+	}
+	for id, known := range k.texts[step.Model] {
+		if known.number+keptSteps < step.Number {
+			delete(k.texts[step.Model], id)
+		}
+	}
+	for position := range step.Samples {
+		group := step.Samples[position].Group
+		if _, ok := groups[group]; !ok {
+			groups[group] = step.Number
+		}
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -31,6 +31,8 @@
 	Events   []string
 	Last     uint64
 	Versions []uint64
+	// Whole is set once the engine has ended the text.
+	Whole bool
 }
 
 // AddVersion notes that the version made an event.
@@ -92,6 +94,7 @@
 	models map[string]*modelState
 	// orderAfter is the time before which an engine gets no orders.
 	orderAfter map[string]int64
+	kept       *keptTexts
 	// loadMillis is the usual time that a load takes, and tokenMillis that of a
 	// predicted token in one slot.
 	loadMillis, tokenMillis float64
@@ -108,7 +111,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		engines: map[string]*engine{}, steps: map[string]*stepState{}, models: map[string]*modelState{},
-		orderAfter: map[string]int64{}, loadMillis: defaultLoadMillis, tokenMillis: defaultTokenMillis,
+		orderAfter: map[string]int64{}, kept: newKeptTexts(), loadMillis: defaultLoadMillis, tokenMillis: defaultTokenMillis,
 	}
 }
 
@@ -149,22 +152,35 @@
 	return stopped
 }
 
-// AddStep takes in a step whose results so far are listed, and returns its tasks.
-func (s *Scheduler) AddStep(entry *ledger.Entry) {
+// AddStep takes in a step whose results so far are listed. It returns the tasks
+// whose text is whole already: an earlier step has left it.
+func (s *Scheduler) AddStep(entry *ledger.Entry) []*Task {
 	step := entry.Step
 	if s.steps[step.ID] != nil || entry.Ended {
-		return
+		return nil
 	}
 	state := &stepState{step: step}
+	var whole []*Task
 	for position := range step.Samples {
 		sample := &step.Samples[position]
-		if !entry.Listed(sample.ID) {
-			state.tasks = append(state.tasks, &Task{Step: step, Sample: sample})
+		if entry.Listed(sample.ID) {
+			continue
+		}
+		task := &Task{Step: step, Sample: sample}
+		state.tasks = append(state.tasks, task)
+		if text, ok := s.kept.take(step, sample); ok {
+			task.Text = text
+			if text.Whole {
+				task.State = Scoring
+				whole = append(whole, task)
+			}
 		}
 	}
+	s.kept.note(step)
 	state.queue = s.queueOf(state)
 	s.steps[step.ID] = state
 	s.model(step.Model).noteStep(step)
+	return whole
 }
 
 // Has tells whether the step is known.
@@ -189,10 +205,15 @@
 	for _, task := range state.tasks {
 		s.leave(task)
 		task.State = Finished
+		s.kept.keep(task.Step, task.Sample, task.Text)
 	}
 	return state.tasks
 }
 
+// Keep takes in how far a run had come whose step has ended meanwhile: the
+// sample may come again in a later step.
+func (s *Scheduler) Keep(task *Task, text Text) { s.kept.keep(task.Step, task.Sample, text) }
+
 // Overdue returns the tasks that may be given up by now and have no result.
 func (s *Scheduler) Overdue(now int64) []*Task {
 	var overdue []*Task
@@ -376,6 +397,7 @@
 	case Complete:
 		known.recover()
 		s.observePace(now, task)
+		task.Text.Whole = true
 		task.State = Scoring
 		if !s.usable(task) {
 			s.restart(task)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -27,7 +27,7 @@
 	step := &ledger.Step{ID: id, Model: model, OldestVersion: oldest, Attempts: 3}
 	for number := range samples {
 		step.Samples = append(step.Samples, ledger.Sample{
-			ID: fmt.Sprintf("%s-%d", id, number), Group: fmt.Sprintf("g%d", number/4), Predicted: number,
+			ID: fmt.Sprintf("%s-%d", id, number), Group: fmt.Sprintf("g%d", number/4), Predicted: number + 1,
 		})
 	}
 	machine := ledger.NewMachine()
@@ -125,7 +125,7 @@
 		order = append(order, assignment.Task.Sample.Predicted)
 		s.Finish(assignment.Task)
 	}
-	require.Equal(t, []int{11, 10, 9, 8, 7, 6, 5, 4, 3, 2, 1, 0, 15, 14, 13, 12}, order)
+	require.Equal(t, []int{12, 11, 10, 9, 8, 7, 6, 5, 4, 3, 2, 1, 16, 15, 14, 13}, order)
 }
 
 // TestMoreUrgentStepStartsFirst: also where it was handed in later.
@@ -166,3 +166,37 @@
 	require.Equal(t, "b", order.Model)
 	require.Equal(t, "e02", order.Backend.ID)
 }
+
+// TestTextIsKeptForALaterStep: a sample that comes again goes on after what it
+// had, or is scored at once if that is whole; a text made under a version that
+// the later step does not allow is not used.
+func TestTextIsKeptForALaterStep(t *testing.T) {
+	for oldest, kept := range map[uint64]bool{1: true, 2: false} {
+		s := New()
+		backends := engines(1, 8, "a")
+		backends[0].Models[0].Version = 2
+		s.SyncEngines(0, backends, map[string]uint64{"a": 2})
+		first := entry("first", "a", 1, 2)
+		s.AddStep(first)
+		for _, assignment := range s.Assign(0, anywhere) {
+			assignment.Task.Text = Text{Events: []string{"x"}, Last: 1, Versions: []uint64{1}}
+			end := Broken
+			if assignment.Task.Sample.ID == "first-0" {
+				end = Complete
+			}
+			s.RunEnded(0, assignment.Task, assignment.Run, end)
+		}
+		s.EndStep("first")
+		second := entry("second", "a", oldest, 4)
+		second.Step.Number, second.Step.Wanted = 1, 1
+		second.Step.Samples[2], second.Step.Samples[3] = first.Step.Samples[0], first.Step.Samples[1]
+		second.Step.Samples[2].Group, second.Step.Samples[3].Group = "g0", "g0"
+		whole := s.AddStep(second)
+		require.Equal(t, kept, len(whole) == 1)
+		for _, assignment := range s.Assign(1000, anywhere) {
+			if assignment.Task.Sample.ID == "first-1" {
+				require.Equal(t, kept, assignment.Task.Text.Last == 1)
+			}
+		}
+	}
+}
--- a/server/executor.go
+++ b/server/executor.go
@@ -232,6 +232,7 @@
 		}
 	}
 	var open []*ledger.Entry
+	var whole []*scheduler.Task
 	unchanged := false
 	t.replica.Do(func() {
 		unchanged = t.machine.Generation == t.generation
@@ -241,7 +242,7 @@
 		}
 		for _, entry := range t.machine.Steps() {
 			if !entry.Ended {
-				t.scheduler.AddStep(entry)
+				whole = append(whole, t.scheduler.AddStep(entry)...)
 				open = append(open, entry)
 			}
 		}
@@ -249,6 +250,10 @@
 	if !unchanged {
 		t.endClosed(open)
 	}
+	for _, task := range whole {
+		event.SampleKept.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).Uint("events", task.Text.Last).Send()
+		t.score(task)
+	}
 }
 
 func engineBackends(catalog *directory.Catalog) []directory.Backend {
@@ -361,6 +366,11 @@
 }
 
 func (t *tenure) runEnded(task *scheduler.Task, assignment scheduler.Assignment, end scheduler.RunEnd, text scheduler.Text, version uint64) {
+	if task.State == scheduler.Finished && task.Run == assignment.Run {
+		text.Whole = end == scheduler.Complete
+		t.scheduler.Keep(task, text)
+		return
+	}
 	if task.State != scheduler.Running || task.Run != assignment.Run {
 		return
 	}
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -25,8 +25,10 @@
 	// time for which a call may be held.
 	ledgerAttemptTimeout = 900 * time.Millisecond
 	ledgerPause          = 60 * time.Millisecond
-	// RetryAfter is when a caller whose request has not run should come back.
-	RetryAfter = 100 * time.Millisecond
+	// RetryAfter is when a caller whose request has not run should come back,
+	// and StartRetryAfter that while the gateway knows no configuration yet.
+	RetryAfter      = 100 * time.Millisecond
+	StartRetryAfter = 500 * time.Millisecond
 )
 
 // spread returns a number that differs between processes.
@@ -86,6 +88,14 @@
 // Catalog returns the directory as the gateway knows it.
 func (g *Gateway) Catalog() *directory.Catalog { return g.watcher.Catalog() }
 
+// RetryAfter returns when a caller whose request has not run should come back.
+func (g *Gateway) RetryAfter() time.Duration {
+	if g.watcher.Catalog().Version == 0 {
+		return StartRetryAfter
+	}
+	return RetryAfter
+}
+
 // Begin counts a request, and the function that it returns ends it.
 func (g *Gateway) Begin() func() {
 	g.inFlight.Add(1)
