--- a/event/event.go
+++ b/event/event.go
@@ -27,6 +27,8 @@
 	ReplicaStarted      = Event{1010, zerolog.InfoLevel, "replica started"}
 	LeaderChanged       = Event{1011, zerolog.InfoLevel, "another replica leads"}
 	MembershipChanged   = Event{1012, zerolog.InfoLevel, "the group's membership has changed"}
+	StorageRefused      = Event{1013, zerolog.ErrorLevel, "storage refuses writes; the replica waits"}
+	StorageAccepts      = Event{1014, zerolog.InfoLevel, "storage takes writes again"}
 
 	NodeStarted       = Event{2001, zerolog.InfoLevel, "node started"}
 	NodeDraining      = Event{2002, zerolog.InfoLevel, "node is draining"}
@@ -81,7 +83,7 @@
 // All lists the events in the order of their numbers.
 var All = []Event{
 	ControlStarted, ControlStopping, LeadershipGained, LeadershipLost, SnapshotSaved,
-	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged,
+	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged, StorageRefused, StorageAccepts,
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -33,6 +33,8 @@
 	maxAppendBytes = 1 << 20
 	joinInterval   = 300 * time.Millisecond
 	transferWait   = time.Second
+	// storageRetry is the time between attempts to write to a disk that refuses.
+	storageRetry = 100 * time.Millisecond
 	// ExecutePath is where a leader takes in commands of other replicas.
 	ExecutePath     = "/internal/execute"
 	maxCommandBytes = 64 << 20
@@ -64,11 +66,20 @@
 	Contacts func() []string
 }
 
+// Store keeps what a replica must not forget. What a call has returned for
+// without an error is durable; one that failed may be repeated.
+type Store interface {
+	Save(ready consensus.Ready) error
+	SaveSnapshot(snapshot consensus.Snapshot) error
+	Close() error
+}
+
 // Replica runs a Core in a process.
 type Replica struct {
 	settings  Settings
 	logger    *zerolog.Logger
-	store     *storage.Store
+	store     Store
+	context   context.Context
 	core      *Core
 	loop      *eventloop.Loop
 	transport *transport.Transport
@@ -123,15 +134,19 @@
 		store.Close()
 		return nil, storage.ErrDamaged.Wrap(err, "restore the snapshot")
 	}
+	return newReplica(settings, store, core, logger), nil
+}
+
+func newReplica(settings Settings, store Store, core *Core, logger *zerolog.Logger) *Replica {
 	r := &Replica{
-		settings: settings, logger: logger, store: store, core: core, loop: eventloop.New(),
+		settings: settings, logger: logger, store: store, core: core, loop: eventloop.New(), context: context.Background(),
 		client: &http.Client{Transport: transport.NewHTTPTransport()}, waiting: map[uint64]chan Reply{},
 	}
 	r.status.Store(&Status{ID: core.Raft().ID()})
 	changed := make(chan struct{})
 	r.changed.Store(&changed)
 	r.transport = transport.New(logger, r.receive)
-	return r, nil
+	return r
 }
 
 // NewIdentity returns a random identity that no founder has.
@@ -181,6 +196,7 @@
 		Uint("commit", r.core.Raft().Commit()).Send()
 	loopContext, stopLoop := context.WithCancel(context.Background())
 	defer stopLoop()
+	r.context = ctx
 	go r.askToJoin(ctx)
 	go func() {
 		<-ctx.Done()
@@ -212,8 +228,7 @@
 	advanced := false
 	for r.core.HasReady() {
 		ready := r.core.Ready()
-		if err := r.store.Save(ready); err != nil {
-			event.StorageFailed.On(r.logger).Err(err).Send()
+		if err := r.persist(func() error { return r.store.Save(ready) }); err != nil {
 			return err
 		}
 		if err := r.core.Advance(ready); err != nil {
@@ -222,8 +237,7 @@
 		}
 		advanced = advanced || len(ready.Committed) > 0 || ready.Snapshot != nil
 		if snapshot := r.core.TakeSnapshot(); snapshot != nil {
-			if err := r.store.SaveSnapshot(*snapshot); err != nil {
-				event.StorageFailed.On(r.logger).Err(err).Send()
+			if err := r.persist(func() error { return r.store.SaveSnapshot(*snapshot) }); err != nil {
 				return err
 			}
 			event.SnapshotSaved.On(r.logger).Uint("index", snapshot.Index).Uint("bytes", uint64(len(snapshot.Data))).Send()
@@ -245,6 +259,28 @@
 	return nil
 }
 
+// persist repeats the call while storage refuses it: a disk that is full or
+// faulty for a while is no reason to stop, and until it takes writes again this
+// replica says nothing, so that another one leads.
+func (r *Replica) persist(call func() error) error {
+	err := call()
+	if err == nil {
+		return nil
+	}
+	event.StorageRefused.On(r.logger).Err(err).Send()
+	for err != nil {
+		select {
+		case <-r.context.Done():
+			event.StorageFailed.On(r.logger).Err(err).Send()
+			return err
+		case <-time.After(storageRetry):
+		}
+		err = call()
+	}
+	event.StorageAccepts.On(r.logger).Send()
+	return nil
+}
+
 func (r *Replica) signal() {
 	next := make(chan struct{})
 	close(*r.changed.Swap(&next))
