Scheduler: the next load begins when the usual time of one is over

Cause: a load's end is known 0.15 s late (the report is old, and asked for each 0.15 s), and the next one waited for that.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -95,9 +95,9 @@
 	// orderAfter is the time before which an engine gets no orders.
 	orderAfter map[string]int64
 	kept       *keptTexts
-	// loadMillis is the usual time that a load takes, and tokenMillis that of a
-	// predicted token in one slot.
-	loadMillis, tokenMillis float64
+	// loadMillis is the usual time that a load takes, shortestLoad the shortest
+	// lately, and tokenMillis the time of a predicted token in one slot.
+	loadMillis, shortestLoad, tokenMillis float64
 }
 
 type stepState struct {
@@ -111,7 +111,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		engines: map[string]*engine{}, steps: map[string]*stepState{}, models: map[string]*modelState{},
-		orderAfter: map[string]int64{}, kept: newKeptTexts(), loadMillis: defaultLoadMillis, tokenMillis: defaultTokenMillis,
+		orderAfter: map[string]int64{}, kept: newKeptTexts(), loadMillis: defaultLoadMillis, shortestLoad: defaultLoadMillis, tokenMillis: defaultTokenMillis,
 	}
 }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -81,7 +81,7 @@
 		for _, order := range s.Orders(now) {
 			underWay[now+loadMillis] = append(underWay[now+loadMillis], order)
 		}
-		require.LessOrEqual(t, s.loadsUnderWay(), 2)
+		require.LessOrEqual(t, s.loadsUnderWay(now), 2)
 	}
 }
 
--- a/scheduler/weights.go
+++ b/scheduler/weights.go
@@ -27,6 +27,8 @@
 	defaultLoadMillis        = 1000
 	defaultPublicationMillis = 4000
 	defaultTokenMillis       = 1
+	// shortestGrowth is the factor by which the shortest load grows with each one.
+	shortestGrowth = 1.01
 	// smoothing is the weight of the newest measurement.
 	smoothing = 0.3
 )
@@ -95,7 +97,7 @@
 func (s *Scheduler) Orders(now int64) []Order {
 	most := max((len(s.engines)+loadDivisor/2+1)/loadDivisor, 1)
 	var orders []Order
-	for s.loadsUnderWay() < most {
+	for s.loadsUnderWay(now) < most {
 		known, model := s.nextLoad(now, most)
 		if known == nil {
 			break
@@ -109,10 +111,12 @@
 	return orders
 }
 
-func (s *Scheduler) loadsUnderWay() int {
+// loadsUnderWay counts the engines that load. One whose usual time is over
+// counts no more: that it has ended is only known some time later.
+func (s *Scheduler) loadsUnderWay(now int64) int {
 	count := 0
 	for _, known := range s.engines {
-		if known.loading != nil {
+		if known.loading != nil && float64(now-known.loading.SentAt) < s.shortestLoad {
 			count++
 		}
 	}
@@ -266,12 +270,19 @@
 	}
 	known.versions[model] = max(known.versions[model], version)
 	if known.loading != nil && known.loading.Model == model && version >= known.loading.Version {
-		s.loadMillis += smoothing * (float64(now-known.loading.SentAt) - s.loadMillis)
+		s.observeLoad(float64(now - known.loading.SentAt))
 		known.loading = nil
 		known.recover()
 	}
 }
 
+// observeLoad takes in how long a load took. The shortest one is remembered, and
+// grows slowly in case loads have become longer.
+func (s *Scheduler) observeLoad(millis float64) {
+	s.loadMillis += smoothing * (millis - s.loadMillis)
+	s.shortestLoad = min(s.shortestLoad*shortestGrowth, millis)
+}
+
 // LoadFailed takes in that the engine does not load; another order may follow
 // after a while.
 func (s *Scheduler) LoadFailed(now int64, id string) {
--- a/server/load.go
+++ b/server/load.go
@@ -16,7 +16,7 @@
 	// loadTime is how long an engine loads at least, before it is asked.
 	loadTime = 900 * time.Millisecond
 	// loadPoll is the time between questions whether a load has ended.
-	loadPoll = 150 * time.Millisecond
+	loadPoll = 60 * time.Millisecond
 	// loadLimit is how long a load may take before it counts as failed.
 	loadLimit = 8 * time.Second
 	// conflictPause is waited after an order that met another one.
