Scheduler: placement leaves room for models that fewer engines serve

Cause: samples that could run on several engines took the least loaded one, which was at times the only one that served another model's waiting samples. Test: TestPlacementLeavesRoomForOthers failed first.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -253,6 +253,7 @@
 // Assign starts as many waiting tasks as there is room for. More urgent and then
 // earlier steps come first, and in a step the order of its queue.
 func (s *Scheduler) Assign(now int64, serviceOf ServiceOf) []Assignment {
+	s.noteWaiting()
 	var assignments []Assignment
 	for _, state := range s.stepsInOrder() {
 		kept := state.queue[:0]
@@ -301,13 +302,14 @@
 		return directory.Backend{}, false
 	}
 	var least, mate *engine
+	leastCost := 0.0
 	for _, id := range s.order {
 		known := s.engines[id]
 		if !s.mayRun(now, known, task, services) {
 			continue
 		}
-		if least == nil || known.less(least, task) {
-			least = known
+		if cost := s.placeCost(known, task); least == nil || cost < leastCost {
+			least, leastCost = known, cost
 		}
 		if known.runsGroup(task) && (mate == nil || len(known.running) < len(mate.running)) {
 			mate = known
@@ -325,16 +327,43 @@
 	return least.backend, true
 }
 
-// less orders engines by load; one that has just failed the task comes last,
-// then those that are silent.
-func (e *engine) less(other *engine, task *Task) bool {
-	if (e.backend.ID == task.Engine) != (other.backend.ID == task.Engine) && task.Attempts > 0 {
-		return other.backend.ID == task.Engine
+const (
+	// failedCost is added for the engine that has just failed the task, and
+	// silentCost for one that sends no heartbeats.
+	failedCost = 1000
+	silentCost = 100
+	// contentionCost is added for each other model with waiting samples that
+	// the engine could serve as well: what can run elsewhere leaves it to them.
+	contentionCost = 1.5
+)
+
+// placeCost rates an engine that may run the task; the lowest is chosen.
+func (s *Scheduler) placeCost(known *engine, task *Task) float64 {
+	cost := float64(len(known.running))
+	if task.Attempts > 0 && known.backend.ID == task.Engine {
+		cost += failedCost
+	}
+	if known.backend.Silent {
+		cost += silentCost
+	}
+	for name, model := range s.models {
+		if name != task.Step.Model && model.waiting && known.versions[name]+model.lag >= model.newest {
+			cost += contentionCost
+		}
 	}
-	if e.backend.Silent != other.backend.Silent {
-		return other.backend.Silent
+	return cost
+}
+
+// noteWaiting finds out which models have samples that wait.
+func (s *Scheduler) noteWaiting() {
+	for _, model := range s.models {
+		model.waiting = false
+	}
+	for _, state := range s.steps {
+		if len(state.queue) > 0 {
+			s.model(state.step.Model).waiting = true
+		}
 	}
-	return len(e.running) < len(other.running)
 }
 
 func (e *engine) runsGroup(task *Task) bool {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -200,3 +200,18 @@
 		}
 	}
 }
+
+// TestPlacementLeavesRoomForOthers: a sample that could run on either of two
+// engines takes the one that the other model cannot use.
+func TestPlacementLeavesRoomForOthers(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(2, 1, "a", "b"), map[string]uint64{"b": 2})
+	s.LoadEnded(0, "e00", "b", 2)
+	s.AddStep(entry("of-a", "a", 1, 1))
+	s.AddStep(entry("of-b", "b", 2, 1))
+	placed := map[string]string{}
+	for _, assignment := range s.Assign(0, anywhere) {
+		placed[assignment.Task.Step.Model] = assignment.Backend.ID
+	}
+	require.Equal(t, map[string]string{"a": "e01", "b": "e00"}, placed)
+}
--- a/scheduler/weights.go
+++ b/scheduler/weights.go
@@ -56,6 +56,8 @@
 	lag uint64
 	// work is the expected number of tokens of its newest step.
 	work float64
+	// waiting is set while samples of the model wait.
+	waiting bool
 }
 
 func (s *Scheduler) model(name string) *modelState {
