Scheduler: needed samples of all steps before the others

Cause: samples that no trainer waits for took slots from another model's step. Test: TestNeededSamplesOfAllStepsGoFirst failed first.

--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -20,9 +20,12 @@
 func (s *Scheduler) queueOf(state *stepState) []*Task {
 	needed := s.neededGroups(state)
 	queue := slices.Clone(state.tasks)
+	for _, task := range queue {
+		task.needed = needed[task.Sample.Group]
+	}
 	slices.SortStableFunc(queue, func(a, b *Task) int {
-		if needed[a.Sample.Group] != needed[b.Sample.Group] {
-			if needed[a.Sample.Group] {
+		if a.needed != b.needed {
+			if a.needed {
 				return -1
 			}
 			return 1
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -68,6 +68,8 @@
 	Attempts int
 	// Run counts the runs, so that the end of an earlier one is known as such.
 	Run uint64
+	// needed is set on tasks of groups that the trainer waits for.
+	needed bool
 	// startedAt is when the current run began, and from the event it began after.
 	startedAt int64
 	from      uint64
@@ -242,6 +244,8 @@
 	Task    *Task
 	Backend directory.Backend
 	Run     uint64
+	// needed is set on tasks of groups that the trainer waits for.
+	needed bool
 	// startedAt is when the current run began, and from the event it began after.
 	startedAt int64
 	from      uint64
@@ -250,28 +254,43 @@
 // ServiceOf tells the services that may run a sample, and whether a route leads there.
 type ServiceOf func(task *Task) (services []string, ok bool)
 
-// Assign starts as many waiting tasks as there is room for. More urgent and then
-// earlier steps come first, and in a step the order of its queue.
+// Assign starts as many waiting tasks as there is room for: first those that
+// the trainers wait for. More urgent and then earlier steps come first, and in a
+// step the order of its queue.
 func (s *Scheduler) Assign(now int64, serviceOf ServiceOf) []Assignment {
 	s.noteWaiting()
+	steps := s.stepsInOrder()
 	var assignments []Assignment
-	for _, state := range s.stepsInOrder() {
-		kept := state.queue[:0]
-		for _, task := range state.queue {
-			if task.State != Waiting {
-				continue
-			}
-			backend, ok := s.place(now, task, serviceOf)
-			if !ok {
-				kept = append(kept, task)
-				continue
-			}
-			task.Run++
-			task.Attempts++
-			assignments = append(assignments, Assignment{Task: task, Backend: backend, Run: task.Run})
+	for _, needed := range []bool{true, false} {
+		for _, state := range steps {
+			assignments = append(assignments, s.assignStep(now, state, needed, serviceOf)...)
+		}
+	}
+	return assignments
+}
+
+// assignStep starts the step's tasks that are needed, or those that are not.
+func (s *Scheduler) assignStep(now int64, state *stepState, needed bool, serviceOf ServiceOf) []Assignment {
+	var assignments []Assignment
+	kept := state.queue[:0]
+	for _, task := range state.queue {
+		if task.State != Waiting {
+			continue
+		}
+		if task.needed != needed {
+			kept = append(kept, task)
+			continue
+		}
+		backend, ok := s.place(now, task, serviceOf)
+		if !ok {
+			kept = append(kept, task)
+			continue
 		}
-		state.queue = kept
+		task.Run++
+		task.Attempts++
+		assignments = append(assignments, Assignment{Task: task, Backend: backend, Run: task.Run})
 	}
+	state.queue = kept
 	return assignments
 }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -215,3 +215,20 @@
 	}
 	require.Equal(t, map[string]string{"a": "e01", "b": "e00"}, placed)
 }
+
+// TestNeededSamplesOfAllStepsGoFirst: what no trainer waits for takes no slot
+// from what another one waits for.
+func TestNeededSamplesOfAllStepsGoFirst(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(1, 8, "a"), nil)
+	for number, id := range []string{"x", "y"} {
+		step := entry(id, "a", 1, 8)
+		step.Step.Wanted, step.Step.DueAt = 1, int64(number)
+		s.AddStep(step)
+	}
+	count := map[string]int{}
+	for _, assignment := range s.Assign(0, anywhere) {
+		count[assignment.Task.Step.ID]++
+	}
+	require.Equal(t, map[string]int{"x": 4, "y": 4}, count)
+}
