Scheduler: samples leave engines that have become slow

Cause: 2 of 9 engines at a third of their speed for 8 s held whole groups back. Change: each engine's pace is measured by the events of its runs; placement counts load by it, and a run on an engine twice as slow as the middle one ends and goes on elsewhere where there is room. Test: TestSamplesLeaveSlowEngines failed first.

--- a/event/event.go
+++ b/event/event.go
@@ -72,6 +72,7 @@
 	OrderSent       = Event{6008, zerolog.InfoLevel, "an engine was ordered to load weights"}
 	LoadEnded       = Event{6009, zerolog.InfoLevel, "a load of weights has ended"}
 	SampleKept      = Event{6010, zerolog.InfoLevel, "a sample's text was kept from an earlier step"}
+	SampleMoved     = Event{6011, zerolog.InfoLevel, "a sample leaves an engine that is slow"}
 
 	RequestEnded    = Event{7001, zerolog.InfoLevel, "a request has ended"}
 	GatewayStarted  = Event{7002, zerolog.InfoLevel, "gateway started"}
@@ -88,7 +89,7 @@
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
 	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable,
-	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept,
+	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded,
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -68,6 +68,10 @@
 	Attempts int
 	// Run counts the runs, so that the end of an earlier one is known as such.
 	Run uint64
+	// moving is set while the run is ended because its engine is slow, and moves
+	// counts such ends.
+	moving bool
+	moves  int
 	// needed is set on tasks of groups that the trainer waits for.
 	needed bool
 	// startedAt is when the current run began, and from the event it began after.
@@ -84,6 +88,10 @@
 	loading      *Order
 	avoidedUntil int64
 	failures     int
+	// pace is the time between events of a run, in milliseconds, 0 if unknown.
+	pace float64
+	// observed and observedEvents are times and events of runs since pace was made.
+	observed, observedEvents float64
 }
 
 // Scheduler decides for the steps of one group. Its methods must not be called
@@ -100,6 +108,8 @@
 	// loadMillis is the usual time that a load takes, shortestLoad the shortest
 	// lately, and tokenMillis the time of a predicted token in one slot.
 	loadMillis, shortestLoad, tokenMillis float64
+	// middlePace is the median of the engines' paces.
+	middlePace float64
 }
 
 type stepState struct {
@@ -244,6 +254,10 @@
 	Task    *Task
 	Backend directory.Backend
 	Run     uint64
+	// moving is set while the run is ended because its engine is slow, and moves
+	// counts such ends.
+	moving bool
+	moves  int
 	// needed is set on tasks of groups that the trainer waits for.
 	needed bool
 	// startedAt is when the current run began, and from the event it began after.
@@ -342,7 +356,7 @@
 	}
 	least.running[task] = true
 	task.State, task.Engine = Running, least.backend.ID
-	task.startedAt, task.from = now, task.Text.Last
+	task.startedAt, task.from, task.moving = now, task.Text.Last, false
 	return least.backend, true
 }
 
@@ -358,7 +372,7 @@
 
 // placeCost rates an engine that may run the task; the lowest is chosen.
 func (s *Scheduler) placeCost(known *engine, task *Task) float64 {
-	cost := float64(len(known.running))
+	cost := float64(len(known.running)+1) * s.ratio(known)
 	if task.Attempts > 0 && known.backend.ID == task.Engine {
 		cost += failedCost
 	}
@@ -458,7 +472,9 @@
 	case Rejected:
 		known.avoid(now, fullMillis)
 	case Broken, Unreachable, Elsewhere:
-		known.fail(now)
+		if !task.moving {
+			known.fail(now)
+		}
 	}
 	if task.State == Waiting {
 		s.requeue(task)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -232,3 +232,38 @@
 	}
 	require.Equal(t, map[string]int{"x": 4, "y": 4}, count)
 }
+
+// TestSamplesLeaveSlowEngines: a sample on an engine that has become slow is
+// moved where another engine has room, goes on after what it has, and the slow
+// engine is not taken for a failed one.
+func TestSamplesLeaveSlowEngines(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(3, 2, "a"), nil)
+	step := entry("x", "a", 1, 3)
+	for position := range step.Step.Samples {
+		step.Step.Samples[position].Group = fmt.Sprint(position)
+	}
+	s.AddStep(step)
+	running := s.Assign(0, anywhere)
+	require.Len(t, running, 3)
+	for _, assignment := range running {
+		events := 30
+		if assignment.Backend.ID == "e00" {
+			events = 10
+		}
+		s.Observe(1000, assignment.Task, events)
+	}
+	s.UpdatePaces()
+	moves := s.Move(1000, anywhere)
+	require.Len(t, moves, 1)
+	task := moves[0]
+	require.Equal(t, "e00", task.Engine)
+	require.Empty(t, s.Move(1000, anywhere), "a move is asked for once")
+	task.Text = Text{Events: []string{"x"}, Last: 1, Versions: []uint64{1}}
+	s.RunEnded(1000, task, task.Run, Broken)
+	moved := s.Assign(1000, anywhere)
+	require.Len(t, moved, 1)
+	require.NotEqual(t, "e00", moved[0].Backend.ID)
+	require.Equal(t, uint64(1), moved[0].Task.Text.Last)
+	require.Zero(t, s.engines["e00"].failures)
+}
--- a/server/executor.go
+++ b/server/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -131,7 +132,7 @@
 	t := &tenure{
 		Executor: x, context: leadership, replica: opened, machine: machine, term: term,
 		loop: eventloop.New(), scheduler: scheduler.New(),
-		cancels: map[*scheduler.Task]context.CancelFunc{},
+		cancels: map[*scheduler.Task]context.CancelFunc{}, progress: map[*scheduler.Task]*atomic.Int64{},
 	}
 	t.deferOrders()
 	go t.follow(stop)
@@ -151,9 +152,11 @@
 	catalog    *directory.Catalog
 	generation uint64
 	cancels    map[*scheduler.Task]context.CancelFunc
-	results    []pendingResult
-	recording  bool
-	prunedAt   time.Time
+	// progress counts the events of each run under way.
+	progress  map[*scheduler.Task]*atomic.Int64
+	results   []pendingResult
+	recording bool
+	prunedAt  time.Time
 }
 
 type pendingResult struct {
@@ -199,12 +202,29 @@
 	for _, task := range t.scheduler.Overdue(nowMillis()) {
 		t.finish(task, ledger.Result{Sample: task.Sample.ID, State: ledger.Dead}, "overdue")
 	}
+	t.moveSlow()
 	if time.Since(t.prunedAt) > pruneInterval {
 		t.prunedAt = time.Now()
 		t.prune()
 	}
 }
 
+// moveSlow ends runs on engines that are much slower than others.
+func (t *tenure) moveSlow() {
+	if t.catalog == nil {
+		return
+	}
+	now := nowMillis()
+	for task, events := range t.progress {
+		t.scheduler.Observe(now, task, int(events.Load()))
+	}
+	t.scheduler.UpdatePaces()
+	for _, task := range t.scheduler.Move(now, t.servicesOf) {
+		event.SampleMoved.On(t.logger).Str("sample", task.Sample.ID).Str("engine", task.Engine).Send()
+		t.cancel(task)
+	}
+}
+
 // prune forgets steps that have ended and whose time is over.
 func (t *tenure) prune() {
 	oldest := nowMillis() - t.settings.Retention.Milliseconds()
@@ -332,24 +352,27 @@
 		// The full slice expression forces a copy: an earlier run may still append.
 		Events: task.Text.Events[:len(task.Text.Events):len(task.Text.Events)], Last: task.Text.Last, Versions: append([]uint64(nil), task.Text.Versions...),
 	}
+	events := &atomic.Int64{}
+	t.progress[task] = events
 	stall := stallTimeout
 	if t.scheduler.Loading(assignment.Backend.ID, task.Step.Model) {
 		stall = loadStall
 	}
 	go func() {
 		defer cancel()
-		end, version := t.runTask(runContext, cancel, request, &text, stall)
+		end, version := t.runTask(runContext, cancel, request, &text, events, stall)
 		t.loop.Call(func() { t.runEnded(task, assignment, end, text, version) })
 	}()
 }
 
 // runTask reads a run's stream. It gives up a stream that stands still.
-func (t *tenure) runTask(ctx context.Context, cancel context.CancelFunc, request RunRequest, text *scheduler.Text, stall time.Duration) (scheduler.RunEnd, uint64) {
+func (t *tenure) runTask(ctx context.Context, cancel context.CancelFunc, request RunRequest, text *scheduler.Text, events *atomic.Int64, stall time.Duration) (scheduler.RunEnd, uint64) {
 	timer := time.AfterFunc(stall, cancel)
 	defer timer.Stop()
 	version, gap := uint64(0), false
 	end := t.engines.Run(ctx, request, func(event RunEvent) {
 		timer.Reset(stall)
+		events.Add(1)
 		version = max(version, event.Version)
 		if gap = gap || event.ID != text.Last+1; gap {
 			cancel()
@@ -366,6 +389,9 @@
 }
 
 func (t *tenure) runEnded(task *scheduler.Task, assignment scheduler.Assignment, end scheduler.RunEnd, text scheduler.Text, version uint64) {
+	if task.Run == assignment.Run {
+		delete(t.progress, task)
+	}
 	if task.State == scheduler.Finished && task.Run == assignment.Run {
 		text.Whole = end == scheduler.Complete
 		t.scheduler.Keep(task, text)
