--- a/consensus/raft.go
+++ b/consensus/raft.go
@@ -182,13 +182,11 @@
 	}
 }
 
-// compactMemberships drops the records that a snapshot at the index covers and
-// returns the membership as of then.
-func (r *Raft) compactMemberships(index uint64) Membership {
+// compactMemberships drops the records that a snapshot at the index covers.
+func (r *Raft) compactMemberships(index uint64) {
 	for len(r.memberships) > 1 && r.memberships[1].index <= index {
 		r.memberships = r.memberships[1:]
 	}
-	return r.memberships[0].membership
 }
 
 // LogSize returns the number of entries kept since the newest snapshot.
@@ -312,15 +310,33 @@
 	}
 }
 
+// Describe returns the snapshot, without data, of the applied state at index.
+// It returns false if the log does not hold the entry any more.
+func (r *Raft) Describe(index uint64) (Snapshot, bool) {
+	term, ok := r.log.term(index)
+	if !ok || index <= r.log.snapshotIndex || index > r.log.applied {
+		return Snapshot{}, false
+	}
+	membership := r.memberships[0].membership
+	for _, record := range r.memberships {
+		if record.index <= index {
+			membership = record.membership
+		}
+	}
+	return Snapshot{Index: index, Term: term, Membership: membership}, true
+}
+
 // Compact drops the log up to the snapshot, which the caller has made of the
 // applied state at index, and returns the snapshot to be persisted.
 func (r *Raft) Compact(index uint64, data []byte) (Snapshot, bool) {
-	term, ok := r.log.term(index)
-	if !ok || index <= r.log.snapshotIndex || index != r.log.applied {
+	snapshot, ok := r.Describe(index)
+	if !ok {
 		return Snapshot{}, false
 	}
-	r.snapshot = Snapshot{Index: index, Term: term, Membership: r.compactMemberships(index), Data: data}
-	r.log.compact(index, term)
+	snapshot.Data = data
+	r.compactMemberships(index)
+	r.snapshot = snapshot
+	r.log.compact(index, snapshot.Term)
 	return r.snapshot, true
 }
 
--- a/directory/machine.go
+++ b/directory/machine.go
@@ -83,13 +83,20 @@
 	}
 }
 
-// Snapshot returns the whole state as bytes.
-func (m *Machine) Snapshot() []byte {
-	data, err := deterministic.Marshal(m.state)
-	if err != nil {
-		panic("directory: the machine must encode: " + err.Error())
+// Snapshot returns a function that encodes the state as it is now. Objects are
+// replaced and never changed, so copies of the maps that hold them do.
+func (m *Machine) Snapshot() func() []byte {
+	state := m.state
+	state.Routes, state.Services = maps.Clone(state.Routes), maps.Clone(state.Services)
+	state.Backends, state.Models = maps.Clone(state.Backends), maps.Clone(state.Models)
+	state.Stores, state.Gone = maps.Clone(state.Stores), maps.Clone(state.Gone)
+	return func() []byte {
+		data, err := deterministic.Marshal(state)
+		if err != nil {
+			panic("directory: the machine must encode: " + err.Error())
+		}
+		return data
 	}
-	return data
 }
 
 // Restore replaces the state by a snapshot's; no data is the state before the
--- a/directory/machine_test.go
+++ b/directory/machine_test.go
@@ -123,7 +123,7 @@
 				apply(t, m, Command{NameVersion: &ModelVersion{Model: "m", Version: uint64(rapid.IntRange(1, 9).Draw(t, "version"))}})
 			case 4:
 				restored := NewMachine()
-				require.NoError(t, restored.Restore(m.Snapshot()))
+				require.NoError(t, restored.Restore(m.Snapshot()()))
 				m = restored
 			}
 			if rapid.Bool().Draw(t, "watch") {
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -49,13 +49,20 @@
 	Orders map[string]Order  `cbor:"2,keyasint"`
 }
 
-// Snapshot returns the whole state as bytes.
-func (m *Machine) Snapshot() []byte {
-	data, err := encoder.Marshal(contents{Steps: m.steps, Orders: m.orders})
-	if err != nil {
-		panic("ledger: the machine must encode: " + err.Error())
+// Snapshot returns a function that encodes the state as it is now. Steps are
+// never changed and results only appended, so copies of the entries do.
+func (m *Machine) Snapshot() func() []byte {
+	state := contents{Steps: make(map[string]*Entry, len(m.steps)), Orders: maps.Clone(m.orders)}
+	for id, entry := range m.steps {
+		state.Steps[id] = &Entry{Step: entry.Step, Results: entry.Results[:len(entry.Results):len(entry.Results)], Ended: entry.Ended}
+	}
+	return func() []byte {
+		data, err := encoder.Marshal(state)
+		if err != nil {
+			panic("ledger: the machine must encode: " + err.Error())
+		}
+		return data
 	}
-	return data
 }
 
 // Restore replaces the state by a snapshot's.
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -43,7 +43,7 @@
 				m.Apply(Command{End: &End{Step: id}}.Encode())
 			case 5:
 				restored := NewMachine()
-				require.NoError(t, restored.Restore(m.Snapshot()))
+				require.NoError(t, restored.Restore(m.Snapshot()()))
 				m = restored
 			}
 			for _, entry := range m.Steps() {
--- a/replica/core.go
+++ b/replica/core.go
@@ -14,8 +14,10 @@
 type Machine interface {
 	// Apply carries out a command and returns its encoded result.
 	Apply(command []byte) []byte
-	// Snapshot returns the whole state; Restore replaces it by such a state.
-	Snapshot() []byte
+	// Snapshot returns a function that encodes the state as it is now. The
+	// function may be called from another goroutine while commands are applied.
+	Snapshot() func() []byte
+	// Restore replaces the state by an encoded one.
 	Restore(data []byte) error
 }
 
@@ -94,7 +96,9 @@
 
 	logBytes     int
 	snapshotSize int
-	snapshot     *consensus.Snapshot
+	// job is the snapshot that is being made, and offered one that the caller
+	// has not taken yet.
+	job, offered *SnapshotJob
 	outbox       []Outgoing
 	replies      []Reply
 }
@@ -306,26 +310,49 @@
 	c.confirmed = kept
 }
 
-// compact makes a snapshot when the log has outgrown both the configured size
+// SnapshotJob is a snapshot to be encoded and persisted, which may take long
+// and need not hold the replica up.
+type SnapshotJob struct {
+	// Snapshot lacks its data, which Encode returns.
+	Snapshot consensus.Snapshot
+	Encode   func() []byte
+	logBytes int
+}
+
+// compact asks for a snapshot when the log has outgrown both the configured size
 // and the last snapshot, so that snapshots cost in proportion to the log.
 func (c *Core) compact() {
 	entries := c.raft.LogSize()
 	grown := c.logBytes >= max(c.config.SnapshotBytes, c.snapshotSize)
-	if !grown && (c.config.SnapshotEntries == 0 || entries < c.config.SnapshotEntries) {
+	grown = grown || c.config.SnapshotEntries > 0 && entries >= c.config.SnapshotEntries
+	if !grown || c.job != nil {
 		return
 	}
-	data := c.machine.Snapshot()
-	if snapshot, ok := c.raft.Compact(c.applied, data); ok {
-		c.snapshot = &snapshot
-		c.logBytes, c.snapshotSize = 0, len(data)
+	if snapshot, ok := c.raft.Describe(c.applied); ok {
+		c.job = &SnapshotJob{Snapshot: snapshot, Encode: c.machine.Snapshot(), logBytes: c.logBytes}
+		c.offered = c.job
 	}
 }
 
-// TakeSnapshot returns a snapshot to be persisted, or nil.
-func (c *Core) TakeSnapshot() *consensus.Snapshot {
-	snapshot := c.snapshot
-	c.snapshot = nil
-	return snapshot
+// TakeSnapshotJob returns a snapshot to be made, or nil. FinishSnapshot must
+// follow once it is durable.
+func (c *Core) TakeSnapshotJob() *SnapshotJob {
+	job := c.offered
+	c.offered = nil
+	return job
+}
+
+// FinishSnapshot takes in that the job's snapshot is durable with the data, and
+// drops the log up to it. It returns the index up to which the stored log may
+// be dropped, or 0.
+func (c *Core) FinishSnapshot(job *SnapshotJob, data []byte) uint64 {
+	c.job = nil
+	if _, ok := c.raft.Compact(job.Snapshot.Index, data); !ok {
+		return 0
+	}
+	c.logBytes -= job.logBytes
+	c.snapshotSize = len(data)
+	return job.Snapshot.Index
 }
 
 // TakeMessages returns the messages to be sent and forgets them.
--- a/replica/core_test.go
+++ b/replica/core_test.go
@@ -22,12 +22,15 @@
 	return command
 }
 
-func (n *numbers) Snapshot() []byte {
-	var data []byte
-	for _, number := range n.list {
-		data = binary.BigEndian.AppendUint64(data, number)
+func (n *numbers) Snapshot() func() []byte {
+	list := slices.Clone(n.list)
+	return func() []byte {
+		var data []byte
+		for _, number := range list {
+			data = binary.BigEndian.AppendUint64(data, number)
+		}
+		return data
 	}
-	return data
 }
 
 func (n *numbers) Restore(data []byte) error {
@@ -49,6 +52,8 @@
 	core     *Core
 	machine  *numbers
 	cut      bool
+	// job is a snapshot that is being written.
+	job *SnapshotJob
 }
 
 // group is a set of processes with a network that loses what is sent to
@@ -87,7 +92,7 @@
 }
 
 func (g *group) start(p *process) {
-	p.machine = &numbers{}
+	p.machine, p.job = &numbers{}, nil
 	core, err := NewCore(CoreConfig{
 		Consensus: consensus.Config{
 			ID: p.identity, ElectionTicks: 10, HeartbeatTicks: 2, MaxAppendBytes: 1 << 10, Seed: uint64(p.identity),
@@ -135,13 +140,11 @@
 		ready := p.core.Ready()
 		p.persist(ready)
 		require.NoError(g.t, p.core.Advance(ready))
-		if snapshot := p.core.TakeSnapshot(); snapshot != nil {
-			p.snapshot = *snapshot
-			for len(p.entries) > 0 && p.entries[0].Index <= snapshot.Index {
-				p.entries = p.entries[1:]
-			}
+		if job := p.core.TakeSnapshotJob(); job != nil {
+			p.job = job
 		}
 	}
+	g.finishSnapshot(p)
 	for _, message := range p.core.TakeMessages() {
 		if !p.cut {
 			g.inbox = append(g.inbox, message)
@@ -155,6 +158,22 @@
 	}
 }
 
+// finishSnapshot lets a snapshot become durable some entries after it was taken.
+func (g *group) finishSnapshot(p *process) {
+	if p.job == nil || p.core.Raft().Commit() < p.job.Snapshot.Index+5 {
+		return
+	}
+	snapshot := p.job.Snapshot
+	snapshot.Data = p.job.Encode()
+	if through := p.core.FinishSnapshot(p.job, snapshot.Data); through > 0 {
+		p.snapshot = snapshot
+		for len(p.entries) > 0 && p.entries[0].Index <= through {
+			p.entries = p.entries[1:]
+		}
+	}
+	p.job = nil
+}
+
 // step lets one tick pass and delivers all messages.
 func (g *group) step() {
 	for _, p := range g.processes {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -70,7 +70,10 @@
 // without an error is durable; one that failed may be repeated.
 type Store interface {
 	Save(ready consensus.Ready) error
-	SaveSnapshot(snapshot consensus.Snapshot) error
+	// WriteSnapshot may be called while Save or DropLog run.
+	WriteSnapshot(snapshot consensus.Snapshot) error
+	// DropLog forgets the entries up to the index, which a snapshot covers.
+	DropLog(through uint64) error
 	Close() error
 }
 
@@ -236,11 +239,8 @@
 			return err
 		}
 		advanced = advanced || len(ready.Committed) > 0 || ready.Snapshot != nil
-		if snapshot := r.core.TakeSnapshot(); snapshot != nil {
-			if err := r.persist(func() error { return r.store.SaveSnapshot(*snapshot) }); err != nil {
-				return err
-			}
-			event.SnapshotSaved.On(r.logger).Uint("index", snapshot.Index).Uint("bytes", uint64(len(snapshot.Data))).Send()
+		if job := r.core.TakeSnapshotJob(); job != nil {
+			go r.makeSnapshot(job)
 		}
 	}
 	r.updateStatus()
@@ -259,6 +259,21 @@
 	return nil
 }
 
+// makeSnapshot encodes and writes a snapshot beside the loop.
+func (r *Replica) makeSnapshot(job *SnapshotJob) {
+	snapshot := job.Snapshot
+	snapshot.Data = job.Encode()
+	if r.persist(func() error { return r.store.WriteSnapshot(snapshot) }) != nil {
+		return
+	}
+	event.SnapshotSaved.On(r.logger).Uint("index", snapshot.Index).Uint("bytes", uint64(len(snapshot.Data))).Send()
+	r.loop.Call(func() {
+		if through := r.core.FinishSnapshot(job, snapshot.Data); through > 0 {
+			r.persist(func() error { return r.store.DropLog(through) })
+		}
+	})
+}
+
 // persist repeats the call while storage refuses it: a disk that is full or
 // faulty for a while is no reason to stop, and until it takes writes again this
 // replica says nothing, so that another one leads.
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -35,8 +35,9 @@
 	return nil
 }
 
-func (s *refusingStore) SaveSnapshot(consensus.Snapshot) error { return nil }
-func (s *refusingStore) Close() error                          { return nil }
+func (s *refusingStore) WriteSnapshot(consensus.Snapshot) error { return nil }
+func (s *refusingStore) DropLog(uint64) error                   { return nil }
+func (s *refusingStore) Close() error                           { return nil }
 
 // TestReplicaOutlivesFullDisk: a disk that refuses writes for a while does not
 // end the process, and a command is acknowledged once it is written.
--- a/server/executor.go
+++ b/server/executor.go
@@ -93,6 +93,7 @@
 	// rewardBackoff is the pause before a reward call is repeated.
 	rewardBackoff = 100 * time.Millisecond
 	recordTimeout = 2 * time.Second
+	recordPause   = 100 * time.Millisecond
 	pruneInterval = 10 * time.Second
 )
 
@@ -156,7 +157,9 @@
 	progress  map[*scheduler.Task]*atomic.Int64
 	results   []pendingResult
 	recording bool
-	prunedAt  time.Time
+	// recordAfter is when results that could not be recorded are tried again.
+	recordAfter time.Time
+	prunedAt    time.Time
 }
 
 type pendingResult struct {
@@ -498,7 +501,7 @@
 
 // record commits the results that have gathered; one commit is under way at a time.
 func (t *tenure) record() {
-	if t.recording || len(t.results) == 0 {
+	if t.recording || len(t.results) == 0 || time.Now().Before(t.recordAfter) {
 		return
 	}
 	pending := t.results
@@ -508,6 +511,9 @@
 		t.loop.Call(func() {
 			t.recording = false
 			t.results = append(failed, t.results...)
+			if len(failed) > 0 {
+				t.recordAfter = time.Now().Add(recordPause)
+			}
 		})
 	}()
 }
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
@@ -18,6 +17,7 @@
 	"github.com/dillchute/dillchute/forward"
 	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/replica"
+	"github.com/dillchute/dillchute/storage"
 )
 
 const (
@@ -136,8 +136,9 @@
 		Cluster: l.settings.Cluster + "-ledger", Address: l.settings.InternalAddress, DataFolder: l.settings.DataFolder,
 		Voters: config.Voters(l.settings.ToleratedLosses), Replica: l.identity, Contacts: l.contacts,
 	}
-	l.fresh = l.settings.FirstStart && emptyFolder(l.settings.DataFolder)
-	if emptyFolder(l.settings.DataFolder) {
+	held := storage.Holds(l.settings.DataFolder)
+	l.fresh = l.settings.FirstStart && !held
+	if !held {
 		group, ok := l.awaitGroup(ctx)
 		if !ok {
 			return nil, nil
@@ -149,11 +150,6 @@
 	return replica.Open(settings, l.machine, l.logger)
 }
 
-func emptyFolder(folder string) bool {
-	entries, err := os.ReadDir(folder)
-	return err != nil || len(entries) == 0
-}
-
 // awaitGroup registers until the directory knows a group.
 func (l *Ledger) awaitGroup(ctx context.Context) (directory.Group, bool) {
 	registeredAt := time.Time{}
--- /dev/null
+++ b/storage/snapshot_test.go
@@ -0,0 +1,98 @@
+package storage
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dillchute/dillchute/consensus"
+)
+
+// entriesTo returns entries from 2 on.
+func entriesTo(last uint64) []consensus.Entry {
+	var entries []consensus.Entry
+	for index := uint64(2); index <= last; index++ {
+		entries = append(entries, consensus.Entry{Term: 1, Index: index, Data: []byte{byte(index)}})
+	}
+	return entries
+}
+
+// folderWith returns a folder whose log holds entries 2 to 9.
+func folderWith(t *testing.T) (string, *Store) {
+	folder := t.TempDir()
+	require.NoError(t, Init(folder, "c", 1, consensus.Snapshot{Index: 1, Term: 1}))
+	store, _, err := Open(folder, "c")
+	require.NoError(t, err)
+	require.NoError(t, store.Save(consensus.Ready{
+		HardState: &consensus.HardState{Term: 1, Commit: 9}, Entries: entriesTo(9),
+	}))
+	return folder, store
+}
+
+func reopen(t *testing.T, folder string, store *Store) Contents {
+	require.NoError(t, store.Close())
+	again, contents, err := Open(folder, "c")
+	require.NoError(t, err)
+	require.NoError(t, again.Close())
+	return contents
+}
+
+// TestSnapshotFile: a snapshot counts once it is written, whether or not the
+// log that it covers has been dropped.
+func TestSnapshotFile(t *testing.T) {
+	for _, dropped := range []bool{false, true} {
+		folder, store := folderWith(t)
+		snapshot := consensus.Snapshot{Index: 6, Term: 1, Data: []byte("state")}
+		require.NoError(t, store.WriteSnapshot(snapshot))
+		if dropped {
+			require.NoError(t, store.DropLog(6))
+		}
+		contents := reopen(t, folder, store)
+		require.Equal(t, snapshot, contents.Snapshot)
+		require.Equal(t, entriesTo(9)[5:], contents.Entries)
+	}
+}
+
+// TestNewerSnapshotCounts: one that a leader has sent since replaces the log,
+// and an older file beside it does not come back.
+func TestNewerSnapshotCounts(t *testing.T) {
+	folder, store := folderWith(t)
+	require.NoError(t, store.WriteSnapshot(consensus.Snapshot{Index: 6, Term: 1, Data: []byte("old")}))
+	newer := consensus.Snapshot{Index: 20, Term: 1, Data: []byte("new")}
+	require.NoError(t, store.Save(consensus.Ready{Snapshot: &newer}))
+	contents := reopen(t, folder, store)
+	require.Equal(t, newer, contents.Snapshot)
+	require.Empty(t, contents.Entries)
+}
+
+// TestSnapshotOfWholeLog: the log may end with the snapshot.
+func TestSnapshotOfWholeLog(t *testing.T) {
+	folder, store := folderWith(t)
+	require.NoError(t, store.WriteSnapshot(consensus.Snapshot{Index: 9, Term: 1}))
+	require.NoError(t, store.DropLog(9))
+	contents := reopen(t, folder, store)
+	require.Equal(t, uint64(9), contents.Snapshot.Index)
+	require.Empty(t, contents.Entries)
+}
+
+// TestDamagedSnapshotFile: a flipped byte is found; a file that was not named
+// yet is no snapshot.
+func TestDamagedSnapshotFile(t *testing.T) {
+	folder, store := folderWith(t)
+	require.NoError(t, store.WriteSnapshot(consensus.Snapshot{Index: 6, Term: 1, Data: []byte("state")}))
+	require.NoError(t, store.Close())
+	path := filepath.Join(folder, snapshotFile)
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	data[len(data)-1] ^= 1
+	require.NoError(t, os.WriteFile(path, data, fileMode))
+	_, _, err = Open(folder, "c")
+	require.ErrorContains(t, err, "checksum")
+	require.NoError(t, os.Rename(path, path+".new"))
+	again, contents, err := Open(folder, "c")
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), contents.Snapshot.Index)
+	require.NoError(t, again.Close())
+}
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -8,6 +8,7 @@
 	"errors"
 	"hash/crc32"
 	"io/fs"
+	"math"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -71,9 +72,17 @@
 	Entries   []consensus.Entry
 }
 
-// Store is an open data folder. Its methods must not be called concurrently.
+// Store is an open data folder. Its methods must not be called concurrently,
+// but for WriteSnapshot.
 type Store struct {
 	database *bolt.DB
+	folder   string
+}
+
+// Holds tells whether the folder holds a replica, whole or damaged.
+func Holds(folder string) bool {
+	_, err := os.Stat(filepath.Join(folder, fileName))
+	return err == nil
 }
 
 // Init makes a new data folder for a replica of the cluster, which starts from
@@ -169,7 +178,7 @@
 		}
 		return nil, Contents{}, err
 	}
-	return &Store{database: database}, contents, nil
+	return &Store{database: database, folder: folder}, contents, nil
 }
 
 // openGuarded opens the file and returns what it holds. bbolt trusts its pages:
@@ -182,6 +191,10 @@
 			database, err = nil, ErrDamaged.New("%s: %v", path, reason)
 		}
 	}()
+	newer, err := readSnapshotFile(filepath.Dir(path))
+	if err != nil {
+		return nil, contents, err
+	}
 	database, err = bolt.Open(path, fileMode, &bolt.Options{Timeout: lockTimeout})
 	if err != nil {
 		return nil, contents, ErrDamaged.Wrap(err, "open %s", path)
@@ -190,13 +203,14 @@
 		if transaction.Size() > size {
 			return ErrDamaged.New("%s is truncated: it holds %d of %d bytes", path, size, transaction.Size())
 		}
-		contents, err = load(transaction)
+		contents, err = load(transaction, newer)
 		return err
 	})
 	return database, contents, err
 }
 
-func load(transaction *bolt.Tx) (Contents, error) {
+// load reads what the file holds; newer is a snapshot in a file of its own, or nil.
+func load(transaction *bolt.Tx, newer *consensus.Snapshot) (Contents, error) {
 	var contents Contents
 	meta, log, snapshots := transaction.Bucket(metaBucket), transaction.Bucket(logBucket), transaction.Bucket(snapshotBucket)
 	if meta == nil || log == nil || snapshots == nil {
@@ -211,6 +225,9 @@
 	if err := get(snapshots, snapshotKey, &contents.Snapshot); err != nil {
 		return contents, err
 	}
+	if newer != nil && newer.Index > contents.Snapshot.Index {
+		contents.Snapshot = *newer
+	}
 	expected := contents.Snapshot.Index + 1
 	cursor := log.Cursor()
 	for key, value := cursor.Seek(indexKey(expected)); key != nil; key, value = cursor.Next() {
@@ -224,7 +241,7 @@
 		contents.Entries = append(contents.Entries, entry)
 		expected++
 	}
-	if contents.HardState.Commit >= expected {
+	if contents.HardState.Commit >= expected && contents.HardState.Commit > contents.Snapshot.Index {
 		return contents, ErrDamaged.New("log ends at %d before the committed entry %d", expected-1, contents.HardState.Commit)
 	}
 	return contents, nil
@@ -275,11 +292,16 @@
 	if err := put(snapshots, snapshotKey, snapshot); err != nil {
 		return err
 	}
+	if keepLater {
+		return dropEntries(log, snapshot.Index)
+	}
+	return dropEntries(log, math.MaxUint64)
+}
+
+// dropEntries deletes the entries up to the index.
+func dropEntries(log *bolt.Bucket, through uint64) error {
 	cursor := log.Cursor()
-	for key, _ := cursor.First(); key != nil; key, _ = cursor.First() {
-		if keepLater && binary.BigEndian.Uint64(key) > snapshot.Index {
-			return nil
-		}
+	for key, _ := cursor.First(); key != nil && binary.BigEndian.Uint64(key) <= through; key, _ = cursor.First() {
 		if err := cursor.Delete(); err != nil {
 			return err
 		}
@@ -315,8 +337,13 @@
 	if err != nil {
 		return err
 	}
-	record := binary.BigEndian.AppendUint32(make([]byte, 0, checksumSize+len(data)), crc32.Checksum(data, castagnoli))
-	return bucket.Put(key, append(record, data...))
+	return bucket.Put(key, record(data))
+}
+
+// record returns the data behind its checksum.
+func record(data []byte) []byte {
+	checked := binary.BigEndian.AppendUint32(make([]byte, 0, checksumSize+len(data)), crc32.Checksum(data, castagnoli))
+	return append(checked, data...)
 }
 
 func get(bucket *bolt.Bucket, key []byte, value any) error {
