--- a/server/process.go
+++ b/server/process.go
@@ -4,13 +4,7 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"runtime/debug"
-	"slices"
-	"strings"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -43,111 +37,59 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
 }
 
-// listen opens an address and serves it in the background.
-func listen(address string, handler http.Handler, logger *zerolog.Logger) (*http.Server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	httpServer := newCallerServer(handler)
-	serveHTTP(httpServer, listener, logger)
-	return httpServer, nil
-}
-
-// Seeds are the addresses of replicas of the directory that the settings file
-// names. The file may change while the process runs.
-type Seeds struct {
-	load      func() (config.Process, error)
-	logger    *zerolog.Logger
-	addresses atomic.Pointer[[]string]
-	readAt    atomic.Int64
+// Listeners are the open addresses of a process. Metrics may be nil.
+type Listeners struct {
+	// Internal is where other processes of dillchute call.
+	Internal net.Listener
+	// Outer is where callers, or operators and backends, call.
+	Outer net.Listener
+	// Ready is where the entry asks whether the process is ready.
+	Ready   net.Listener
+	Metrics net.Listener
 }
 
-// seedInterval is the least time between two reads without a signal.
-const seedInterval = 2 * time.Second
-
-// NewSeeds returns the seeds of the settings, which the function reads again.
-func NewSeeds(settings config.Process, load func() (config.Process, error), logger *zerolog.Logger) *Seeds {
-	s := &Seeds{load: load, logger: logger}
-	addresses := settings.PeerAddresses()
-	s.addresses.Store(&addresses)
-	return s
-}
-
-// Addresses returns the newest addresses.
-func (s *Seeds) Addresses() []string { return *s.addresses.Load() }
-
-// Refresh reads the settings again unless that has been done shortly before. A
-// file that is wrong changes nothing.
-func (s *Seeds) Refresh() {
-	last := s.readAt.Load()
-	if time.Since(time.UnixMilli(last)) > seedInterval && s.readAt.CompareAndSwap(last, time.Now().UnixMilli()) {
-		s.reload()
+// Listen opens the addresses that are not empty.
+func Listen(internal, outer, ready, metrics string) (Listeners, error) {
+	var opened Listeners
+	for _, one := range []struct {
+		address string
+		into    *net.Listener
+	}{{internal, &opened.Internal}, {outer, &opened.Outer}, {ready, &opened.Ready}, {metrics, &opened.Metrics}} {
+		if one.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", one.address)
+		if err != nil {
+			return opened, err
+		}
+		*one.into = listener
 	}
+	return opened, nil
 }
 
-func (s *Seeds) reload() {
-	settings, err := s.load()
-	if err != nil {
-		event.SettingsRefused.On(s.logger).Err(err).Send()
-		return
-	}
-	addresses := settings.PeerAddresses()
-	if slices.Equal(addresses, s.Addresses()) {
+// serveMetrics serves metrics and profiles, if there is a listener for them.
+func serveMetrics(listener net.Listener, collect collector, logger *zerolog.Logger) {
+	if listener == nil {
 		return
 	}
-	s.addresses.Store(&addresses)
-	event.SettingsTaken.On(s.logger).Str("peers", strings.Join(addresses, " ")).Send()
-}
-
-// FollowSignals reads the settings again whenever a hang-up signal arrives.
-func (s *Seeds) FollowSignals(ctx context.Context) {
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
-	go func() {
-		defer signal.Stop(hangUps)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-hangUps:
-				event.ReloadAsked.On(s.logger).Send()
-				s.reload()
-			}
-		}
-	}()
-}
-
-// serveMetrics serves metrics and profiles on the process's metrics address.
-func serveMetrics(settings config.Process, collect collector, logger *zerolog.Logger) error {
-	if settings.MetricsAddress == "" {
-		return nil
-	}
 	router := mux.NewRouter()
 	addOperational(router, func() bool { return true }, newRegistry(collect), true)
-	_, err := listen(settings.MetricsAddress, router, logger)
-	return err
+	serveHTTP(newCallerServer(router), listener, logger)
 }
 
 // RunGateway serves callers and the entry until the context ends, and then ends
 // what runs.
-func RunGateway(ctx context.Context, settings config.Gateway, gateway *Gateway, callers, ready http.Handler, logger *zerolog.Logger) error {
+func RunGateway(ctx context.Context, settings config.Gateway, gateway *Gateway, listeners Listeners, callers, ready http.Handler, logger *zerolog.Logger) error {
 	limitMemory(settings.Process)
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	go gateway.Run(background)
-	if err := serveMetrics(settings.Process, gateway.collect, logger); err != nil {
-		return err
-	}
-	readyServer, err := listen(settings.ReadyAddress, ready, logger)
-	if err != nil {
-		return err
-	}
+	serveMetrics(listeners.Metrics, gateway.collect, logger)
+	readyServer := newCallerServer(ready)
+	serveHTTP(readyServer, listeners.Ready, logger)
 	defer readyServer.Close()
-	callerServer, err := listen(settings.CallerAddress, callers, logger)
-	if err != nil {
-		return err
-	}
+	callerServer := newCallerServer(callers)
+	serveHTTP(callerServer, listeners.Outer, logger)
 	event.GatewayStarted.On(logger).Str("name", settings.Name).Str("address", settings.CallerAddress).Send()
 	<-ctx.Done()
 	event.GatewayStopping.On(logger).Int("in_flight", gateway.InFlight()).Send()
@@ -170,32 +112,18 @@
 }
 
 // RunDirectory serves operators and backends until the context ends.
-func RunDirectory(ctx context.Context, settings config.Directory, served *Directory, control http.Handler, logger *zerolog.Logger) error {
+func RunDirectory(ctx context.Context, settings config.Directory, served *Directory, listeners Listeners, control http.Handler, logger *zerolog.Logger) error {
 	limitMemory(settings.Process)
-	internal, err := net.Listen("tcp", settings.InternalAddress)
-	if err != nil {
-		return err
-	}
-	if err := serveMetrics(settings.Process, served.collect, logger); err != nil {
-		return err
-	}
-	controlServer, err := listen(settings.ControlAddress, control, logger)
-	if err != nil {
-		return err
-	}
+	serveMetrics(listeners.Metrics, served.collect, logger)
+	controlServer := newCallerServer(control)
+	serveHTTP(controlServer, listeners.Outer, logger)
 	defer controlServer.Close()
-	return served.Run(ctx, internal)
+	return served.Run(ctx, listeners.Internal)
 }
 
 // RunLedger serves gateways and other stores until the context ends.
-func RunLedger(ctx context.Context, settings config.Ledger, served *Ledger, logger *zerolog.Logger) error {
+func RunLedger(ctx context.Context, settings config.Ledger, served *Ledger, listeners Listeners, logger *zerolog.Logger) error {
 	limitMemory(settings.Process)
-	internal, err := net.Listen("tcp", settings.InternalAddress)
-	if err != nil {
-		return err
-	}
-	if err := serveMetrics(settings.Process, served.collect, logger); err != nil {
-		return err
-	}
-	return served.Run(ctx, internal)
+	serveMetrics(listeners.Metrics, served.collect, logger)
+	return served.Run(ctx, listeners.Internal)
 }
--- /dev/null
+++ b/server/seeds.go
@@ -0,0 +1,81 @@
+package server
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/dillchute/dillchute/config"
+	"github.com/dillchute/dillchute/event"
+)
+
+// Seeds are the addresses of replicas of the directory that the settings file
+// names. The file may change while the process runs.
+type Seeds struct {
+	load      func() (config.Process, error)
+	logger    *zerolog.Logger
+	addresses atomic.Pointer[[]string]
+	readAt    atomic.Int64
+}
+
+// seedInterval is the least time between two reads without a signal.
+const seedInterval = 2 * time.Second
+
+// NewSeeds returns the seeds of the settings, which the function reads again.
+func NewSeeds(settings config.Process, load func() (config.Process, error), logger *zerolog.Logger) *Seeds {
+	s := &Seeds{load: load, logger: logger}
+	addresses := settings.PeerAddresses()
+	s.addresses.Store(&addresses)
+	return s
+}
+
+// Addresses returns the newest addresses.
+func (s *Seeds) Addresses() []string { return *s.addresses.Load() }
+
+// Refresh reads the settings again unless that has been done shortly before. A
+// file that is wrong changes nothing.
+func (s *Seeds) Refresh() {
+	last := s.readAt.Load()
+	if time.Since(time.UnixMilli(last)) > seedInterval && s.readAt.CompareAndSwap(last, time.Now().UnixMilli()) {
+		s.reload()
+	}
+}
+
+func (s *Seeds) reload() {
+	settings, err := s.load()
+	if err != nil {
+		event.SettingsRefused.On(s.logger).Err(err).Send()
+		return
+	}
+	addresses := settings.PeerAddresses()
+	if slices.Equal(addresses, s.Addresses()) {
+		return
+	}
+	s.addresses.Store(&addresses)
+	event.SettingsTaken.On(s.logger).Str("peers", strings.Join(addresses, " ")).Send()
+}
+
+// FollowSignals reads the settings again whenever a hang-up signal arrives.
+func (s *Seeds) FollowSignals(ctx context.Context) {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(hangUps)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangUps:
+				event.ReloadAsked.On(s.logger).Send()
+				s.reload()
+			}
+		}
+	}()
+}
