--- a/server/process.go
+++ b/server/process.go
@@ -21,13 +21,17 @@
 	// still arrive.
 	entryDelay = 3500 * time.Millisecond
 	// exitMargin is kept of the grace for the process's own end.
-	exitMargin  = 700 * time.Millisecond
-	memoryShare = 0.8
-	mebibyte    = 1 << 20
+	exitMargin = 700 * time.Millisecond
+	// memoryShare is the part of a limit that the collector keeps to, and
+	// collectPercent how much the heap may grow between collections.
+	memoryShare    = 0.8
+	collectPercent = 40
+	mebibyte       = 1 << 20
 )
 
-// limitMemory has the collector keep the process under its limit.
+// limitMemory has the collector keep the process small, and under its limit.
 func limitMemory(settings config.Process) {
+	debug.SetGCPercent(collectPercent)
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryLimit) * mebibyte))
 	}
