--- /dev/null
+++ b/forward/choose.go
@@ -0,0 +1,173 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/routing"
+)
+
+// backendState is what this process knows of a backend.
+type backendState struct {
+	inFlight     int
+	latency      time.Duration
+	avoidedUntil time.Time
+}
+
+// order returns the route's services, the one whose turn it is first.
+func (f *Forwarder) order(route routing.Route) []string {
+	services := make([]string, 0, len(route.Shares))
+	if len(route.Shares) == 1 {
+		return append(services, route.Shares[0].Service)
+	}
+	chosen := f.turn(route)
+	services = append(services, route.Shares[chosen].Service)
+	for position, share := range route.Shares {
+		if position != chosen && share.Weight > 0 {
+			services = append(services, share.Service)
+		}
+	}
+	return services
+}
+
+// turn chooses a share by smooth weighted round robin. Processes start at
+// random places, so that they do not choose alike.
+func (f *Forwarder) turn(route routing.Route) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	credits := f.credits[route.Key()]
+	if len(credits) != len(route.Shares) {
+		credits = make([]float64, len(route.Shares))
+		for position, share := range route.Shares {
+			credits[position] = rand.Float64() * share.Weight
+		}
+		f.credits[route.Key()] = credits
+	}
+	best, total := 0, 0.0
+	for position, share := range route.Shares {
+		credits[position] += share.Weight
+		total += share.Weight
+		if credits[position] > credits[best] {
+			best = position
+		}
+	}
+	credits[best] -= total
+	return best
+}
+
+// choose takes a backend of the first service that has one, and counts the
+// request there.
+func (f *Forwarder) choose(catalog *directory.Catalog, services []string, tried map[string]bool) (directory.Backend, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := time.Now()
+	for _, service := range services {
+		var best directory.Backend
+		bestCost := -1.0
+		for _, backend := range catalog.Backends(service) {
+			if backend.Draining || tried[backend.ID] {
+				continue
+			}
+			if cost := f.cost(backend, now); bestCost < 0 || cost < bestCost {
+				best, bestCost = backend, cost
+			}
+		}
+		if bestCost >= 0 {
+			f.state(best.ID).inFlight++
+			return best, true
+		}
+	}
+	return directory.Backend{}, false
+}
+
+const (
+	avoidedCost = 1e6
+	silentCost  = 1e5
+	remoteCost  = 0.3
+	// spreadCost is the random part of a cost, which spreads equal backends.
+	spreadCost    = 0.2
+	unknownMillis = 10.0
+)
+
+// cost rates a backend: the expected wait, with much more for those that fail.
+func (f *Forwarder) cost(backend directory.Backend, now time.Time) float64 {
+	state := f.state(backend.ID)
+	latency := max(float64(state.latency.Milliseconds()), unknownMillis)
+	cost := latency * float64(state.inFlight+1)
+	if backend.Zone != f.zone {
+		cost *= 1 + remoteCost
+	}
+	cost *= 1 + spreadCost*rand.Float64()
+	if now.Before(state.avoidedUntil) {
+		cost += avoidedCost
+	}
+	if backend.Silent {
+		cost += silentCost
+	}
+	return cost
+}
+
+func (f *Forwarder) state(id string) *backendState {
+	state := f.backends[id]
+	if state == nil {
+		state = &backendState{}
+		f.backends[id] = state
+	}
+	return state
+}
+
+// note takes in what an attempt tells of its backend.
+func (f *Forwarder) note(id string, attempt Attempt, took time.Duration, cancelled bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	state := f.state(id)
+	state.inFlight--
+	f.budget = min(f.budget+budgetShare, budgetBurst)
+	if cancelled && attempt.Outcome != Answered {
+		// It was slower than another backend, or than its caller's patience.
+		if took > slowFactor*state.latency && took > minHedge {
+			state.avoidedUntil = time.Now().Add(slowPenalty)
+		}
+		state.observe(took)
+		return
+	}
+	switch attempt.Outcome {
+	case Answered:
+		state.observe(took)
+		state.avoidedUntil = time.Time{}
+	case Refused:
+		state.avoidedUntil = time.Now().Add(fullPenalty)
+	default:
+		state.avoidedUntil = time.Now().Add(penalty)
+	}
+}
+
+func (s *backendState) observe(took time.Duration) {
+	if s.latency == 0 {
+		s.latency = took
+		return
+	}
+	s.latency += time.Duration(smoothing * float64(took-s.latency))
+}
+
+func (f *Forwarder) spend() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.budget < 1 {
+		return false
+	}
+	f.budget--
+	return true
+}
+
+// Forget drops what is known of backends that the catalog does not hold.
+func (f *Forwarder) Forget(catalog *directory.Catalog) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for id, state := range f.backends {
+		if _, ok := catalog.Backend(id); !ok && state.inFlight == 0 {
+			delete(f.backends, id)
+		}
+	}
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -91,30 +90,11 @@
 	nextID   uint64
 	waiting  map[uint64]chan Reply
 	lastTick time.Time
-	led      bool
-	leader   string
 	status   atomic.Pointer[Status]
 	// changed is closed and made anew with each change of the machine.
 	changed atomic.Pointer[chan struct{}]
 }
 
-// Status is what other goroutines may know without entering the loop.
-type Status struct {
-	ID      consensus.ReplicaID
-	Leading bool
-	// Serving is set on a leader that has applied all that is committed.
-	Serving bool
-	// Heard is set while a leader is known.
-	Heard   bool
-	Leader  string
-	Term    uint64
-	Commit  uint64
-	LogSize int
-	Members []consensus.Member
-	// MembersCommitted is set once no leader can go back to earlier members.
-	MembersCommitted bool
-}
-
 // Open opens the data folder, or sets it up if it is empty.
 func Open(settings Settings, machine Machine, logger *zerolog.Logger) (*Replica, error) {
 	if settings.Replica == consensus.None {
@@ -175,9 +155,6 @@
 	return storage.Open(settings.DataFolder, settings.Cluster)
 }
 
-// Status returns the newest status.
-func (r *Replica) Status() *Status { return r.status.Load() }
-
 // Changed returns a channel that is closed at the next change of the machine.
 func (r *Replica) Changed() <-chan struct{} { return *r.changed.Load() }
 
@@ -301,44 +278,6 @@
 	close(*r.changed.Swap(&next))
 }
 
-func (r *Replica) updateStatus() {
-	raft := r.core.Raft()
-	previous := r.status.Load()
-	status := &Status{
-		ID: raft.ID(), Leading: r.core.Leading(), Serving: r.core.Serving(), Heard: raft.Leader() != consensus.None,
-		Leader: r.core.LeaderAddress(), Term: raft.Term(), Commit: raft.Commit(), LogSize: raft.LogSize(),
-		Members: raft.Membership().Members, MembersCommitted: raft.MembershipCommitted(),
-	}
-	if previous.same(status) {
-		return
-	}
-	r.status.Store(status)
-	r.logLeadership(previous, status)
-	if previous.Serving != status.Serving {
-		r.signal()
-	}
-}
-
-func (s *Status) same(other *Status) bool {
-	return s.Leading == other.Leading && s.Serving == other.Serving && s.Heard == other.Heard && s.Leader == other.Leader &&
-		s.Term == other.Term && s.Commit == other.Commit && s.MembersCommitted == other.MembersCommitted &&
-		s.LogSize == other.LogSize && slices.Equal(s.Members, other.Members)
-}
-
-func (r *Replica) logLeadership(previous, status *Status) {
-	switch {
-	case status.Leading && !previous.Leading:
-		event.LeadershipGained.On(r.logger).Uint("term", status.Term).Uint("commit", status.Commit).Send()
-	case previous.Leading && !status.Leading:
-		event.LeadershipLost.On(r.logger).Uint("term", status.Term).Send()
-	case previous.Leader != status.Leader:
-		event.LeaderChanged.On(r.logger).Str("leader", status.Leader).Uint("term", status.Term).Send()
-	}
-	if len(previous.Members) != len(status.Members) {
-		event.MembershipChanged.On(r.logger).Uint("members", uint64(len(status.Members))).Send()
-	}
-}
-
 // Do runs the function in the replica's loop, where the machine may be read.
 // It returns false if the replica has stopped.
 func (r *Replica) Do(function func()) bool {
@@ -426,58 +365,3 @@
 	response.Header().Set("Content-Type", "application/cbor")
 	response.Write(reply.Result)
 }
-
-// handOver gives leadership to another voter before a planned stop.
-func (r *Replica) handOver() {
-	deadline := time.Now().Add(transferWait)
-	for time.Now().Before(deadline) {
-		led, ok := eventloop.Ask(r.loop, func() bool { return r.core.Leading() && r.core.TransferLeadership() })
-		if !ok || !led {
-			return
-		}
-		time.Sleep(TickInterval)
-	}
-}
-
-// askToJoin asks whoever may be a member for admission, while this replica is
-// not a member or hears no leader for long: it may have been replaced while it
-// was away.
-func (r *Replica) askToJoin(ctx context.Context) {
-	ticker := time.NewTicker(joinInterval)
-	defer ticker.Stop()
-	for {
-		if r.outside() {
-			r.sendJoin()
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (r *Replica) outside() bool {
-	status := r.Status()
-	if !status.Heard {
-		return true
-	}
-	for _, member := range status.Members {
-		if member.ID == status.ID {
-			return false
-		}
-	}
-	return true
-}
-
-func (r *Replica) sendJoin() {
-	message := protocol.Message{
-		From: r.settings.Address,
-		Join: &protocol.Join{ID: r.Status().ID, Address: r.settings.Address},
-	}
-	for _, address := range r.settings.Contacts() {
-		if address != r.settings.Address {
-			r.transport.Send(address, message)
-		}
-	}
-}
--- /dev/null
+++ b/scheduler/place.go
@@ -0,0 +1,174 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/dillchute/dillchute/directory"
+)
+
+// Assignment is a task to be run on an engine.
+type Assignment struct {
+	Task    *Task
+	Backend directory.Backend
+	Run     uint64
+}
+
+// ServiceOf tells the services that may run a sample, and whether a route leads there.
+type ServiceOf func(task *Task) (services []string, ok bool)
+
+// Assign starts as many waiting tasks as there is room for: first those that
+// the trainers wait for. More urgent and then earlier steps come first, and in a
+// step the order of its queue.
+func (s *Scheduler) Assign(now int64, serviceOf ServiceOf) []Assignment {
+	s.noteWaiting()
+	steps := s.stepsInOrder()
+	var assignments []Assignment
+	for _, needed := range []bool{true, false} {
+		for _, state := range steps {
+			assignments = append(assignments, s.assignStep(now, state, needed, serviceOf)...)
+		}
+	}
+	return assignments
+}
+
+// assignStep starts the step's tasks that are needed, or those that are not.
+func (s *Scheduler) assignStep(now int64, state *stepState, needed bool, serviceOf ServiceOf) []Assignment {
+	var assignments []Assignment
+	kept := state.queue[:0]
+	for _, task := range state.queue {
+		if task.State != Waiting {
+			continue
+		}
+		if task.needed != needed {
+			kept = append(kept, task)
+			continue
+		}
+		backend, ok := s.place(now, task, serviceOf)
+		if !ok {
+			kept = append(kept, task)
+			continue
+		}
+		task.Run++
+		task.Attempts++
+		assignments = append(assignments, Assignment{Task: task, Backend: backend, Run: task.Run})
+	}
+	state.queue = kept
+	return assignments
+}
+
+func (s *Scheduler) stepsInOrder() []*stepState {
+	states := make([]*stepState, 0, len(s.steps))
+	for _, state := range s.steps {
+		states = append(states, state)
+	}
+	slices.SortFunc(states, func(a, b *stepState) int {
+		if a.step.Priority != b.step.Priority {
+			return a.step.Priority - b.step.Priority
+		}
+		if a.step.DueAt != b.step.DueAt {
+			return int(a.step.DueAt - b.step.DueAt)
+		}
+		if a.step.ID < b.step.ID {
+			return -1
+		}
+		return 1
+	})
+	return states
+}
+
+// place chooses an engine for the task and counts it there.
+func (s *Scheduler) place(now int64, task *Task, serviceOf ServiceOf) (directory.Backend, bool) {
+	services, ok := serviceOf(task)
+	if !ok {
+		return directory.Backend{}, false
+	}
+	var least, mate *engine
+	leastCost := 0.0
+	for _, id := range s.order {
+		known := s.engines[id]
+		if !s.mayRun(now, known, task, services) {
+			continue
+		}
+		if cost := s.placeCost(known, task); least == nil || cost < leastCost {
+			least, leastCost = known, cost
+		}
+		if known.runsGroup(task) && (mate == nil || len(known.running) < len(mate.running)) {
+			mate = known
+		}
+	}
+	if least == nil {
+		return directory.Backend{}, false
+	}
+	if mate != nil && len(mate.running) <= len(least.running)+groupSlack {
+		least = mate
+	}
+	least.running[task] = true
+	task.State, task.Engine = Running, least.backend.ID
+	task.startedAt, task.from, task.moving = now, task.Text.Last, false
+	return least.backend, true
+}
+
+const (
+	// failedCost is added for the engine that has just failed the task, and
+	// silentCost for one that sends no heartbeats.
+	failedCost = 1000
+	silentCost = 100
+	// contentionCost is added for each other model with waiting samples that
+	// the engine could serve as well: what can run elsewhere leaves it to them.
+	contentionCost = 1.5
+)
+
+// placeCost rates an engine that may run the task; the lowest is chosen.
+func (s *Scheduler) placeCost(known *engine, task *Task) float64 {
+	cost := float64(len(known.running)+1) * s.ratio(known)
+	if task.Attempts > 0 && known.backend.ID == task.Engine {
+		cost += failedCost
+	}
+	if known.backend.Silent {
+		cost += silentCost
+	}
+	for name, model := range s.models {
+		if name != task.Step.Model && model.waiting && known.versions[name]+model.lag >= model.newest {
+			cost += contentionCost
+		}
+	}
+	return cost
+}
+
+// noteWaiting finds out which models have samples that wait.
+func (s *Scheduler) noteWaiting() {
+	for _, model := range s.models {
+		model.waiting = false
+	}
+	for _, state := range s.steps {
+		if len(state.queue) > 0 {
+			s.model(state.step.Model).waiting = true
+		}
+	}
+}
+
+func (e *engine) runsGroup(task *Task) bool {
+	for other := range e.running {
+		if other.Step == task.Step && other.Sample.Group == task.Sample.Group {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) mayRun(now int64, known *engine, task *Task, services []string) bool {
+	version := known.versions[task.Step.Model]
+	switch {
+	case !slices.Contains(services, known.backend.Service):
+		return false
+	case known.backend.Draining || now < known.avoidedUntil:
+		return false
+	case known.loading != nil && known.loading.Model == task.Step.Model:
+		return false
+	case len(known.running) >= max(known.backend.Slots, 1):
+		return false
+	case version < task.Step.OldestVersion:
+		return false
+	}
+	return !task.Step.SingleVersion || len(task.Text.Versions) == 0 || task.Text.Versions[0] == version
+}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -78,9 +78,7 @@
 		for _, order := range underWay[now] {
 			s.LoadEnded(now, order.Backend.ID, order.Model, order.Version)
 		}
-		for _, order := range s.Orders(now) {
-			underWay[now+loadMillis] = append(underWay[now+loadMillis], order)
-		}
+		underWay[now+loadMillis] = append(underWay[now+loadMillis], s.Orders(now)...)
 		require.LessOrEqual(t, s.loadsUnderWay(now), 2)
 	}
 }
--- /dev/null
+++ b/scheduler/task.go
@@ -0,0 +1,61 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/dillchute/dillchute/ledger"
+)
+
+// Text is what a sample has produced so far.
+type Text struct {
+	// Events holds the data of the events in order; the newest has ID Last.
+	Events   []string
+	Last     uint64
+	Versions []uint64
+	// Whole is set once the engine has ended the text.
+	Whole bool
+}
+
+// AddVersion notes that the version made an event.
+func (t *Text) AddVersion(version uint64) {
+	if version != 0 && !slices.Contains(t.Versions, version) {
+		t.Versions = append(t.Versions, version)
+	}
+}
+
+// TaskState is where a task stands.
+type TaskState uint8
+
+// The states of a task.
+const (
+	Waiting TaskState = iota
+	Running
+	// Scoring tasks have a whole text and wait for its score.
+	Scoring
+	// Finished tasks have a result that is committed or under way.
+	Finished
+)
+
+// Task is one sample on its way.
+type Task struct {
+	Step   *ledger.Step
+	Sample *ledger.Sample
+	State  TaskState
+	Text   Text
+	// Engine is the one that runs the task, or ran it last.
+	Engine string
+	// Failures counts failed runs; Attempts all runs.
+	Failures int
+	Attempts int
+	// Run counts the runs, so that the end of an earlier one is known as such.
+	Run uint64
+	// moving is set while the run is ended because its engine is slow, and moves
+	// counts such ends.
+	moving bool
+	moves  int
+	// needed is set on tasks of groups that the trainer waits for.
+	needed bool
+	// startedAt is when the current run began, and from the event it began after.
+	startedAt int64
+	from      uint64
+}
--- /dev/null
+++ b/server/directory_call.go
@@ -0,0 +1,204 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/replica"
+)
+
+// directoryCall is a call to the directory's leader. Exactly one field is set.
+type directoryCall struct {
+	Heartbeat *Heartbeat                  `cbor:"1,keyasint,omitempty"`
+	Leave     string                      `cbor:"2,keyasint,omitempty"`
+	Put       *directory.PutConfiguration `cbor:"3,keyasint,omitempty"`
+	Name      *directory.ModelVersion     `cbor:"4,keyasint,omitempty"`
+	Read      bool                        `cbor:"5,keyasint,omitempty"`
+	Retire    *directory.Retire           `cbor:"6,keyasint,omitempty"`
+	Retired   string                      `cbor:"7,keyasint,omitempty"`
+	Store     *directory.Store            `cbor:"8,keyasint,omitempty"`
+	Report    *directory.Group            `cbor:"9,keyasint,omitempty"`
+}
+
+// directoryAnswer is the answer to a directoryCall.
+type directoryAnswer struct {
+	// Leader is the internal address of the replica that served the call.
+	Leader  string                  `cbor:"1,keyasint,omitempty"`
+	Source  []byte                  `cbor:"2,keyasint,omitempty"`
+	Version uint64                  `cbor:"3,keyasint,omitempty"`
+	Retire  directory.RetireOutcome `cbor:"4,keyasint,omitempty"`
+	Found   bool                    `cbor:"5,keyasint,omitempty"`
+	Retired bool                    `cbor:"6,keyasint,omitempty"`
+}
+
+// call has the leader carry out the call, wherever it is.
+func (d *Directory) call(ctx context.Context, call directoryCall) (directoryAnswer, error) {
+	status := d.replica.Status()
+	if status.Leading {
+		return d.handle(ctx, call)
+	}
+	if status.Leader == "" {
+		return directoryAnswer{}, replica.ErrUnavailable.New("no leader is known")
+	}
+	return callDirectory(ctx, d.client, status.Leader, call)
+}
+
+// callDirectory sends the call to the replica at the address.
+func callDirectory(ctx context.Context, client *http.Client, address string, call directoryCall) (directoryAnswer, error) {
+	var answer directoryAnswer
+	body, err := cbor.Marshal(call)
+	if err != nil {
+		panic("server: a call must encode: " + err.Error())
+	}
+	data, err := replica.PostInternal(ctx, client, "http://"+address+directoryCallPath, body)
+	if err != nil {
+		return answer, err
+	}
+	return answer, cbor.Unmarshal(data, &answer)
+}
+
+func (d *Directory) serveCall(response http.ResponseWriter, request *http.Request) {
+	var call directoryCall
+	if !readCBOR(response, request, &call) {
+		return
+	}
+	if !d.replica.Status().Leading {
+		http.Error(response, "not the leader", http.StatusServiceUnavailable)
+		return
+	}
+	answer, err := d.handle(request.Context(), call)
+	if err != nil {
+		http.Error(response, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeCBOR(response, answer)
+}
+
+// handle carries out a call on the leader.
+func (d *Directory) handle(ctx context.Context, call directoryCall) (directoryAnswer, error) {
+	answer := directoryAnswer{Leader: d.settings.InternalAddress}
+	var err error
+	switch {
+	case call.Heartbeat != nil:
+		err = d.handleHeartbeat(ctx, *call.Heartbeat)
+	case call.Leave != "":
+		event.BackendLeft.On(d.logger).Str("backend", call.Leave).Send()
+		_, err = d.execute(ctx, directory.Command{RemoveBackend: &directory.RemoveBackend{ID: call.Leave}})
+	case call.Put != nil:
+		err = d.handlePut(ctx, call.Put, &answer)
+	case call.Name != nil:
+		event.VersionNamed.On(d.logger).Str("model", call.Name.Model).Uint("version", call.Name.Version).Send()
+		_, err = d.execute(ctx, directory.Command{NameVersion: call.Name})
+	case call.Read:
+		err = d.handleRead(ctx, &answer)
+	case call.Retire != nil:
+		err = d.handleRetire(ctx, call.Retire, &answer)
+	case call.Retired != "":
+		err = d.handleRetired(ctx, call.Retired, &answer)
+	case call.Store != nil:
+		err = d.handleStore(ctx, *call.Store)
+	case call.Report != nil:
+		_, err = d.execute(ctx, directory.Command{ReportGroup: call.Report})
+	}
+	return answer, err
+}
+
+func (d *Directory) execute(ctx context.Context, command directory.Command) (directory.Result, error) {
+	data, err := d.replica.Execute(ctx, command.Encode())
+	if err != nil {
+		return directory.Result{}, err
+	}
+	return directory.DecodeResult(data)
+}
+
+func (d *Directory) handlePut(ctx context.Context, put *directory.PutConfiguration, answer *directoryAnswer) error {
+	result, err := d.execute(ctx, directory.Command{PutConfiguration: put})
+	answer.Version = result.Version
+	line := event.ConfigurationPut.On(d.logger).Uint("offered", put.Configuration.Version).Uint("held", result.Version)
+	if err != nil {
+		line.Err(err)
+	}
+	line.Send()
+	return err
+}
+
+func (d *Directory) handleRead(ctx context.Context, answer *directoryAnswer) error {
+	if err := d.replica.Confirm(ctx); err != nil {
+		return err
+	}
+	d.replica.Do(func() { answer.Source, answer.Version = d.machine.Source(), d.machine.Version() })
+	return nil
+}
+
+func (d *Directory) handleRetire(ctx context.Context, retire *directory.Retire, answer *directoryAnswer) error {
+	result, err := d.execute(ctx, directory.Command{Retire: retire})
+	answer.Retire = result.Retire
+	event.RetireAsked.On(d.logger).Str("store", retire.Name).Uint("outcome", uint64(result.Retire)).Send()
+	return err
+}
+
+func (d *Directory) handleRetired(ctx context.Context, name string, answer *directoryAnswer) error {
+	if err := d.replica.Confirm(ctx); err != nil {
+		return err
+	}
+	d.replica.Do(func() {
+		store, ok := d.machine.Store(name)
+		answer.Found = ok && store.Retiring
+		answer.Retired = store.Retired
+	})
+	return nil
+}
+
+func (d *Directory) handleStore(ctx context.Context, store directory.Store) error {
+	var known directory.Store
+	var ok bool
+	d.replica.Do(func() { known, ok = d.machine.Store(store.Name) })
+	if ok && known.Replica == store.Replica && known.Address == store.Address {
+		return nil
+	}
+	d.mutex.Lock()
+	d.newestStore = time.Now()
+	if d.firstStore.IsZero() {
+		d.firstStore = d.newestStore
+	}
+	d.mutex.Unlock()
+	event.StoreRegistered.On(d.logger).Str("store", store.Name).Str("address", store.Address).Uint("replica", uint64(store.Replica)).Send()
+	_, err := d.execute(ctx, directory.Command{PutStore: &store})
+	return err
+}
+
+// handleHeartbeat notes that the backend was heard. Only what changes its
+// registration becomes an entry of the log.
+func (d *Directory) handleHeartbeat(ctx context.Context, heartbeat Heartbeat) error {
+	if !d.noteHeard(heartbeat) {
+		return nil
+	}
+	backend := heartbeat.Backend
+	var known directory.Backend
+	var registered, gone bool
+	if !d.replica.Do(func() {
+		known, registered = d.machine.Backend(backend.ID)
+		gone = d.machine.Gone(backend.ID)
+	}) {
+		return replica.ErrUnavailable.New("the replica has stopped")
+	}
+	if gone || registered && sameRegistration(known, backend) {
+		return nil
+	}
+	event.BackendRegistered.On(d.logger).Str("backend", backend.ID).Str("service", backend.Service).
+		Str("address", backend.Address).Uint("draining", boolToUint(backend.Draining)).Send()
+	_, err := d.execute(ctx, directory.Command{PutBackend: &backend})
+	return err
+}
+
+func boolToUint(value bool) uint64 {
+	if value {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/server/directory_review.go
@@ -0,0 +1,169 @@
+package server
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/dillchute/dillchute/config"
+	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/event"
+)
+
+// noteHeard takes in when the backend was heard, and tells whether the
+// heartbeat is newer than those before.
+func (d *Directory) noteHeard(heartbeat Heartbeat) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	id := heartbeat.Backend.ID
+	if heartbeat.Sequence < d.sequences[id] {
+		return false
+	}
+	d.sequences[id] = heartbeat.Sequence
+	d.heard[id] = time.Now()
+	return true
+}
+
+func sameRegistration(known, backend directory.Backend) bool {
+	if len(known.Models) != len(backend.Models) {
+		return false
+	}
+	for position, held := range backend.Models {
+		if known.Models[position] != held {
+			return false
+		}
+	}
+	// A mark of draining is never taken back, whatever a late heartbeat says.
+	return known.Service == backend.Service && known.Address == backend.Address && known.Zone == backend.Zone &&
+		known.Slots == backend.Slots && (known.Draining || !backend.Draining) && !known.Silent
+}
+
+// review looks for silent backends and forms the first group of stores, while
+// this replica leads.
+func (d *Directory) review(ctx context.Context) {
+	ticker := time.NewTicker(reviewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		serving := d.replica.Status().Serving
+		d.beginServing(serving)
+		if !serving {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, time.Second)
+		d.reviewBackends(limited)
+		d.formGroup(limited)
+		cancel()
+	}
+}
+
+// beginServing forgets, when a leadership begins, what was heard in an earlier one.
+func (d *Directory) beginServing(serving bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if serving && !d.serving {
+		d.heard, d.sequences = map[string]time.Time{}, map[string]uint64{}
+		d.firstStore, d.newestStore = time.Time{}, time.Time{}
+	}
+	d.serving = serving
+}
+
+func (d *Directory) reviewBackends(ctx context.Context) {
+	var backends []directory.Backend
+	d.replica.Do(func() { backends = d.machine.Backends() })
+	for _, backend := range backends {
+		switch silence := d.silence(backend.ID); {
+		case silence > goneBeats*d.settings.HeartbeatInterval:
+			event.BackendGone.On(d.logger).Str("backend", backend.ID).Uint("silent_ms", uint64(silence.Milliseconds())).Send()
+			d.execute(ctx, directory.Command{RemoveBackend: &directory.RemoveBackend{ID: backend.ID}})
+		case silence > silentBeats*d.settings.HeartbeatInterval && !backend.Silent:
+			event.BackendSilent.On(d.logger).Str("backend", backend.ID).Uint("silent_ms", uint64(silence.Milliseconds())).Send()
+			backend.Silent = true
+			d.execute(ctx, directory.Command{PutBackend: &backend})
+		}
+	}
+}
+
+// silence returns how long the backend has not been heard of, counted from the
+// start of this leadership at the earliest.
+func (d *Directory) silence(id string) time.Duration {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	heard, ok := d.heard[id]
+	if !ok {
+		d.heard[id] = time.Now()
+		return 0
+	}
+	return time.Since(heard)
+}
+
+// formGroup makes the first group of the ledger out of the stores that have
+// registered, with as many zones as there are.
+func (d *Directory) formGroup(ctx context.Context) {
+	var stores []directory.Store
+	formed := true
+	d.replica.Do(func() {
+		stores = d.machine.Stores()
+		formed = len(d.machine.Group().Members) > 0
+	})
+	if formed || !d.formationDue(len(stores)) {
+		return
+	}
+	members := chooseFounders(stores, config.Voters(d.settings.ToleratedLosses))
+	if len(members) == 0 {
+		return
+	}
+	event.GroupFormed.On(d.logger).Uint("members", uint64(len(members))).Send()
+	d.execute(ctx, directory.Command{FormGroup: &directory.Group{Members: members}})
+}
+
+func (d *Directory) formationDue(stores int) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.firstStore.IsZero() {
+		if stores > 0 {
+			d.firstStore, d.newestStore = time.Now(), time.Now()
+		}
+		return false
+	}
+	if time.Since(d.newestStore) < formationPause {
+		return false
+	}
+	return stores >= config.Voters(d.settings.ToleratedLosses) || time.Since(d.firstStore) > formationWait
+}
+
+// chooseFounders takes fresh stores by turns from each zone.
+func chooseFounders(stores []directory.Store, most int) []consensus.Member {
+	byZone := map[string][]directory.Store{}
+	var zones []string
+	for _, store := range stores {
+		if !store.Fresh {
+			continue
+		}
+		if len(byZone[store.Zone]) == 0 {
+			zones = append(zones, store.Zone)
+		}
+		byZone[store.Zone] = append(byZone[store.Zone], store)
+	}
+	sort.Strings(zones)
+	var members []consensus.Member
+	for round := 0; len(members) < most; round++ {
+		before := len(members)
+		for _, zone := range zones {
+			if round < len(byZone[zone]) && len(members) < most {
+				store := byZone[zone][round]
+				members = append(members, consensus.Member{ID: store.Replica, Address: store.Address, Voter: true})
+			}
+		}
+		if len(members) == before {
+			break
+		}
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
+	return members
+}
--- a/server/executor.go
+++ b/server/executor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -16,70 +15,9 @@
 	"github.com/dillchute/dillchute/forward"
 	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/replica"
-	"github.com/dillchute/dillchute/routing"
 	"github.com/dillchute/dillchute/scheduler"
 )
 
-// RunRequest is a sample to be run, or continued after an event, on an engine.
-type RunRequest struct {
-	Backend directory.Backend
-	Host    string
-	Sample  *ledger.Sample
-	// After is the ID of the last event that is kept; 0 begins anew.
-	After uint64
-}
-
-// RunEvent is one whole event of an engine's stream.
-type RunEvent struct {
-	ID   uint64
-	Data string
-	// Version of the weights that made it.
-	Version uint64
-}
-
-// EngineReport is what an engine says it holds, as of some time ago.
-type EngineReport struct {
-	// Sequence counts the orders that the engine has taken.
-	Sequence uint64
-	Busy     bool
-	Models   []directory.ModelVersion
-}
-
-// LoadAnswer is an engine's answer to an order.
-type LoadAnswer uint8
-
-// The answers.
-const (
-	// LoadStarted: the engine loads.
-	LoadStarted LoadAnswer = iota + 1
-	// LoadHeld: the engine holds the version.
-	LoadHeld
-	// LoadConflict: another order is under way, or the sequence was another.
-	LoadConflict
-	// LoadRefused: the engine does not take the order.
-	LoadRefused
-	// LoadUnanswered: the engine may carry the order out, now or later.
-	LoadUnanswered
-)
-
-// LoadRequest orders an engine to load a version.
-type LoadRequest struct {
-	Order scheduler.Order
-	// Holder and Fence name who orders; a higher fence voids lower ones.
-	Holder string
-	Fence  uint64
-	// Sequence is the number of orders that the engine must have taken before.
-	Sequence uint64
-}
-
-// EngineClient speaks to engines.
-type EngineClient interface {
-	// Run streams the sample's events to the function until the run ends.
-	Run(ctx context.Context, request RunRequest, each func(RunEvent)) scheduler.RunEnd
-	Load(ctx context.Context, request LoadRequest) LoadAnswer
-	Report(ctx context.Context, backend directory.Backend) (EngineReport, error)
-}
-
 const (
 	executorTick = 100 * time.Millisecond
 	// stallTimeout ends a run whose engine sends nothing, and loadStall that
@@ -162,11 +100,6 @@
 	prunedAt    time.Time
 }
 
-type pendingResult struct {
-	task   *scheduler.Task
-	result ledger.Result
-}
-
 // deferOrders leaves engines alone that an earlier leader has given orders to,
 // until its lease has ended.
 func (t *tenure) deferOrders() {
@@ -212,22 +145,6 @@
 	}
 }
 
-// moveSlow ends runs on engines that are much slower than others.
-func (t *tenure) moveSlow() {
-	if t.catalog == nil {
-		return
-	}
-	now := nowMillis()
-	for task, events := range t.progress {
-		t.scheduler.Observe(now, task, int(events.Load()))
-	}
-	t.scheduler.UpdatePaces()
-	for _, task := range t.scheduler.Move(now, t.servicesOf) {
-		event.SampleMoved.On(t.logger).Str("sample", task.Sample.ID).Str("engine", task.Engine).Send()
-		t.cancel(task)
-	}
-}
-
 // prune forgets steps that have ended and whose time is over.
 func (t *tenure) prune() {
 	oldest := nowMillis() - t.settings.Retention.Milliseconds()
@@ -305,13 +222,6 @@
 	}
 }
 
-func (t *tenure) cancel(task *scheduler.Task) {
-	if cancel := t.cancels[task]; cancel != nil {
-		cancel()
-		delete(t.cancels, task)
-	}
-}
-
 // flush starts what can be started.
 func (t *tenure) flush() error {
 	if t.catalog == nil {
@@ -342,208 +252,3 @@
 	}
 	return services, true
 }
-
-// start runs a task on its engine.
-func (t *tenure) start(assignment scheduler.Assignment) {
-	task := assignment.Task
-	runContext, cancel := context.WithCancel(t.context)
-	t.cancels[task] = cancel
-	event.SampleStarted.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).
-		Str("engine", assignment.Backend.ID).Uint("attempt", uint64(task.Attempts)).Uint("after", task.Text.Last).Send()
-	request := RunRequest{Backend: assignment.Backend, Host: task.Step.Host, Sample: task.Sample, After: task.Text.Last}
-	text := scheduler.Text{
-		// The full slice expression forces a copy: an earlier run may still append.
-		Events: task.Text.Events[:len(task.Text.Events):len(task.Text.Events)], Last: task.Text.Last, Versions: append([]uint64(nil), task.Text.Versions...),
-	}
-	events := &atomic.Int64{}
-	t.progress[task] = events
-	stall := stallTimeout
-	if t.scheduler.Loading(assignment.Backend.ID, task.Step.Model) {
-		stall = loadStall
-	}
-	go func() {
-		defer cancel()
-		end, version := t.runTask(runContext, cancel, request, &text, events, stall)
-		t.loop.Call(func() { t.runEnded(task, assignment, end, text, version) })
-	}()
-}
-
-// runTask reads a run's stream. It gives up a stream that stands still.
-func (t *tenure) runTask(ctx context.Context, cancel context.CancelFunc, request RunRequest, text *scheduler.Text, events *atomic.Int64, stall time.Duration) (scheduler.RunEnd, uint64) {
-	timer := time.AfterFunc(stall, cancel)
-	defer timer.Stop()
-	version, gap := uint64(0), false
-	end := t.engines.Run(ctx, request, func(event RunEvent) {
-		timer.Reset(stall)
-		events.Add(1)
-		version = max(version, event.Version)
-		if gap = gap || event.ID != text.Last+1; gap {
-			cancel()
-			return
-		}
-		text.Events = append(text.Events, event.Data)
-		text.Last = event.ID
-		text.AddVersion(event.Version)
-	})
-	if end == scheduler.Complete && (gap || text.Last == 0) {
-		end = scheduler.Broken
-	}
-	return end, version
-}
-
-func (t *tenure) runEnded(task *scheduler.Task, assignment scheduler.Assignment, end scheduler.RunEnd, text scheduler.Text, version uint64) {
-	if task.Run == assignment.Run {
-		delete(t.progress, task)
-	}
-	if task.State == scheduler.Finished && task.Run == assignment.Run {
-		text.Whole = end == scheduler.Complete
-		t.scheduler.Keep(task, text)
-		return
-	}
-	if task.State != scheduler.Running || task.Run != assignment.Run {
-		return
-	}
-	delete(t.cancels, task)
-	if version > 0 {
-		t.scheduler.NoteVersion(assignment.Backend.ID, task.Step.Model, version)
-	}
-	task.Text = text
-	t.scheduler.RunEnded(nowMillis(), task, assignment.Run, end)
-	event.SampleRunEnded.On(t.logger).Str("sample", task.Sample.ID).Str("engine", assignment.Backend.ID).
-		Uint("end", uint64(end)).Uint("events", text.Last).Uint("state", uint64(task.State)).Send()
-	switch {
-	case end == scheduler.Impossible:
-		t.finish(task, ledger.Result{Sample: task.Sample.ID, State: ledger.Dead}, "impossible")
-	case end == scheduler.Failed && task.Failures >= max(task.Step.Attempts, 1):
-		t.finish(task, ledger.Result{Sample: task.Sample.ID, State: ledger.Dead}, "failed")
-	case task.State == scheduler.Scoring:
-		t.score(task)
-	}
-}
-
-func (t *tenure) finish(task *scheduler.Task, result ledger.Result, why string) {
-	t.cancel(task)
-	t.scheduler.Finish(task)
-	t.results = append(t.results, pendingResult{task: task, result: result})
-	if result.State == ledger.Dead {
-		event.SampleDead.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).Str("reason", why).Send()
-	}
-}
-
-// score has a whole text scored, and lists it then.
-func (t *tenure) score(task *scheduler.Task) {
-	if task.Sample.Reward == nil {
-		t.finish(task, wholeResult(task, ""), "")
-		return
-	}
-	scoreContext, cancel := context.WithCancel(t.context)
-	t.cancels[task] = cancel
-	go func() {
-		defer cancel()
-		score, failed := t.callReward(scoreContext, task)
-		t.loop.Call(func() { t.scored(task, score, failed) })
-	}()
-}
-
-func (t *tenure) scored(task *scheduler.Task, score string, failed bool) {
-	if task.State != scheduler.Scoring {
-		return
-	}
-	delete(t.cancels, task)
-	if failed {
-		t.finish(task, ledger.Result{Sample: task.Sample.ID, State: ledger.Dead}, "no score")
-		return
-	}
-	t.finish(task, wholeResult(task, score), "")
-}
-
-func wholeResult(task *scheduler.Task, score string) ledger.Result {
-	return ledger.Result{
-		Sample: task.Sample.ID, State: ledger.Succeeded, Text: strings.Join(task.Text.Events, "\n"),
-		Versions: task.Text.Versions, Score: score,
-	}
-}
-
-// callReward repeats the reward call until it is answered with a success, or
-// has failed as often as its route allows. It tells whether it has failed.
-func (t *tenure) callReward(ctx context.Context, task *scheduler.Task) (score string, failed bool) {
-	reward := task.Sample.Reward
-	failures := 0
-	for ctx.Err() == nil {
-		catalog := t.watcher.Catalog()
-		path, _, _ := strings.Cut(reward.Path, "?")
-		route, ok := catalog.Table.Match(reward.Host, path)
-		if ok {
-			result := t.sendReward(ctx, catalog, route, reward)
-			if result.Response != nil && result.Response.Status/100 == 2 {
-				return result.Response.Signature, false
-			}
-			failures += result.Failures
-			if failures >= max(route.Attempts, 1) {
-				return "", true
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(rewardBackoff):
-		}
-	}
-	return "", true
-}
-
-func (t *tenure) sendReward(ctx context.Context, catalog *directory.Catalog, route routing.Route, reward *ledger.Reward) forward.Result {
-	timeout := time.Duration(route.TimeoutMillis) * time.Millisecond
-	return t.forwarder.Do(ctx, catalog, route, &forward.Request{
-		ID: reward.ID, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
-		Header: http.Header{}, Body: reward.Body, Deadline: time.Now().Add(timeout),
-	})
-}
-
-// record commits the results that have gathered; one commit is under way at a time.
-func (t *tenure) record() {
-	if t.recording || len(t.results) == 0 || time.Now().Before(t.recordAfter) {
-		return
-	}
-	pending := t.results
-	t.results, t.recording = nil, true
-	go func() {
-		failed := t.commit(pending)
-		t.loop.Call(func() {
-			t.recording = false
-			t.results = append(failed, t.results...)
-			if len(failed) > 0 {
-				t.recordAfter = time.Now().Add(recordPause)
-			}
-		})
-	}()
-}
-
-// commit records results step by step and returns those that must be recorded again.
-func (t *tenure) commit(pending []pendingResult) []pendingResult {
-	var order []string
-	byStep := map[string][]pendingResult{}
-	for _, one := range pending {
-		step := one.task.Step.ID
-		if byStep[step] == nil {
-			order = append(order, step)
-		}
-		byStep[step] = append(byStep[step], one)
-	}
-	var failed []pendingResult
-	for _, step := range order {
-		record := &ledger.Record{Step: step}
-		for _, one := range byStep[step] {
-			record.Results = append(record.Results, one.result)
-		}
-		limited, cancel := context.WithTimeout(t.context, recordTimeout)
-		_, err := t.replica.Execute(limited, ledger.Command{Record: record}.Encode())
-		cancel()
-		line := event.ResultsRecorded.On(t.logger).Str("step", step).Uint("results", uint64(len(record.Results)))
-		if err != nil {
-			line.Err(err)
-			failed = append(failed, byStep[step]...)
-		}
-		line.Send()
-	}
-	return failed
-}
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -81,8 +81,6 @@
 
 	mutex   sync.Mutex
 	replica *replica.Replica
-	// reported is the membership that was last reported to the directory.
-	reported []consensus.Member
 }
 
 // NewLedger prepares a store. The clients reach engines and other backends.
--- /dev/null
+++ b/server/run.go
@@ -0,0 +1,121 @@
+package server
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/ledger"
+	"github.com/dillchute/dillchute/scheduler"
+)
+
+// moveSlow ends runs on engines that are much slower than others.
+func (t *tenure) moveSlow() {
+	if t.catalog == nil {
+		return
+	}
+	now := nowMillis()
+	for task, events := range t.progress {
+		t.scheduler.Observe(now, task, int(events.Load()))
+	}
+	t.scheduler.UpdatePaces()
+	for _, task := range t.scheduler.Move(now, t.servicesOf) {
+		event.SampleMoved.On(t.logger).Str("sample", task.Sample.ID).Str("engine", task.Engine).Send()
+		t.cancel(task)
+	}
+}
+
+func (t *tenure) cancel(task *scheduler.Task) {
+	if cancel := t.cancels[task]; cancel != nil {
+		cancel()
+		delete(t.cancels, task)
+	}
+}
+
+// start runs a task on its engine.
+func (t *tenure) start(assignment scheduler.Assignment) {
+	task := assignment.Task
+	runContext, cancel := context.WithCancel(t.context)
+	t.cancels[task] = cancel
+	event.SampleStarted.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).
+		Str("engine", assignment.Backend.ID).Uint("attempt", uint64(task.Attempts)).Uint("after", task.Text.Last).Send()
+	request := RunRequest{Backend: assignment.Backend, Host: task.Step.Host, Sample: task.Sample, After: task.Text.Last}
+	text := scheduler.Text{
+		// The full slice expression forces a copy: an earlier run may still append.
+		Events: task.Text.Events[:len(task.Text.Events):len(task.Text.Events)], Last: task.Text.Last, Versions: append([]uint64(nil), task.Text.Versions...),
+	}
+	events := &atomic.Int64{}
+	t.progress[task] = events
+	stall := stallTimeout
+	if t.scheduler.Loading(assignment.Backend.ID, task.Step.Model) {
+		stall = loadStall
+	}
+	go func() {
+		defer cancel()
+		end, version := t.runTask(runContext, cancel, request, &text, events, stall)
+		t.loop.Call(func() { t.runEnded(task, assignment, end, text, version) })
+	}()
+}
+
+// runTask reads a run's stream. It gives up a stream that stands still.
+func (t *tenure) runTask(ctx context.Context, cancel context.CancelFunc, request RunRequest, text *scheduler.Text, events *atomic.Int64, stall time.Duration) (scheduler.RunEnd, uint64) {
+	timer := time.AfterFunc(stall, cancel)
+	defer timer.Stop()
+	version, gap := uint64(0), false
+	end := t.engines.Run(ctx, request, func(event RunEvent) {
+		timer.Reset(stall)
+		events.Add(1)
+		version = max(version, event.Version)
+		if gap = gap || event.ID != text.Last+1; gap {
+			cancel()
+			return
+		}
+		text.Events = append(text.Events, event.Data)
+		text.Last = event.ID
+		text.AddVersion(event.Version)
+	})
+	if end == scheduler.Complete && (gap || text.Last == 0) {
+		end = scheduler.Broken
+	}
+	return end, version
+}
+
+func (t *tenure) runEnded(task *scheduler.Task, assignment scheduler.Assignment, end scheduler.RunEnd, text scheduler.Text, version uint64) {
+	if task.Run == assignment.Run {
+		delete(t.progress, task)
+	}
+	if task.State == scheduler.Finished && task.Run == assignment.Run {
+		text.Whole = end == scheduler.Complete
+		t.scheduler.Keep(task, text)
+		return
+	}
+	if task.State != scheduler.Running || task.Run != assignment.Run {
+		return
+	}
+	delete(t.cancels, task)
+	if version > 0 {
+		t.scheduler.NoteVersion(assignment.Backend.ID, task.Step.Model, version)
+	}
+	task.Text = text
+	t.scheduler.RunEnded(nowMillis(), task, assignment.Run, end)
+	event.SampleRunEnded.On(t.logger).Str("sample", task.Sample.ID).Str("engine", assignment.Backend.ID).
+		Uint("end", uint64(end)).Uint("events", text.Last).Uint("state", uint64(task.State)).Send()
+	switch {
+	case end == scheduler.Impossible:
+		t.finish(task, ledger.Result{Sample: task.Sample.ID, State: ledger.Dead}, "impossible")
+	case end == scheduler.Failed && task.Failures >= max(task.Step.Attempts, 1):
+		t.finish(task, ledger.Result{Sample: task.Sample.ID, State: ledger.Dead}, "failed")
+	case task.State == scheduler.Scoring:
+		t.score(task)
+	}
+}
+
+func (t *tenure) finish(task *scheduler.Task, result ledger.Result, why string) {
+	t.cancel(task)
+	t.scheduler.Finish(task)
+	t.results = append(t.results, pendingResult{task: task, result: result})
+	if result.State == ledger.Dead {
+		event.SampleDead.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).Str("reason", why).Send()
+	}
+}
--- /dev/null
+++ b/server/score.go
@@ -0,0 +1,83 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/forward"
+	"github.com/dillchute/dillchute/ledger"
+	"github.com/dillchute/dillchute/routing"
+	"github.com/dillchute/dillchute/scheduler"
+)
+
+// score has a whole text scored, and lists it then.
+func (t *tenure) score(task *scheduler.Task) {
+	if task.Sample.Reward == nil {
+		t.finish(task, wholeResult(task, ""), "")
+		return
+	}
+	scoreContext, cancel := context.WithCancel(t.context)
+	t.cancels[task] = cancel
+	go func() {
+		defer cancel()
+		score, failed := t.callReward(scoreContext, task)
+		t.loop.Call(func() { t.scored(task, score, failed) })
+	}()
+}
+
+func (t *tenure) scored(task *scheduler.Task, score string, failed bool) {
+	if task.State != scheduler.Scoring {
+		return
+	}
+	delete(t.cancels, task)
+	if failed {
+		t.finish(task, ledger.Result{Sample: task.Sample.ID, State: ledger.Dead}, "no score")
+		return
+	}
+	t.finish(task, wholeResult(task, score), "")
+}
+
+func wholeResult(task *scheduler.Task, score string) ledger.Result {
+	return ledger.Result{
+		Sample: task.Sample.ID, State: ledger.Succeeded, Text: strings.Join(task.Text.Events, "\n"),
+		Versions: task.Text.Versions, Score: score,
+	}
+}
+
+// callReward repeats the reward call until it is answered with a success, or
+// has failed as often as its route allows. It tells whether it has failed.
+func (t *tenure) callReward(ctx context.Context, task *scheduler.Task) (score string, failed bool) {
+	reward := task.Sample.Reward
+	failures := 0
+	for ctx.Err() == nil {
+		catalog := t.watcher.Catalog()
+		path, _, _ := strings.Cut(reward.Path, "?")
+		route, ok := catalog.Table.Match(reward.Host, path)
+		if ok {
+			result := t.sendReward(ctx, catalog, route, reward)
+			if result.Response != nil && result.Response.Status/100 == 2 {
+				return result.Response.Signature, false
+			}
+			failures += result.Failures
+			if failures >= max(route.Attempts, 1) {
+				return "", true
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(rewardBackoff):
+		}
+	}
+	return "", true
+}
+
+func (t *tenure) sendReward(ctx context.Context, catalog *directory.Catalog, route routing.Route, reward *ledger.Reward) forward.Result {
+	timeout := time.Duration(route.TimeoutMillis) * time.Millisecond
+	return t.forwarder.Do(ctx, catalog, route, &forward.Request{
+		ID: reward.ID, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
+		Header: http.Header{}, Body: reward.Body, Deadline: time.Now().Add(timeout),
+	})
+}
