--- a/command/logger.go
+++ b/command/logger.go
@@ -35,13 +35,26 @@
 	closed  bool
 }
 
-// Write queues a line, or counts it as dropped.
+// reservedLines of the buffer are for warnings and errors.
+const reservedLines = logLines / 4
+
+// Write queues a line of no level.
 func (w *lineWriter) Write(line []byte) (int, error) {
+	return w.WriteLevel(zerolog.InfoLevel, line)
+}
+
+// WriteLevel queues a line, or counts it as dropped. Routine lines leave the
+// rest of the buffer to warnings and errors.
+func (w *lineWriter) WriteLevel(level zerolog.Level, line []byte) (int, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.closed {
 		return len(line), nil
 	}
+	if level < zerolog.WarnLevel && len(w.lines) >= logLines-reservedLines {
+		w.dropped++
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
--- a/server/directory.go
+++ b/server/directory.go
@@ -55,6 +55,7 @@
 	replica  *replica.Replica
 	client   *http.Client
 	watches  *watchCounter
+	metrics  directoryMetrics
 
 	mutex sync.Mutex
 	// heard is when each backend was last heard of, and sequences the highest
@@ -80,7 +81,7 @@
 	}
 	return &Directory{
 		settings: settings, logger: logger, machine: machine, replica: opened,
-		client: replica.NewInternalClient(), watches: &watchCounter{},
+		client: replica.NewInternalClient(), watches: &watchCounter{}, metrics: newDirectoryMetrics(),
 		heard: map[string]time.Time{}, sequences: map[string]uint64{},
 	}, nil
 }
--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -82,6 +82,13 @@
 // handle carries out a call on the leader.
 func (d *Directory) handle(ctx context.Context, call directoryCall) (directoryAnswer, error) {
 	answer := directoryAnswer{Leader: d.settings.InternalAddress}
+	began := time.Now()
+	err := d.carryOut(ctx, call, &answer)
+	d.metrics.calls.WithLabelValues(outcomeOf(err)).Observe(time.Since(began).Seconds())
+	return answer, err
+}
+
+func (d *Directory) carryOut(ctx context.Context, call directoryCall, answer *directoryAnswer) error {
 	var err error
 	switch {
 	case call.Heartbeat != nil:
@@ -90,22 +97,22 @@
 		event.BackendLeft.On(d.logger).Str("backend", call.Leave).Send()
 		_, err = d.execute(ctx, directory.Command{RemoveBackend: &directory.RemoveBackend{ID: call.Leave}})
 	case call.Put != nil:
-		err = d.handlePut(ctx, call.Put, &answer)
+		err = d.handlePut(ctx, call.Put, answer)
 	case call.Name != nil:
 		event.VersionNamed.On(d.logger).Str("model", call.Name.Model).Uint("version", call.Name.Version).Send()
 		_, err = d.execute(ctx, directory.Command{NameVersion: call.Name})
 	case call.Read:
-		err = d.handleRead(ctx, &answer)
+		err = d.handleRead(ctx, answer)
 	case call.Retire != nil:
-		err = d.handleRetire(ctx, call.Retire, &answer)
+		err = d.handleRetire(ctx, call.Retire, answer)
 	case call.Retired != "":
-		err = d.handleRetired(ctx, call.Retired, &answer)
+		err = d.handleRetired(ctx, call.Retired, answer)
 	case call.Store != nil:
 		err = d.handleStore(ctx, *call.Store)
 	case call.Report != nil:
 		_, err = d.execute(ctx, directory.Command{ReportGroup: call.Report})
 	}
-	return answer, err
+	return err
 }
 
 func (d *Directory) execute(ctx context.Context, command directory.Command) (directory.Result, error) {
--- a/server/executor.go
+++ b/server/executor.go
@@ -41,11 +41,12 @@
 	watcher   *Watcher
 	engines   EngineClient
 	forwarder *forward.Forwarder
+	metrics   ledgerMetrics
 	logger    *zerolog.Logger
 }
 
-func newExecutor(settings config.Ledger, watcher *Watcher, engines EngineClient, forwarder *forward.Forwarder, logger *zerolog.Logger) *Executor {
-	return &Executor{settings: settings, watcher: watcher, engines: engines, forwarder: forwarder, logger: logger}
+func newExecutor(settings config.Ledger, watcher *Watcher, engines EngineClient, forwarder *forward.Forwarder, metrics ledgerMetrics, logger *zerolog.Logger) *Executor {
+	return &Executor{settings: settings, watcher: watcher, engines: engines, forwarder: forwarder, metrics: metrics, logger: logger}
 }
 
 // run begins a leadership whenever the replica serves, and ends it when it does not.
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,7 @@
 	watcher   *Watcher
 	forwarder *forward.Forwarder
 	client    *http.Client
+	metrics   gatewayMetrics
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
@@ -59,7 +61,7 @@
 	return &Gateway{
 		settings: settings, logger: logger,
 		watcher:   NewWatcher(seeds, spread(settings.Name), logger),
-		forwarder: forward.New(backends, settings.Zone), client: replica.NewInternalClient(),
+		forwarder: forward.New(backends, settings.Zone), client: replica.NewInternalClient(), metrics: newGatewayMetrics(),
 	}
 }
 
@@ -127,6 +129,7 @@
 		request.Deadline = timeout
 	}
 	result := g.forwarder.Do(ctx, catalog, route, request)
+	g.metrics.noteRequest(result, time.Since(started))
 	line := event.RequestEnded.On(g.logger).Str("request", request.ID).Str("route", route.Name).
 		Uint("attempts", uint64(result.Attempts)).Int("ms", time.Since(started).Milliseconds()).
 		Uint("version", catalog.Version).Uint("revision", catalog.Revision)
@@ -163,6 +166,7 @@
 	case err != nil || !answer.Found:
 		outcome = SubmitUnknown
 	}
+	g.metrics.steps.WithLabelValues(strconv.Itoa(int(outcome))).Inc()
 	event.StepForwarded.On(g.logger).Str("step", step.ID).Uint("outcome", uint64(outcome)).Send()
 	return outcome
 }
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -75,6 +75,7 @@
 	machine  *ledger.Machine
 	watcher  *Watcher
 	executor *Executor
+	metrics  ledgerMetrics
 	// identity is the replica's, which a store without data makes up at its start.
 	identity consensus.ReplicaID
 	fresh    bool
@@ -90,7 +91,8 @@
 		watcher:  NewWatcher(seeds, spread(settings.Name), logger),
 		identity: replica.NewIdentity(),
 	}
-	l.executor = newExecutor(settings, l.watcher, engines, forward.New(backends, settings.Zone), logger)
+	l.metrics = newLedgerMetrics()
+	l.executor = newExecutor(settings, l.watcher, engines, forward.New(backends, settings.Zone), l.metrics, logger)
 	return l
 }
 
--- a/server/load.go
+++ b/server/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/dillchute/dillchute/directory"
@@ -29,7 +30,13 @@
 func (t *tenure) load(order scheduler.Order) {
 	limited, cancel := context.WithTimeout(t.context, loadLimit)
 	defer cancel()
+	began := time.Now()
 	held := t.loadUntilHeld(limited, order)
+	outcome := "done"
+	if held < order.Version {
+		outcome = "failed"
+	}
+	t.metrics.loads.WithLabelValues(outcome).Observe(time.Since(began).Seconds())
 	t.loop.Call(func() {
 		line := event.LoadEnded.On(t.logger).Str("engine", order.Backend.ID).Str("model", order.Model).
 			Uint("version", order.Version).Uint("held", held)
@@ -85,6 +92,7 @@
 		return LoadConflict
 	}
 	answer := t.engines.Load(limited, request)
+	t.metrics.orders.WithLabelValues(strconv.Itoa(int(answer))).Inc()
 	event.OrderSent.On(t.logger).Str("engine", request.Order.Backend.ID).Uint("version", request.Order.Version).
 		Uint("fence", request.Fence).Uint("sequence", request.Sequence).Uint("answer", uint64(answer)).Send()
 	return answer
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -35,8 +35,9 @@
 	emit <- prometheus.MustNewConstMetric(description, kind, value)
 }
 
-func newRegistry(collect collector) *prometheus.Registry {
+func newRegistry(collect collector, further ...prometheus.Collector) *prometheus.Registry {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(further...)
 	registry.MustRegister(collect, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return registry
--- a/server/process.go
+++ b/server/process.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/dillchute/dillchute/config"
@@ -72,12 +73,12 @@
 }
 
 // serveMetrics serves metrics and profiles, if there is a listener for them.
-func serveMetrics(listener net.Listener, collect collector, logger *zerolog.Logger) {
+func serveMetrics(listener net.Listener, logger *zerolog.Logger, collect collector, further []prometheus.Collector) {
 	if listener == nil {
 		return
 	}
 	router := mux.NewRouter()
-	addOperational(router, func() bool { return true }, newRegistry(collect), true)
+	addOperational(router, func() bool { return true }, newRegistry(collect, further...), true)
 	serveHTTP(newCallerServer(router), listener, logger)
 }
 
@@ -88,7 +89,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	go gateway.Run(background)
-	serveMetrics(listeners.Metrics, gateway.collect, logger)
+	serveMetrics(listeners.Metrics, logger, gateway.collect, gateway.metrics.collectors())
 	readyServer := newCallerServer(ready)
 	serveHTTP(readyServer, listeners.Ready, logger)
 	defer readyServer.Close()
@@ -118,7 +119,7 @@
 // RunDirectory serves operators and backends until the context ends.
 func RunDirectory(ctx context.Context, settings config.Directory, served *Directory, listeners Listeners, control http.Handler, logger *zerolog.Logger) error {
 	limitMemory(settings.Process)
-	serveMetrics(listeners.Metrics, served.collect, logger)
+	serveMetrics(listeners.Metrics, logger, served.collect, served.metrics.collectors())
 	controlServer := newCallerServer(control)
 	serveHTTP(controlServer, listeners.Outer, logger)
 	defer controlServer.Close()
@@ -128,6 +129,6 @@
 // RunLedger serves gateways and other stores until the context ends.
 func RunLedger(ctx context.Context, settings config.Ledger, served *Ledger, listeners Listeners, logger *zerolog.Logger) error {
 	limitMemory(settings.Process)
-	serveMetrics(listeners.Metrics, served.collect, logger)
+	serveMetrics(listeners.Metrics, logger, served.collect, served.metrics.collectors())
 	return served.Run(ctx, listeners.Internal)
 }
--- a/server/role_metrics.go
+++ b/server/role_metrics.go
@@ -1,11 +1,103 @@
 package server
 
 import (
+	"fmt"
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/dillchute/dillchute/forward"
 	"github.com/dillchute/dillchute/replica"
 )
 
+// latencyBuckets are in seconds, for calls and requests of a few milliseconds up
+// to their time limits.
+var latencyBuckets = []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10}
+
+func newCounter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dillchute_" + name, Help: help}, labels)
+}
+
+func newHistogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "dillchute_" + name, Help: help, Buckets: latencyBuckets,
+	}, labels)
+}
+
+// gatewayMetrics count what a gateway does. Labels take few values, whatever the
+// configuration holds.
+type gatewayMetrics struct {
+	requests, attempts, steps *prometheus.CounterVec
+	latency                   *prometheus.HistogramVec
+}
+
+func newGatewayMetrics() gatewayMetrics {
+	return gatewayMetrics{
+		requests: newCounter("gateway_requests_total", "Requests passed to backends, by outcome.", "outcome"),
+		attempts: newCounter("gateway_attempts_total", "Backends that requests were sent to."),
+		steps:    newCounter("gateway_steps_total", "Steps handed to the ledger, by outcome.", "outcome"),
+		latency:  newHistogram("gateway_request_seconds", "Time to a request's end, by outcome.", "outcome"),
+	}
+}
+
+func (m gatewayMetrics) collectors() []prometheus.Collector {
+	return []prometheus.Collector{m.requests, m.attempts, m.steps, m.latency}
+}
+
+// noteRequest counts a request that has ended.
+func (m gatewayMetrics) noteRequest(result forward.Result, took time.Duration) {
+	outcome := string(result.Reason)
+	if result.Response != nil {
+		outcome = fmt.Sprintf("answered_%dxx", result.Response.Status/statusClass)
+	}
+	m.requests.WithLabelValues(outcome).Inc()
+	m.attempts.WithLabelValues().Add(float64(result.Attempts))
+	m.latency.WithLabelValues(outcome).Observe(took.Seconds())
+}
+
+// statusClass is the number of statuses in a class such as 2xx.
+const statusClass = 100
+
+// ledgerMetrics count what a store's executor does.
+type ledgerMetrics struct {
+	runs, samples, orders *prometheus.CounterVec
+	loads, records, run   *prometheus.HistogramVec
+}
+
+func newLedgerMetrics() ledgerMetrics {
+	return ledgerMetrics{
+		runs:    newCounter("ledger_runs_total", "Runs of samples on engines, by their end (see event 6005).", "end"),
+		samples: newCounter("ledger_samples_total", "Samples with a result, by state.", "state"),
+		orders:  newCounter("ledger_orders_total", "Orders to engines, by answer (see event 6008).", "answer"),
+		loads:   newHistogram("ledger_load_seconds", "Time from an order to the end of its load, by outcome.", "outcome"),
+		records: newHistogram("ledger_record_seconds", "Time to commit results, by outcome.", "outcome"),
+		run:     newHistogram("ledger_run_seconds", "Time of a run on an engine."),
+	}
+}
+
+func (m ledgerMetrics) collectors() []prometheus.Collector {
+	return []prometheus.Collector{m.runs, m.samples, m.orders, m.loads, m.records, m.run}
+}
+
+// directoryMetrics count what a replica of the directory is asked.
+type directoryMetrics struct {
+	calls *prometheus.HistogramVec
+}
+
+func newDirectoryMetrics() directoryMetrics {
+	return directoryMetrics{calls: newHistogram("directory_call_seconds", "Calls carried out as leader, by outcome.", "outcome")}
+}
+
+func (m directoryMetrics) collectors() []prometheus.Collector { return []prometheus.Collector{m.calls} }
+
+// outcomeOf labels a call that ended with the error, or with none.
+func outcomeOf(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "done"
+}
+
 func collectReplica(emit chan<- prometheus.Metric, status *replica.Status) {
 	gauge(emit, "replica_leading", "Whether this replica leads.", oneIf(status.Leading))
 	gauge(emit, "replica_serving", "Whether this replica leads and has applied all that is committed.", oneIf(status.Serving))
--- a/server/run.go
+++ b/server/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -51,8 +52,10 @@
 	if t.scheduler.Loading(assignment.Backend.ID, task.Step.Model) {
 		stall = loadStall
 	}
+	began := time.Now()
 	go func() {
 		defer cancel()
+		defer func() { t.metrics.run.WithLabelValues().Observe(time.Since(began).Seconds()) }()
 		end, version := t.runTask(runContext, cancel, request, &text, events, stall)
 		t.loop.Call(func() { t.runEnded(task, assignment, end, text, version) })
 	}()
@@ -99,6 +102,7 @@
 	}
 	task.Text = text
 	t.scheduler.RunEnded(nowMillis(), task, assignment.Run, end)
+	t.metrics.runs.WithLabelValues(strconv.Itoa(int(end))).Inc()
 	event.SampleRunEnded.On(t.logger).Str("sample", task.Sample.ID).Str("engine", assignment.Backend.ID).
 		Uint("end", uint64(end)).Uint("events", text.Last).Uint("state", uint64(task.State)).Send()
 	switch {
@@ -114,6 +118,7 @@
 func (t *tenure) finish(task *scheduler.Task, result ledger.Result, why string) {
 	t.cancel(task)
 	t.scheduler.Finish(task)
+	t.metrics.samples.WithLabelValues(strconv.Itoa(int(result.State))).Inc()
 	t.results = append(t.results, pendingResult{task: task, result: result})
 	if result.State == ledger.Dead {
 		event.SampleDead.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).Str("reason", why).Send()
