--- a/command/command.go
+++ b/command/command.go
@@ -50,6 +50,7 @@
 	Drain    drainCommand    `cmd:"" help:"Drain a node or an engine."`
 	Weights  weightsCommand  `cmd:"" help:"Publish weight versions."`
 	Members  membersCommand  `cmd:"" help:"Change the group of control replicas."`
+	Explain  explainCommand  `cmd:"" help:"Print what the logs of several processes say of one request."`
 
 	// Plugins are further commands, which the program's main brings.
 	kong.Plugins
