--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -116,11 +116,14 @@
 	// contentionCost is added for each other model with waiting samples that
 	// the engine could serve as well: what can run elsewhere leaves it to them.
 	contentionCost = 1.5
+	// slowCost is added for each time that an engine is slower than the middle
+	// one, beyond what is usual: how many samples run there matters far less.
+	slowCost = 20
 )
 
 // placeCost rates an engine that may run the task; the lowest is chosen.
 func (s *Scheduler) placeCost(known *engine, task *Task) float64 {
-	cost := float64(len(known.running)+1) * s.ratio(known)
+	cost := float64(len(known.running)) + slowCost*max(s.ratio(known)-usualRatio, 0)
 	if task.Attempts > 0 && known.backend.ID == task.Engine {
 		cost += failedCost
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -265,3 +265,17 @@
 	require.Equal(t, uint64(1), moved[0].Task.Text.Last)
 	require.Zero(t, s.engines["e00"].failures)
 }
+
+// TestMovedSampleDoesNotMeetAnotherSlowEngine: an empty slow engine is no better
+// than a busy one of the usual pace.
+func TestMovedSampleDoesNotMeetAnotherSlowEngine(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(2, 8, "a"), nil)
+	usual, slow := s.engines["e00"], s.engines["e01"]
+	usual.pace, slow.pace, s.middlePace = 30, 90, 30
+	for range 4 {
+		usual.running[&Task{Step: &ledger.Step{ID: "other"}, Sample: &ledger.Sample{}}] = true
+	}
+	s.AddStep(entry("y", "a", 1, 1))
+	require.Equal(t, "e00", s.Assign(0, anywhere)[0].Backend.ID)
+}
