--- a/consensus/raft.go
+++ b/consensus/raft.go
@@ -182,6 +182,10 @@
 	}
 }
 
+// ForgetSnapshotData drops the data of the newest snapshot, for a caller that
+// adds it to messages from its storage.
+func (r *Raft) ForgetSnapshotData() { r.snapshot.Data = nil }
+
 // compactMemberships drops the records that a snapshot at the index covers.
 func (r *Raft) compactMemberships(index uint64) {
 	for len(r.memberships) > 1 && r.memberships[1].index <= index {
--- a/directory/machine.go
+++ b/directory/machine.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"errors"
+	"io"
 	"maps"
 	"reflect"
 	"slices"
@@ -83,30 +85,25 @@
 	}
 }
 
-// Snapshot returns a function that encodes the state as it is now. Objects are
+// Snapshot returns a function that writes the state as it is now. Objects are
 // replaced and never changed, so copies of the maps that hold them do.
-func (m *Machine) Snapshot() func() []byte {
+func (m *Machine) Snapshot() func(io.Writer) error {
 	state := m.state
 	state.Routes, state.Services = maps.Clone(state.Routes), maps.Clone(state.Services)
 	state.Backends, state.Models = maps.Clone(state.Backends), maps.Clone(state.Models)
 	state.Stores, state.Gone = maps.Clone(state.Stores), maps.Clone(state.Gone)
-	return func() []byte {
-		data, err := deterministic.Marshal(state)
-		if err != nil {
-			panic("directory: the machine must encode: " + err.Error())
-		}
-		return data
-	}
+	return func(writer io.Writer) error { return deterministic.NewEncoder(writer).Encode(state) }
 }
 
-// Restore replaces the state by a snapshot's; no data is the state before the
-// first command.
-func (m *Machine) Restore(data []byte) error {
+// Restore replaces the state by a written one; nothing to read is the state
+// before the first command.
+func (m *Machine) Restore(reader io.Reader) error {
 	m.clear()
-	if len(data) == 0 {
+	err := cbor.NewDecoder(reader).Decode(&m.state)
+	if errors.Is(err, io.EOF) {
 		return nil
 	}
-	return cbor.Unmarshal(data, &m.state)
+	return err
 }
 
 // Revision grows with each change of an object.
--- a/directory/machine_test.go
+++ b/directory/machine_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"slices"
@@ -123,7 +124,9 @@
 				apply(t, m, Command{NameVersion: &ModelVersion{Model: "m", Version: uint64(rapid.IntRange(1, 9).Draw(t, "version"))}})
 			case 4:
 				restored := NewMachine()
-				require.NoError(t, restored.Restore(m.Snapshot()()))
+				var written bytes.Buffer
+				require.NoError(t, m.Snapshot()(&written))
+				require.NoError(t, restored.Restore(&written))
 				m = restored
 			}
 			if rapid.Bool().Draw(t, "watch") {
--- a/event/event.go
+++ b/event/event.go
@@ -29,6 +29,7 @@
 	MembershipChanged   = Event{1012, zerolog.InfoLevel, "the group's membership has changed"}
 	StorageRefused      = Event{1013, zerolog.ErrorLevel, "storage refuses writes; the replica waits"}
 	StorageAccepts      = Event{1014, zerolog.InfoLevel, "storage takes writes again"}
+	SnapshotUnread      = Event{1015, zerolog.WarnLevel, "a snapshot could not be read to be sent"}
 
 	NodeStarted       = Event{2001, zerolog.InfoLevel, "node started"}
 	NodeDraining      = Event{2002, zerolog.InfoLevel, "node is draining"}
@@ -84,7 +85,7 @@
 // All lists the events in the order of their numbers.
 var All = []Event{
 	ControlStarted, ControlStopping, LeadershipGained, LeadershipLost, SnapshotSaved,
-	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged, StorageRefused, StorageAccepts,
+	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged, StorageRefused, StorageAccepts, SnapshotUnread,
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"errors"
+	"io"
 	"maps"
 	"slices"
 
@@ -43,42 +45,54 @@
 	return &Machine{steps: map[string]*Entry{}, orders: map[string]Order{}}
 }
 
-// contents is what a snapshot holds.
-type contents struct {
-	Steps  map[string]*Entry `cbor:"1,keyasint"`
-	Orders map[string]Order  `cbor:"2,keyasint"`
+// snapshotHeader comes before the entries in a snapshot.
+type snapshotHeader struct {
+	Orders map[string]Order `cbor:"1,keyasint"`
 }
 
-// Snapshot returns a function that encodes the state as it is now. Steps are
-// never changed and results only appended, so copies of the entries do.
-func (m *Machine) Snapshot() func() []byte {
-	state := contents{Steps: make(map[string]*Entry, len(m.steps)), Orders: maps.Clone(m.orders)}
-	for id, entry := range m.steps {
-		state.Steps[id] = &Entry{Step: entry.Step, Results: entry.Results[:len(entry.Results):len(entry.Results)], Ended: entry.Ended}
+// Snapshot returns a function that writes the state as it is now, one entry after
+// the other. Steps are never changed and results only appended, so copies of the
+// entries do.
+func (m *Machine) Snapshot() func(io.Writer) error {
+	header := snapshotHeader{Orders: maps.Clone(m.orders)}
+	entries := make([]*Entry, 0, len(m.steps))
+	for _, entry := range m.Steps() {
+		entries = append(entries, &Entry{
+			Step: entry.Step, Results: entry.Results[:len(entry.Results):len(entry.Results)], Ended: entry.Ended,
+		})
 	}
-	return func() []byte {
-		data, err := encoder.Marshal(state)
-		if err != nil {
-			panic("ledger: the machine must encode: " + err.Error())
+	return func(writer io.Writer) error {
+		pieces := encoder.NewEncoder(writer)
+		err := pieces.Encode(header)
+		for position := 0; position < len(entries) && err == nil; position++ {
+			err = pieces.Encode(entries[position])
 		}
-		return data
+		return err
 	}
 }
 
-// Restore replaces the state by a snapshot's.
-func (m *Machine) Restore(data []byte) error {
+// Restore replaces the state by a written one; nothing to read is the state
+// before the first command.
+func (m *Machine) Restore(reader io.Reader) error {
 	m.steps, m.orders = map[string]*Entry{}, map[string]Order{}
 	m.Generation++
-	if len(data) == 0 {
-		return nil
+	pieces := cbor.NewDecoder(reader)
+	var header snapshotHeader
+	err := pieces.Decode(&header)
+	if header.Orders != nil {
+		m.orders = header.Orders
 	}
-	if err := cbor.Unmarshal(data, &contents{Steps: m.steps, Orders: m.orders}); err != nil {
-		return err
+	for err == nil {
+		entry := &Entry{}
+		if err = pieces.Decode(entry); err == nil {
+			entry.index()
+			m.steps[entry.Step.ID] = entry
+		}
 	}
-	for _, entry := range m.steps {
-		entry.index()
+	if errors.Is(err, io.EOF) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 func (e *Entry) index() {
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -43,7 +44,9 @@
 				m.Apply(Command{End: &End{Step: id}}.Encode())
 			case 5:
 				restored := NewMachine()
-				require.NoError(t, restored.Restore(m.Snapshot()()))
+				var written bytes.Buffer
+				require.NoError(t, m.Snapshot()(&written))
+				require.NoError(t, restored.Restore(&written))
 				m = restored
 			}
 			for _, entry := range m.Steps() {
--- a/replica/core.go
+++ b/replica/core.go
@@ -5,6 +5,9 @@
 package replica
 
 import (
+	"bytes"
+	"io"
+
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/protocol"
 )
@@ -14,11 +17,12 @@
 type Machine interface {
 	// Apply carries out a command and returns its encoded result.
 	Apply(command []byte) []byte
-	// Snapshot returns a function that encodes the state as it is now. The
-	// function may be called from another goroutine while commands are applied.
-	Snapshot() func() []byte
-	// Restore replaces the state by an encoded one.
-	Restore(data []byte) error
+	// Snapshot returns a function that writes the state as it is now, piece by
+	// piece. It may be called from another goroutine while commands are applied.
+	Snapshot() func(io.Writer) error
+	// Restore replaces the state by a written one; nothing to read is the state
+	// before the first command.
+	Restore(reader io.Reader) error
 }
 
 // CoreConfig holds what a Core needs to start.
@@ -103,18 +107,19 @@
 	replies      []Reply
 }
 
-// NewCore returns a replica that continues from what storage held. It fails if
-// the stored snapshot cannot be decoded.
-func NewCore(config CoreConfig, machine Machine) (*Core, error) {
-	if err := machine.Restore(config.Consensus.Snapshot.Data); err != nil {
+// NewCore returns a replica that continues from what storage held, with the
+// state that the reader holds. It fails if that cannot be decoded.
+func NewCore(config CoreConfig, machine Machine, state io.Reader) (*Core, error) {
+	if err := machine.Restore(state); err != nil {
 		return nil, err
 	}
+	config.Consensus.Snapshot.Data = nil
 	c := &Core{
 		config: config, raft: consensus.New(config.Consensus), machine: machine,
 		applied: config.Consensus.Snapshot.Index,
 		waiting: map[uint64]waiter{}, reads: map[uint64]uint64{},
 		addresses: map[consensus.ReplicaID]string{}, retiring: map[consensus.ReplicaID]bool{},
-		superseded: map[consensus.ReplicaID]bool{}, snapshotSize: len(config.Consensus.Snapshot.Data),
+		superseded: map[consensus.ReplicaID]bool{},
 	}
 	for _, entry := range config.Consensus.Entries {
 		c.logBytes += len(entry.Data)
@@ -247,7 +252,7 @@
 		c.logBytes += len(entry.Data)
 	}
 	if ready.Snapshot != nil {
-		if err := c.machine.Restore(ready.Snapshot.Data); err != nil {
+		if err := c.machine.Restore(bytes.NewReader(ready.Snapshot.Data)); err != nil {
 			return err
 		}
 		c.applied, c.logBytes, c.snapshotSize = ready.Snapshot.Index, 0, len(ready.Snapshot.Data)
@@ -256,6 +261,7 @@
 		c.applyEntry(entry)
 	}
 	c.raft.Advance(ready)
+	c.raft.ForgetSnapshotData()
 	c.noticeLeadership()
 	c.confirmReads(ready)
 	c.compact()
@@ -313,23 +319,26 @@
 // SnapshotJob is a snapshot to be encoded and persisted, which may take long
 // and need not hold the replica up.
 type SnapshotJob struct {
-	// Snapshot lacks its data, which Encode returns.
+	// Snapshot lacks its data, which Write writes.
 	Snapshot consensus.Snapshot
-	Encode   func() []byte
+	Write    func(io.Writer) error
 	logBytes int
 }
 
+// logShare is the part of the last snapshot's size that the log may have.
+const logShare = 2
+
 // compact asks for a snapshot when the log has outgrown both the configured size
-// and the last snapshot, so that snapshots cost in proportion to the log.
+// and a part of the last snapshot, so that snapshots cost in proportion to the log.
 func (c *Core) compact() {
 	entries := c.raft.LogSize()
-	grown := c.logBytes >= max(c.config.SnapshotBytes, c.snapshotSize)
+	grown := c.logBytes >= max(c.config.SnapshotBytes, c.snapshotSize/logShare)
 	grown = grown || c.config.SnapshotEntries > 0 && entries >= c.config.SnapshotEntries
 	if !grown || c.job != nil {
 		return
 	}
 	if snapshot, ok := c.raft.Describe(c.applied); ok {
-		c.job = &SnapshotJob{Snapshot: snapshot, Encode: c.machine.Snapshot(), logBytes: c.logBytes}
+		c.job = &SnapshotJob{Snapshot: snapshot, Write: c.machine.Snapshot(), logBytes: c.logBytes}
 		c.offered = c.job
 	}
 }
@@ -342,16 +351,17 @@
 	return job
 }
 
-// FinishSnapshot takes in that the job's snapshot is durable with the data, and
-// drops the log up to it. It returns the index up to which the stored log may
-// be dropped, or 0.
-func (c *Core) FinishSnapshot(job *SnapshotJob, data []byte) uint64 {
+// FinishSnapshot takes in that the job's snapshot is durable with data of the
+// size, and drops the log up to it. It returns the index up to which the stored
+// log may be dropped, or 0. The data is not kept: messages that carry a snapshot
+// leave it to the caller to add the newest durable one.
+func (c *Core) FinishSnapshot(job *SnapshotJob, size int) uint64 {
 	c.job = nil
-	if _, ok := c.raft.Compact(job.Snapshot.Index, data); !ok {
+	if _, ok := c.raft.Compact(job.Snapshot.Index, nil); !ok {
 		return 0
 	}
 	c.logBytes -= job.logBytes
-	c.snapshotSize = len(data)
+	c.snapshotSize = size
 	return job.Snapshot.Index
 }
 
--- a/replica/core_test.go
+++ b/replica/core_test.go
@@ -1,8 +1,10 @@
 package replica
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"slices"
 	"testing"
 
@@ -22,23 +24,25 @@
 	return command
 }
 
-func (n *numbers) Snapshot() func() []byte {
+func (n *numbers) Snapshot() func(io.Writer) error {
 	list := slices.Clone(n.list)
-	return func() []byte {
-		var data []byte
+	return func(writer io.Writer) error {
 		for _, number := range list {
-			data = binary.BigEndian.AppendUint64(data, number)
+			if _, err := writer.Write(binary.BigEndian.AppendUint64(nil, number)); err != nil {
+				return err
+			}
 		}
-		return data
+		return nil
 	}
 }
 
-func (n *numbers) Restore(data []byte) error {
+func (n *numbers) Restore(reader io.Reader) error {
 	n.list = nil
+	data, err := io.ReadAll(reader)
 	for ; len(data) >= 8; data = data[8:] {
 		n.list = append(n.list, binary.BigEndian.Uint64(data))
 	}
-	return nil
+	return err
 }
 
 // process is one machine of a test group: what its disk holds and, while it
@@ -99,7 +103,7 @@
 			HardState: p.state, Snapshot: p.snapshot, Entries: slices.Clone(p.entries),
 		},
 		Address: p.address, Voters: g.voters, SilentTicks: 30, SnapshotBytes: 1 << 20, SnapshotEntries: 40,
-	}, p.machine)
+	}, p.machine, bytes.NewReader(p.snapshot.Data))
 	require.NoError(g.t, err)
 	p.core = core
 }
@@ -146,6 +150,12 @@
 	}
 	g.finishSnapshot(p)
 	for _, message := range p.core.TakeMessages() {
+		if sent := message.Message.Consensus; sent != nil && sent.Snapshot != nil {
+			// What is durable is added, as the runtime does.
+			copied, snapshot := *sent, p.snapshot
+			copied.Snapshot = &snapshot
+			message.Message.Consensus = &copied
+		}
 		if !p.cut {
 			g.inbox = append(g.inbox, message)
 		}
@@ -164,8 +174,10 @@
 		return
 	}
 	snapshot := p.job.Snapshot
-	snapshot.Data = p.job.Encode()
-	if through := p.core.FinishSnapshot(p.job, snapshot.Data); through > 0 {
+	var written bytes.Buffer
+	require.NoError(g.t, p.job.Write(&written))
+	snapshot.Data = written.Bytes()
+	if through := p.core.FinishSnapshot(p.job, written.Len()); through > 0 {
 		p.snapshot = snapshot
 		for len(p.entries) > 0 && p.entries[0].Index <= through {
 			p.entries = p.entries[1:]
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -37,7 +37,7 @@
 	// ExecutePath is where a leader takes in commands of other replicas.
 	ExecutePath     = "/internal/execute"
 	maxCommandBytes = 64 << 20
-	snapshotBytes   = 8 << 20
+	snapshotBytes   = 4 << 20
 	snapshotEntries = 4000
 )
 
@@ -69,8 +69,11 @@
 // without an error is durable; one that failed may be repeated.
 type Store interface {
 	Save(ready consensus.Ready) error
-	// WriteSnapshot may be called while Save or DropLog run.
-	WriteSnapshot(snapshot consensus.Snapshot) error
+	// WriteSnapshot makes a snapshot durable, whose data the function writes, and
+	// returns the data's size. It may be called while Save or DropLog run.
+	WriteSnapshot(snapshot consensus.Snapshot, write func(io.Writer) error) (int, error)
+	// ReadSnapshot returns the newest snapshot with its data.
+	ReadSnapshot() (consensus.Snapshot, error)
 	// DropLog forgets the entries up to the index, which a snapshot covers.
 	DropLog(through uint64) error
 	Close() error
@@ -104,6 +107,11 @@
 	if err != nil {
 		return nil, err
 	}
+	state, err := store.State()
+	if err != nil {
+		store.Close()
+		return nil, err
+	}
 	core, err := NewCore(CoreConfig{
 		Consensus: consensus.Config{
 			ID: contents.Identity.Replica, ElectionTicks: electionTicks, FirstElectionTicks: firstElectionTicks, HeartbeatTicks: heartbeatTicks,
@@ -112,7 +120,10 @@
 		},
 		Address: settings.Address, Voters: settings.Voters, SilentTicks: silentTicks,
 		SnapshotBytes: snapshotBytes, SnapshotEntries: snapshotEntries,
-	}, machine)
+	}, machine, state)
+	if err == nil {
+		err = state.Close()
+	}
 	if err != nil {
 		store.Close()
 		return nil, storage.ErrDamaged.Wrap(err, "restore the snapshot")
@@ -222,6 +233,10 @@
 	}
 	r.updateStatus()
 	for _, outgoing := range r.core.TakeMessages() {
+		if outgoing.Message.Consensus != nil && outgoing.Message.Consensus.Snapshot != nil {
+			go r.sendSnapshot(outgoing)
+			continue
+		}
 		r.transport.Send(outgoing.Address, outgoing.Message)
 	}
 	for _, reply := range r.core.TakeReplies() {
@@ -236,16 +251,33 @@
 	return nil
 }
 
-// makeSnapshot encodes and writes a snapshot beside the loop.
+// sendSnapshot adds the newest durable snapshot, which may be newer than the one
+// named, to a message and sends it. A message that is not sent is asked for again.
+func (r *Replica) sendSnapshot(outgoing Outgoing) {
+	snapshot, err := r.store.ReadSnapshot()
+	if err != nil || snapshot.Index < outgoing.Message.Consensus.Snapshot.Index {
+		event.SnapshotUnread.On(r.logger).Uint("index", outgoing.Message.Consensus.Snapshot.Index).Err(err).Send()
+		return
+	}
+	message := *outgoing.Message.Consensus
+	message.Snapshot = &snapshot
+	outgoing.Message.Consensus = &message
+	r.transport.Send(outgoing.Address, outgoing.Message)
+}
+
+// makeSnapshot writes a snapshot beside the loop.
 func (r *Replica) makeSnapshot(job *SnapshotJob) {
-	snapshot := job.Snapshot
-	snapshot.Data = job.Encode()
-	if r.persist(func() error { return r.store.WriteSnapshot(snapshot) }) != nil {
+	size := 0
+	err := r.persist(func() (err error) {
+		size, err = r.store.WriteSnapshot(job.Snapshot, job.Write)
+		return err
+	})
+	if err != nil {
 		return
 	}
-	event.SnapshotSaved.On(r.logger).Uint("index", snapshot.Index).Uint("bytes", uint64(len(snapshot.Data))).Send()
+	event.SnapshotSaved.On(r.logger).Uint("index", job.Snapshot.Index).Uint("bytes", uint64(size)).Send()
 	r.loop.Call(func() {
-		if through := r.core.FinishSnapshot(job, snapshot.Data); through > 0 {
+		if through := r.core.FinishSnapshot(job, size); through > 0 {
 			r.persist(func() error { return r.store.DropLog(through) })
 		}
 	})
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -35,9 +37,12 @@
 	return nil
 }
 
-func (s *refusingStore) WriteSnapshot(consensus.Snapshot) error { return nil }
-func (s *refusingStore) DropLog(uint64) error                   { return nil }
-func (s *refusingStore) Close() error                           { return nil }
+func (s *refusingStore) WriteSnapshot(consensus.Snapshot, func(io.Writer) error) (int, error) {
+	return 0, nil
+}
+func (s *refusingStore) ReadSnapshot() (consensus.Snapshot, error) { return consensus.Snapshot{}, nil }
+func (s *refusingStore) DropLog(uint64) error                      { return nil }
+func (s *refusingStore) Close() error                              { return nil }
 
 // TestReplicaOutlivesFullDisk: a disk that refuses writes for a while does not
 // end the process, and a command is acknowledged once it is written.
@@ -52,7 +57,7 @@
 			Snapshot:  consensus.Snapshot{Index: 1, Term: 1, Membership: consensus.Membership{Members: []consensus.Member{member}}},
 		},
 		Address: member.Address, Voters: 1, SilentTicks: silentTicks, SnapshotBytes: snapshotBytes,
-	}, machine)
+	}, machine, strings.NewReader(""))
 	require.NoError(t, err)
 	store := &refusingStore{refusals: 3}
 	r := newReplica(Settings{Address: member.Address, Contacts: func() []string { return nil }}, store, core, &logger)
--- a/storage/snapshot.go
+++ b/storage/snapshot.go
@@ -1,7 +1,12 @@
 package storage
 
 import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
 	"errors"
+	"hash/crc32"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -13,55 +18,200 @@
 )
 
 // snapshotFile holds a snapshot of applied entries, written beside the log so
-// that its size does not hold the log up. It counts if it is newer than the
-// snapshot in the log's file.
-const snapshotFile = "snapshot"
-
-// WriteSnapshot makes a snapshot durable. It may be called while other methods
-// run. The log that it covers is dropped by DropLog afterwards.
-func (s *Store) WriteSnapshot(snapshot consensus.Snapshot) error {
-	data, err := cbor.Marshal(snapshot)
-	if err != nil {
-		return ErrIO.Wrap(err, "encode the snapshot")
-	}
+// that its size does not hold the log up, and piece by piece so that it need not
+// be in memory. It counts if it is newer than the snapshot in the log's file.
+// The file is a length-prefixed header, the data, and the checksum of both.
+const (
+	snapshotFile   = "snapshot"
+	headerLength   = 4
+	maxHeaderBytes = 1 << 20
+)
+
+// WriteSnapshot makes a snapshot durable, whose data the function writes, and
+// returns the data's size. It may be called while other methods run. The log
+// that it covers is dropped by DropLog afterwards.
+func (s *Store) WriteSnapshot(snapshot consensus.Snapshot, write func(io.Writer) error) (int, error) {
 	path := filepath.Join(s.folder, snapshotFile)
-	if err := writeSynced(path+".new", record(data)); err != nil {
-		return ErrIO.Wrap(err, "write %s", path)
+	size, err := writeSnapshotFile(path+".new", snapshot, write)
+	if err != nil {
+		return 0, ErrIO.Wrap(err, "write %s", path)
 	}
 	if err := os.Rename(path+".new", path); err != nil {
-		return ErrIO.Wrap(err, "name %s", path)
+		return 0, ErrIO.Wrap(err, "name %s", path)
+	}
+	if err := syncFolder(s.folder); err != nil {
+		return 0, err
 	}
-	return syncFolder(s.folder)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.inLog.Index < snapshot.Index {
+		s.inLog = consensus.Snapshot{}
+	}
+	return size, nil
 }
 
-func writeSynced(path string, data []byte) error {
+func writeSnapshotFile(path string, snapshot consensus.Snapshot, write func(io.Writer) error) (size int, err error) {
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
-		return err
+		return 0, err
+	}
+	defer func() { err = errors.Join(err, file.Close()) }()
+	buffered := bufio.NewWriter(file)
+	checked := &checksumWriter{writer: buffered}
+	snapshot.Data = nil
+	header, err := cbor.Marshal(snapshot)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := checked.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(header))), header...)); err != nil {
+		return 0, err
+	}
+	before := checked.written
+	if err := write(checked); err != nil {
+		return 0, err
+	}
+	if _, err := buffered.Write(binary.BigEndian.AppendUint32(nil, checked.sum)); err != nil {
+		return 0, err
 	}
-	_, err = file.Write(data)
-	if err == nil {
-		err = file.Sync()
+	if err := buffered.Flush(); err != nil {
+		return 0, err
 	}
-	return errors.Join(err, file.Close())
+	return checked.written - before, file.Sync()
 }
 
-// readSnapshotFile returns the snapshot of the folder's snapshot file, or nil
-// if there is none.
-func readSnapshotFile(folder string) (*consensus.Snapshot, error) {
+// checksumWriter passes bytes on and sums them up.
+type checksumWriter struct {
+	writer  io.Writer
+	sum     uint32
+	written int
+}
+
+// Write passes the bytes on.
+func (w *checksumWriter) Write(data []byte) (int, error) {
+	w.sum = crc32.Update(w.sum, castagnoli, data)
+	w.written += len(data)
+	return w.writer.Write(data)
+}
+
+// openedSnapshot is a snapshot file whose checksum is right, read up to its data.
+type openedSnapshot struct {
+	snapshot consensus.Snapshot
+	file     *os.File
+	data     io.Reader
+	size     int64
+}
+
+// Read reads the data.
+func (o *openedSnapshot) Read(into []byte) (int, error) { return o.data.Read(into) }
+
+// Close closes the file.
+func (o *openedSnapshot) Close() error { return o.file.Close() }
+
+// openSnapshotFile opens the folder's snapshot file and checks it. It returns
+// nil if there is none.
+func openSnapshotFile(folder string) (*openedSnapshot, error) {
 	path := filepath.Join(folder, snapshotFile)
-	data, err := os.ReadFile(path)
+	file, err := os.Open(path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
 	if err != nil {
-		return nil, ErrIO.Wrap(err, "read %s", path)
+		return nil, ErrIO.Wrap(err, "open %s", path)
 	}
-	var snapshot consensus.Snapshot
-	if err := decode(data, &snapshot); err != nil {
+	opened, err := checkSnapshotFile(file)
+	if err != nil {
+		file.Close()
 		return nil, ErrDamaged.Wrap(err, "read %s", path)
 	}
-	return &snapshot, nil
+	return opened, nil
+}
+
+func checkSnapshotFile(file *os.File) (*openedSnapshot, error) {
+	info, err := file.Stat()
+	if err != nil {
+		return nil, err
+	}
+	covered := info.Size() - checksumSize
+	if covered < headerLength {
+		return nil, ErrDamaged.New("the file is %d bytes long", info.Size())
+	}
+	sum := crc32.New(castagnoli)
+	if _, err := io.Copy(sum, io.NewSectionReader(file, 0, covered)); err != nil {
+		return nil, err
+	}
+	var stored [checksumSize]byte
+	if _, err := file.ReadAt(stored[:], covered); err != nil {
+		return nil, err
+	}
+	if binary.BigEndian.Uint32(stored[:]) != sum.Sum32() {
+		return nil, ErrDamaged.New("the file fails its checksum")
+	}
+	return readHeader(file, covered)
+}
+
+func readHeader(file *os.File, covered int64) (*openedSnapshot, error) {
+	var prefix [headerLength]byte
+	if _, err := file.ReadAt(prefix[:], 0); err != nil {
+		return nil, err
+	}
+	length := int64(binary.BigEndian.Uint32(prefix[:]))
+	if length > maxHeaderBytes || headerLength+length > covered {
+		return nil, ErrDamaged.New("a header of %d bytes", length)
+	}
+	header := make([]byte, length)
+	if _, err := file.ReadAt(header, headerLength); err != nil {
+		return nil, err
+	}
+	opened := &openedSnapshot{file: file, size: covered - headerLength - length}
+	if err := cbor.Unmarshal(header, &opened.snapshot); err != nil {
+		return nil, ErrDamaged.Wrap(err, "decode the header")
+	}
+	opened.data = bufio.NewReader(io.NewSectionReader(file, headerLength+length, opened.size))
+	return opened, nil
+}
+
+// newest returns the snapshot file, opened, if it holds the newest snapshot, and
+// otherwise nil and the one in the log's file.
+func (s *Store) newest() (*openedSnapshot, consensus.Snapshot, error) {
+	s.mutex.Lock()
+	inLog := s.inLog
+	s.mutex.Unlock()
+	opened, err := openSnapshotFile(s.folder)
+	if err != nil || opened == nil {
+		return nil, inLog, err
+	}
+	if opened.snapshot.Index < inLog.Index {
+		return nil, inLog, opened.Close()
+	}
+	return opened, consensus.Snapshot{}, nil
+}
+
+// State returns the data of the newest snapshot, to be read piece by piece.
+func (s *Store) State() (io.ReadCloser, error) {
+	opened, inLog, err := s.newest()
+	if err != nil {
+		return nil, err
+	}
+	if opened == nil {
+		return io.NopCloser(bytes.NewReader(inLog.Data)), nil
+	}
+	return opened, nil
+}
+
+// ReadSnapshot returns the newest snapshot with its data. It may be called while
+// other methods run.
+func (s *Store) ReadSnapshot() (consensus.Snapshot, error) {
+	opened, inLog, err := s.newest()
+	if err != nil || opened == nil {
+		return inLog, err
+	}
+	defer opened.Close()
+	snapshot := opened.snapshot
+	snapshot.Data = make([]byte, opened.size)
+	if _, err := io.ReadFull(opened, snapshot.Data); err != nil {
+		return snapshot, ErrIO.Wrap(err, "read the snapshot")
+	}
+	return snapshot, nil
 }
 
 // DropLog forgets the entries up to the index, which a durable snapshot covers.
--- a/storage/snapshot_test.go
+++ b/storage/snapshot_test.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
@@ -31,6 +32,34 @@
 	return folder, store
 }
 
+// writes returns a function that writes the text in two pieces.
+func writes(text string) func(io.Writer) error {
+	return func(writer io.Writer) error {
+		half := len(text) / 2
+		if _, err := io.WriteString(writer, text[:half]); err != nil {
+			return err
+		}
+		_, err := io.WriteString(writer, text[half:])
+		return err
+	}
+}
+
+// stateOf returns the newest snapshot's data.
+func stateOf(t *testing.T, folder string) string {
+	store, _, err := Open(folder, "c")
+	require.NoError(t, err)
+	defer store.Close()
+	state, err := store.State()
+	require.NoError(t, err)
+	defer state.Close()
+	data, err := io.ReadAll(state)
+	require.NoError(t, err)
+	whole, err := store.ReadSnapshot()
+	require.NoError(t, err)
+	require.Equal(t, string(data), string(whole.Data))
+	return string(data)
+}
+
 func reopen(t *testing.T, folder string, store *Store) Contents {
 	require.NoError(t, store.Close())
 	again, contents, err := Open(folder, "c")
@@ -44,14 +73,17 @@
 func TestSnapshotFile(t *testing.T) {
 	for _, dropped := range []bool{false, true} {
 		folder, store := folderWith(t)
-		snapshot := consensus.Snapshot{Index: 6, Term: 1, Data: []byte("state")}
-		require.NoError(t, store.WriteSnapshot(snapshot))
+		snapshot := consensus.Snapshot{Index: 6, Term: 1}
+		size, err := store.WriteSnapshot(snapshot, writes("state"))
+		require.NoError(t, err)
+		require.Equal(t, len("state"), size)
 		if dropped {
 			require.NoError(t, store.DropLog(6))
 		}
 		contents := reopen(t, folder, store)
 		require.Equal(t, snapshot, contents.Snapshot)
 		require.Equal(t, entriesTo(9)[5:], contents.Entries)
+		require.Equal(t, "state", stateOf(t, folder))
 	}
 }
 
@@ -59,18 +91,21 @@
 // and an older file beside it does not come back.
 func TestNewerSnapshotCounts(t *testing.T) {
 	folder, store := folderWith(t)
-	require.NoError(t, store.WriteSnapshot(consensus.Snapshot{Index: 6, Term: 1, Data: []byte("old")}))
+	_, err := store.WriteSnapshot(consensus.Snapshot{Index: 6, Term: 1}, writes("old"))
+	require.NoError(t, err)
 	newer := consensus.Snapshot{Index: 20, Term: 1, Data: []byte("new")}
 	require.NoError(t, store.Save(consensus.Ready{Snapshot: &newer}))
 	contents := reopen(t, folder, store)
-	require.Equal(t, newer, contents.Snapshot)
+	require.Equal(t, uint64(20), contents.Snapshot.Index)
 	require.Empty(t, contents.Entries)
+	require.Equal(t, "new", stateOf(t, folder))
 }
 
 // TestSnapshotOfWholeLog: the log may end with the snapshot.
 func TestSnapshotOfWholeLog(t *testing.T) {
 	folder, store := folderWith(t)
-	require.NoError(t, store.WriteSnapshot(consensus.Snapshot{Index: 9, Term: 1}))
+	_, err := store.WriteSnapshot(consensus.Snapshot{Index: 9, Term: 1}, writes("x"))
+	require.NoError(t, err)
 	require.NoError(t, store.DropLog(9))
 	contents := reopen(t, folder, store)
 	require.Equal(t, uint64(9), contents.Snapshot.Index)
@@ -81,7 +116,8 @@
 // yet is no snapshot.
 func TestDamagedSnapshotFile(t *testing.T) {
 	folder, store := folderWith(t)
-	require.NoError(t, store.WriteSnapshot(consensus.Snapshot{Index: 6, Term: 1, Data: []byte("state")}))
+	_, err := store.WriteSnapshot(consensus.Snapshot{Index: 6, Term: 1}, writes("state"))
+	require.NoError(t, err)
 	require.NoError(t, store.Close())
 	path := filepath.Join(folder, snapshotFile)
 	data, err := os.ReadFile(path)
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -70,6 +71,9 @@
 	HardState consensus.HardState
 	Snapshot  consensus.Snapshot
 	Entries   []consensus.Entry
+	// inLog is the snapshot in the log's file, which Snapshot is unless the
+	// snapshot file holds a newer one.
+	inLog consensus.Snapshot
 }
 
 // Store is an open data folder. Its methods must not be called concurrently,
@@ -77,6 +81,11 @@
 type Store struct {
 	database *bolt.DB
 	folder   string
+
+	mutex sync.Mutex
+	// inLog is the snapshot in the log's file, unless the snapshot file holds a
+	// newer one.
+	inLog consensus.Snapshot
 }
 
 // Holds tells whether the folder holds a replica, whole or damaged.
@@ -178,7 +187,7 @@
 		}
 		return nil, Contents{}, err
 	}
-	return &Store{database: database, folder: folder}, contents, nil
+	return &Store{database: database, folder: folder, inLog: contents.inLog}, contents, nil
 }
 
 // openGuarded opens the file and returns what it holds. bbolt trusts its pages:
@@ -191,10 +200,17 @@
 			database, err = nil, ErrDamaged.New("%s: %v", path, reason)
 		}
 	}()
-	newer, err := readSnapshotFile(filepath.Dir(path))
+	opened, err := openSnapshotFile(filepath.Dir(path))
 	if err != nil {
 		return nil, contents, err
 	}
+	var newer *consensus.Snapshot
+	if opened != nil {
+		newer = &opened.snapshot
+		if err := opened.Close(); err != nil {
+			return nil, contents, ErrIO.Wrap(err, "close the snapshot")
+		}
+	}
 	database, err = bolt.Open(path, fileMode, &bolt.Options{Timeout: lockTimeout})
 	if err != nil {
 		return nil, contents, ErrDamaged.Wrap(err, "open %s", path)
@@ -225,8 +241,9 @@
 	if err := get(snapshots, snapshotKey, &contents.Snapshot); err != nil {
 		return contents, err
 	}
+	contents.inLog = contents.Snapshot
 	if newer != nil && newer.Index > contents.Snapshot.Index {
-		contents.Snapshot = *newer
+		contents.Snapshot, contents.inLog = *newer, consensus.Snapshot{}
 	}
 	expected := contents.Snapshot.Index + 1
 	cursor := log.Cursor()
@@ -269,9 +286,18 @@
 	if err != nil {
 		return ErrIO.Wrap(err, "save")
 	}
+	if ready.Snapshot != nil {
+		s.setInLog(*ready.Snapshot)
+	}
 	return nil
 }
 
+func (s *Store) setInLog(snapshot consensus.Snapshot) {
+	s.mutex.Lock()
+	s.inLog = snapshot
+	s.mutex.Unlock()
+}
+
 // SaveSnapshot persists a snapshot of applied entries and drops those entries.
 func (s *Store) SaveSnapshot(snapshot consensus.Snapshot) error {
 	err := s.database.Update(func(transaction *bolt.Tx) error {
@@ -280,6 +306,7 @@
 	if err != nil {
 		return ErrIO.Wrap(err, "save snapshot")
 	}
+	s.setInLog(snapshot)
 	return nil
 }
 
