Ledger: leases of orders and give-ups do not depend on the time of day

Cause, by reading with clock_step in mind: a new leader compared the earlier holder's wall clock with its own, and a step of 3 s could have it give an order within the lease, or a sample up before its time. Change: replicas count from when they learnt of an order, by the steady clock; giving up waits 5 s more.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -172,11 +172,15 @@
 // sample may come again in a later step.
 func (s *Scheduler) Keep(task *Task, text Text) { s.kept.keep(task.Step, task.Sample, text) }
 
+// giveUpMargin is added to the time at which a sample may be given up: the clock
+// of the leader that took the step in may have been behind this one.
+const giveUpMargin = 5000
+
 // Overdue returns the tasks that may be given up by now and have no result.
 func (s *Scheduler) Overdue(now int64) []*Task {
 	var overdue []*Task
 	for _, state := range s.steps {
-		if state.step.GiveUpAt == 0 || now < state.step.GiveUpAt {
+		if state.step.GiveUpAt == 0 || now < state.step.GiveUpAt+giveUpMargin {
 			continue
 		}
 		for _, task := range state.tasks {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -279,3 +279,14 @@
 	s.AddStep(entry("y", "a", 1, 1))
 	require.Equal(t, "e00", s.Assign(0, anywhere)[0].Backend.ID)
 }
+
+// TestNothingIsGivenUpEarly: a leader whose clock is some seconds ahead does not
+// give up what its predecessor took in.
+func TestNothingIsGivenUpEarly(t *testing.T) {
+	s := New()
+	step := entry("x", "a", 1, 2)
+	step.Step.GiveUpAt = 1000
+	s.AddStep(step)
+	require.Empty(t, s.Overdue(1000+giveUpMargin-1))
+	require.Len(t, s.Overdue(1000+giveUpMargin), 2)
+}
--- a/server/executor.go
+++ b/server/executor.go
@@ -25,7 +25,7 @@
 	stallTimeout = 1200 * time.Millisecond
 	loadStall    = 5 * time.Second
 	// orderMargin is added to the lease: an order is sent up to orderDelay after
-	// it was recorded, and clocks differ.
+	// it was recorded.
 	orderMargin = 800 * time.Millisecond
 	orderDelay  = 400 * time.Millisecond
 	// rewardBackoff is the pause before a reward call is repeated.
@@ -42,11 +42,12 @@
 	engines   EngineClient
 	forwarder *forward.Forwarder
 	metrics   ledgerMetrics
+	orders    *orderWatch
 	logger    *zerolog.Logger
 }
 
 func newExecutor(settings config.Ledger, watcher *Watcher, engines EngineClient, forwarder *forward.Forwarder, metrics ledgerMetrics, logger *zerolog.Logger) *Executor {
-	return &Executor{settings: settings, watcher: watcher, engines: engines, forwarder: forwarder, metrics: metrics, logger: logger}
+	return &Executor{settings: settings, watcher: watcher, engines: engines, forwarder: forwarder, metrics: metrics, orders: newOrderWatch(), logger: logger}
 }
 
 // run begins a leadership whenever the replica serves, and ends it when it does not.
@@ -105,13 +106,10 @@
 // until its lease has ended.
 func (t *tenure) deferOrders() {
 	wait := (t.settings.OrderLease + orderMargin).Milliseconds()
-	t.replica.Do(func() {
-		for id, order := range t.machine.Orders() {
-			if order.Holder != t.settings.Name {
-				t.scheduler.DeferOrders(id, order.At+wait)
-			}
-		}
-	})
+	t.replica.Do(func() { t.orders.note(nowMillis(), t.machine.Orders()) })
+	for id, learnt := range t.orders.heldByOthers(t.settings.Name) {
+		t.scheduler.DeferOrders(id, learnt+wait)
+	}
 }
 
 // follow wakes the loop when the ledger or the directory has changed.
@@ -133,8 +131,6 @@
 	}
 }
 
-func nowMillis() int64 { return time.Now().UnixMilli() }
-
 func (t *tenure) tick() {
 	for _, task := range t.scheduler.Overdue(nowMillis()) {
 		t.finish(task, ledger.Result{Sample: task.Sample.ID, State: ledger.Dead}, "overdue")
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -203,6 +203,7 @@
 		if catalog.Revision > 0 && (!ok || known.Replica != status.ID || known.Address != l.settings.InternalAddress) {
 			l.register(ctx, status.ID)
 		}
+		opened.Do(func() { l.executor.orders.note(nowMillis(), l.machine.Orders()) })
 		if status.Serving {
 			l.lead(ctx, opened, catalog, status)
 		}
@@ -263,7 +264,7 @@
 // submit takes a step in. Its times are counted from the first send, by the
 // leader's clock.
 func (l *Ledger) submit(ctx context.Context, step *ledger.Step) ledgerAnswer {
-	now := time.Now().UnixMilli()
+	now := nowMillis()
 	step.SubmittedAt = now
 	step.DueAt += now
 	if step.GiveUpAt > 0 {
--- a/server/load.go
+++ b/server/load.go
@@ -87,7 +87,7 @@
 	limited, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	began := time.Now()
-	record := &ledger.Order{Engine: request.Order.Backend.ID, Holder: t.settings.Name, At: began.UnixMilli()}
+	record := &ledger.Order{Engine: request.Order.Backend.ID, Holder: t.settings.Name, At: nowMillis()}
 	if _, err := t.replica.Execute(limited, ledger.Command{Order: record}.Encode()); err != nil || time.Since(began) > orderDelay {
 		return LoadConflict
 	}
