--- a/server/gateway.go
+++ b/server/gateway.go
@@ -124,14 +124,35 @@
 // Forward passes a request to the route's services.
 func (g *Gateway) Forward(ctx context.Context, catalog *directory.Catalog, route routing.Route, request *forward.Request) forward.Result {
 	started := time.Now()
+	limitDeadline(request, route, started)
+	result := g.forwarder.Do(ctx, catalog, route, request)
+	g.noteRequest(catalog, route, request, result, started)
+	return result
+}
+
+// Stream passes a request on whose answer is a stream; see forward.Forwarder.
+func (g *Gateway) Stream(ctx context.Context, catalog *directory.Catalog, route routing.Route, request *forward.Request, sink forward.Sink) forward.Result {
+	started := time.Now()
+	limitDeadline(request, route, started)
+	result := g.forwarder.Stream(ctx, catalog, route, request, sink)
+	g.noteRequest(catalog, route, request, result, started)
+	return result
+}
+
+// limitDeadline bounds the request's time by its route's.
+func limitDeadline(request *forward.Request, route routing.Route, started time.Time) {
 	timeout := started.Add(time.Duration(route.TimeoutMillis) * time.Millisecond)
 	if request.Deadline.IsZero() || request.Deadline.After(timeout) {
 		request.Deadline = timeout
 	}
-	result := g.forwarder.Do(ctx, catalog, route, request)
-	g.metrics.noteRequest(result, time.Since(started))
+}
+
+// noteRequest counts and logs a request that has ended.
+func (g *Gateway) noteRequest(catalog *directory.Catalog, route routing.Route, request *forward.Request, result forward.Result, started time.Time) {
+	took := time.Since(started)
+	g.metrics.noteRequest(result, took)
 	line := event.RequestEnded.On(g.logger).Str("request", request.ID).Str("route", route.Name).
-		Uint("attempts", uint64(result.Attempts)).Int("ms", time.Since(started).Milliseconds()).
+		Uint("attempts", uint64(result.Attempts)).Int("ms", took.Milliseconds()).
 		Uint("version", catalog.Version).Uint("revision", catalog.Revision)
 	if result.Response != nil {
 		line.Str("outcome", "answered").Str("backend", result.Backend).Uint("status", uint64(result.Response.Status))
@@ -139,7 +160,6 @@
 		line.Str("outcome", string(result.Reason)).Uint("may_have_run", boolToUint(result.MayHaveRun))
 	}
 	line.Send()
-	return result
 }
 
 // SubmitOutcome tells what became of a step that was handed in.
