--- a/event/event.go
+++ b/event/event.go
@@ -29,7 +29,8 @@
 	MembershipChanged   = Event{1012, zerolog.InfoLevel, "the group's membership has changed"}
 	StorageRefused      = Event{1013, zerolog.ErrorLevel, "storage refuses writes; the replica waits"}
 	StorageAccepts      = Event{1014, zerolog.InfoLevel, "storage takes writes again"}
-	SnapshotUnread      = Event{1015, zerolog.WarnLevel, "a snapshot could not be read to be sent"}
+	SnapshotSent        = Event{1015, zerolog.InfoLevel, "a snapshot was sent to a replica"}
+	SnapshotUnsent      = Event{1016, zerolog.WarnLevel, "a snapshot could not be sent to a replica"}
 
 	NodeStarted       = Event{2001, zerolog.InfoLevel, "node started"}
 	NodeDraining      = Event{2002, zerolog.InfoLevel, "node is draining"}
@@ -85,7 +86,7 @@
 // All lists the events in the order of their numbers.
 var All = []Event{
 	ControlStarted, ControlStopping, LeadershipGained, LeadershipLost, SnapshotSaved,
-	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged, StorageRefused, StorageAccepts, SnapshotUnread,
+	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged, StorageRefused, StorageAccepts, SnapshotSent, SnapshotUnsent,
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
--- a/replica/core.go
+++ b/replica/core.go
@@ -5,7 +5,6 @@
 package replica
 
 import (
-	"bytes"
 	"io"
 
 	"github.com/dillchute/dillchute/consensus"
@@ -242,8 +241,9 @@
 func (c *Core) Ready() consensus.Ready { return c.raft.Ready() }
 
 // Advance carries on after the Ready has been persisted: it sends its messages
-// and applies its committed entries. It fails if a snapshot cannot be decoded.
-func (c *Core) Advance(ready consensus.Ready) error {
+// and applies its committed entries. If the Ready holds a snapshot, state reads
+// its data; it fails if that cannot be decoded.
+func (c *Core) Advance(ready consensus.Ready, state io.Reader) error {
 	for _, message := range ready.Messages {
 		consensusMessage := message
 		c.send(c.address(message.To), protocol.Message{Consensus: &consensusMessage})
@@ -252,10 +252,10 @@
 		c.logBytes += len(entry.Data)
 	}
 	if ready.Snapshot != nil {
-		if err := c.machine.Restore(bytes.NewReader(ready.Snapshot.Data)); err != nil {
+		if err := c.machine.Restore(state); err != nil {
 			return err
 		}
-		c.applied, c.logBytes, c.snapshotSize = ready.Snapshot.Index, 0, len(ready.Snapshot.Data)
+		c.applied, c.logBytes = ready.Snapshot.Index, 0
 	}
 	for _, entry := range ready.Committed {
 		c.applyEntry(entry)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -72,8 +72,12 @@
 	// WriteSnapshot makes a snapshot durable, whose data the function writes, and
 	// returns the data's size. It may be called while Save or DropLog run.
 	WriteSnapshot(snapshot consensus.Snapshot, write func(io.Writer) error) (int, error)
-	// ReadSnapshot returns the newest snapshot with its data.
-	ReadSnapshot() (consensus.Snapshot, error)
+	// OpenSnapshot returns the newest snapshot, without its data, and the data and
+	// its size. It may be called at any time.
+	OpenSnapshot() (consensus.Snapshot, io.ReadCloser, int64, error)
+	// ReceiveSnapshot keeps another replica's snapshot, whose data has the size,
+	// until a Save names it. It may be called while the others run.
+	ReceiveSnapshot(snapshot consensus.Snapshot, data io.Reader, size int64) error
 	// DropLog forgets the entries up to the index, which a snapshot covers.
 	DropLog(through uint64) error
 	Close() error
@@ -89,6 +93,7 @@
 	loop      *eventloop.Loop
 	transport *transport.Transport
 	client    *http.Client
+	transfers *transfers
 
 	nextID   uint64
 	waiting  map[uint64]chan Reply
@@ -107,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	state, err := store.State()
+	_, state, _, err := store.OpenSnapshot()
 	if err != nil {
 		store.Close()
 		return nil, err
@@ -139,7 +144,8 @@
 	r.status.Store(&Status{ID: core.Raft().ID()})
 	changed := make(chan struct{})
 	r.changed.Store(&changed)
-	r.transport = transport.New(logger, r.receive)
+	r.transport = transport.New(logger, r.receivePeer)
+	r.transfers = newTransfers(store, r.client, logger)
 	return r
 }
 
@@ -173,6 +179,7 @@
 func (r *Replica) Handle(router *mux.Router) {
 	router.Handle(transport.Path, r.transport).Methods(http.MethodPost)
 	router.HandleFunc(ExecutePath, r.serveExecute).Methods(http.MethodPost)
+	router.HandleFunc(snapshotPath, r.serveSnapshot).Methods(http.MethodPost)
 }
 
 // Counts returns the transport's totals.
@@ -198,6 +205,14 @@
 	return r.loop.Run(loopContext, TickInterval, r.tick, r.flush)
 }
 
+// receivePeer takes in what comes by the transport. A snapshot comes by a
+// transfer, which brings its data.
+func (r *Replica) receivePeer(message protocol.Message) {
+	if message.Consensus == nil || message.Consensus.Snapshot == nil {
+		r.receive(message)
+	}
+}
+
 func (r *Replica) receive(message protocol.Message) {
 	r.loop.Call(func() { r.core.Receive(message) })
 }
@@ -222,7 +237,7 @@
 		if err := r.persist(func() error { return r.store.Save(ready) }); err != nil {
 			return err
 		}
-		if err := r.core.Advance(ready); err != nil {
+		if err := r.advance(ready); err != nil {
 			event.ApplyFailed.On(r.logger).Err(err).Send()
 			return err
 		}
@@ -234,7 +249,7 @@
 	r.updateStatus()
 	for _, outgoing := range r.core.TakeMessages() {
 		if outgoing.Message.Consensus != nil && outgoing.Message.Consensus.Snapshot != nil {
-			go r.sendSnapshot(outgoing)
+			r.transfers.send(outgoing)
 			continue
 		}
 		r.transport.Send(outgoing.Address, outgoing.Message)
@@ -251,18 +266,17 @@
 	return nil
 }
 
-// sendSnapshot adds the newest durable snapshot, which may be newer than the one
-// named, to a message and sends it. A message that is not sent is asked for again.
-func (r *Replica) sendSnapshot(outgoing Outgoing) {
-	snapshot, err := r.store.ReadSnapshot()
-	if err != nil || snapshot.Index < outgoing.Message.Consensus.Snapshot.Index {
-		event.SnapshotUnread.On(r.logger).Uint("index", outgoing.Message.Consensus.Snapshot.Index).Err(err).Send()
-		return
+// advance carries on after the Ready has been persisted.
+func (r *Replica) advance(ready consensus.Ready) error {
+	if ready.Snapshot == nil {
+		return r.core.Advance(ready, nil)
+	}
+	_, state, _, err := r.store.OpenSnapshot()
+	if err != nil {
+		return err
 	}
-	message := *outgoing.Message.Consensus
-	message.Snapshot = &snapshot
-	outgoing.Message.Consensus = &message
-	r.transport.Send(outgoing.Address, outgoing.Message)
+	defer state.Close()
+	return r.core.Advance(ready, state)
 }
 
 // makeSnapshot writes a snapshot beside the loop.
--- a/storage/snapshot.go
+++ b/storage/snapshot.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"hash/crc32"
 	"io"
 	"io/fs"
@@ -36,12 +37,19 @@
 	if err != nil {
 		return 0, ErrIO.Wrap(err, "write %s", path)
 	}
+	s.files.Lock()
+	defer s.files.Unlock()
+	if s.fileIndex >= snapshot.Index {
+		// Another replica's snapshot has come in meanwhile.
+		return size, os.Remove(path + ".new")
+	}
 	if err := os.Rename(path+".new", path); err != nil {
 		return 0, ErrIO.Wrap(err, "name %s", path)
 	}
 	if err := syncFolder(s.folder); err != nil {
 		return 0, err
 	}
+	s.fileIndex = snapshot.Index
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.inLog.Index < snapshot.Index {
@@ -186,32 +194,76 @@
 	return opened, consensus.Snapshot{}, nil
 }
 
-// State returns the data of the newest snapshot, to be read piece by piece.
-func (s *Store) State() (io.ReadCloser, error) {
+// OpenSnapshot returns the newest snapshot, without its data, and the data and its
+// size. It may be called while other methods run.
+func (s *Store) OpenSnapshot() (consensus.Snapshot, io.ReadCloser, int64, error) {
 	opened, inLog, err := s.newest()
 	if err != nil {
-		return nil, err
+		return consensus.Snapshot{}, nil, 0, err
 	}
-	if opened == nil {
-		return io.NopCloser(bytes.NewReader(inLog.Data)), nil
+	if opened != nil {
+		return opened.snapshot, opened, opened.size, nil
 	}
-	return opened, nil
+	data := inLog.Data
+	inLog.Data = nil
+	return inLog, io.NopCloser(bytes.NewReader(data)), int64(len(data)), nil
 }
 
-// ReadSnapshot returns the newest snapshot with its data. It may be called while
-// other methods run.
-func (s *Store) ReadSnapshot() (consensus.Snapshot, error) {
-	opened, inLog, err := s.newest()
-	if err != nil || opened == nil {
-		return inLog, err
+// receivedPath is where another replica's snapshot waits for a Save.
+func (s *Store) receivedPath(index uint64) string {
+	return filepath.Join(s.folder, fmt.Sprintf("%s.received-%d", snapshotFile, index))
+}
+
+// ReceiveSnapshot keeps another replica's snapshot, whose data has the size, until
+// a Save names it. It may be called while other methods run.
+func (s *Store) ReceiveSnapshot(snapshot consensus.Snapshot, data io.Reader, size int64) error {
+	s.files.Lock()
+	defer s.files.Unlock()
+	path := s.receivedPath(snapshot.Index)
+	_, err := writeSnapshotFile(path+".new", snapshot, func(writer io.Writer) error {
+		copied, err := io.Copy(writer, io.LimitReader(data, size))
+		if err == nil && copied < size {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	})
+	if err == nil {
+		err = os.Rename(path+".new", path)
+	}
+	if err != nil {
+		return ErrIO.Wrap(err, "receive a snapshot")
+	}
+	return nil
+}
+
+func (s *Store) hasReceived(index uint64) bool {
+	_, err := os.Stat(s.receivedPath(index))
+	return err == nil
+}
+
+// adoptReceived makes the received snapshot the newest one, and forgets others
+// that were received.
+func (s *Store) adoptReceived(index uint64) error {
+	s.files.Lock()
+	defer s.files.Unlock()
+	if err := os.Rename(s.receivedPath(index), filepath.Join(s.folder, snapshotFile)); err != nil {
+		return ErrIO.Wrap(err, "adopt the snapshot at %d", index)
+	}
+	s.fileIndex = index
+	s.removeReceived()
+	return syncFolder(s.folder)
+}
+
+// removeReceived forgets snapshots that were received and never used.
+func (s *Store) removeReceived() {
+	left, err := filepath.Glob(filepath.Join(s.folder, snapshotFile+".received-*"))
+	if err != nil {
+		return
 	}
-	defer opened.Close()
-	snapshot := opened.snapshot
-	snapshot.Data = make([]byte, opened.size)
-	if _, err := io.ReadFull(opened, snapshot.Data); err != nil {
-		return snapshot, ErrIO.Wrap(err, "read the snapshot")
+	for _, path := range left {
+		// What cannot be removed is in nobody's way.
+		_ = os.Remove(path)
 	}
-	return snapshot, nil
 }
 
 // DropLog forgets the entries up to the index, which a durable snapshot covers.
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -81,6 +81,10 @@
 type Store struct {
 	database *bolt.DB
 	folder   string
+	// files is held while snapshot files change. fileIndex is the index of the
+	// newest one.
+	files     sync.Mutex
+	fileIndex uint64
 
 	mutex sync.Mutex
 	// inLog is the snapshot in the log's file, unless the snapshot file holds a
@@ -187,7 +191,7 @@
 		}
 		return nil, Contents{}, err
 	}
-	return &Store{database: database, folder: folder, inLog: contents.inLog}, contents, nil
+	return &Store{database: database, folder: folder, inLog: contents.inLog, fileIndex: contents.Snapshot.Index}, contents, nil
 }
 
 // openGuarded opens the file and returns what it holds. bbolt trusts its pages:
@@ -245,6 +249,9 @@
 	if newer != nil && newer.Index > contents.Snapshot.Index {
 		contents.Snapshot, contents.inLog = *newer, consensus.Snapshot{}
 	}
+	if contents.lacksData(newer) {
+		return contents, ErrDamaged.New("the file of the snapshot at %d is missing", contents.Snapshot.Index)
+	}
 	expected := contents.Snapshot.Index + 1
 	cursor := log.Cursor()
 	for key, value := cursor.Seek(indexKey(expected)); key != nil; key, value = cursor.Next() {
@@ -269,6 +276,13 @@
 	if ready.HardState == nil && ready.Snapshot == nil && len(ready.Entries) == 0 {
 		return nil
 	}
+	if ready.Snapshot != nil && s.hasReceived(ready.Snapshot.Index) {
+		// The file comes first: if the log is then not cut any more, it holds
+		// entries that the snapshot covers, or that the leader will replace.
+		if err := s.adoptReceived(ready.Snapshot.Index); err != nil {
+			return err
+		}
+	}
 	err := s.database.Update(func(transaction *bolt.Tx) error {
 		meta, log := transaction.Bucket(metaBucket), transaction.Bucket(logBucket)
 		if ready.Snapshot != nil {
@@ -292,6 +306,17 @@
 	return nil
 }
 
+// firstIndex is the index of the snapshot that a group begins with, which has no data.
+const firstIndex = 1
+
+// lacksData tells whether the snapshot's data should be in a file and is not.
+func (c Contents) lacksData(file *consensus.Snapshot) bool {
+	if c.inLog.Index <= firstIndex || c.inLog.Data != nil {
+		return false
+	}
+	return file == nil || file.Index < c.inLog.Index
+}
+
 func (s *Store) setInLog(snapshot consensus.Snapshot) {
 	s.mutex.Lock()
 	s.inLog = snapshot
