--- a/server/gateway.go
+++ b/server/gateway.go
@@ -26,6 +26,9 @@
 	// time for which a call may be held.
 	ledgerAttemptTimeout = 900 * time.Millisecond
 	ledgerPause          = 60 * time.Millisecond
+	// ledgerCallTimeout is how long the group's leader is looked for, after which
+	// the caller gets its final answer.
+	ledgerCallTimeout = 2500 * time.Millisecond
 	// RetryAfter is when a caller whose request has not run should come back,
 	// and StartRetryAfter that while the gateway knows no configuration yet.
 	RetryAfter      = 100 * time.Millisecond
@@ -51,6 +54,8 @@
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	// bodyBytes are the bytes of bodies in memory.
+	bodyBytes atomic.Int64
 
 	mutex  sync.Mutex
 	leader string
@@ -226,6 +231,8 @@
 	if marshalErr != nil {
 		panic("server: a call must encode: " + marshalErr.Error())
 	}
+	ctx, cancel := context.WithTimeout(ctx, ledgerCallTimeout+wait)
+	defer cancel()
 	err = replica.ErrUnavailable.New("no member of the ledger's group is known")
 	for round := 0; ctx.Err() == nil; round++ {
 		for _, address := range g.ledgerAddresses() {
