--- a/server/executor.go
+++ b/server/executor.go
@@ -31,7 +31,10 @@
 	// rewardBackoff is the pause before a reward call is repeated.
 	rewardBackoff = 100 * time.Millisecond
 	recordTimeout = 2 * time.Second
-	recordPause   = 100 * time.Millisecond
+	// recordPause is the time between two commits of results, and recordRetry
+	// that after one that failed.
+	recordPause   = 40 * time.Millisecond
+	recordRetry   = 100 * time.Millisecond
 	pruneInterval = 10 * time.Second
 )
 
--- a/server/record.go
+++ b/server/record.go
@@ -14,9 +14,17 @@
 	result ledger.Result
 }
 
-// record commits the results that have gathered; one commit is under way at a time.
+// record commits the results that have gathered. One commit is under way at a
+// time, and there is a pause between two, since each costs every replica a sync.
 func (t *tenure) record() {
-	if t.recording || len(t.results) == 0 || time.Now().Before(t.recordAfter) {
+	if t.recording || len(t.results) == 0 {
+		return
+	}
+	if wait := time.Until(t.recordAfter); wait > 0 {
+		t.recording = true
+		time.AfterFunc(wait, func() {
+			t.loop.Call(func() { t.recording = false })
+		})
 		return
 	}
 	pending := t.results
@@ -26,8 +34,9 @@
 		t.loop.Call(func() {
 			t.recording = false
 			t.results = append(failed, t.results...)
+			t.recordAfter = time.Now().Add(recordPause)
 			if len(failed) > 0 {
-				t.recordAfter = time.Now().Add(recordPause)
+				t.recordAfter = time.Now().Add(recordRetry)
 			}
 		})
 	}()
