Directory: any replica answers heartbeats that change nothing

Backends stay with the replica that they have reached. What changes a registration is the leader's to commit, as before.

--- a/server/directory.go
+++ b/server/directory.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -56,13 +57,12 @@
 	client   *http.Client
 	watches  *watchCounter
 	metrics  directoryMetrics
+	// view is the machine's state, a little late.
+	view       atomic.Pointer[directory.Catalog]
+	heartbeats *heartbeats
 
-	mutex sync.Mutex
-	// heard is when each backend was last heard of, and sequences the highest
-	// heartbeat of each; both belong to one leadership.
-	heard     map[string]time.Time
-	sequences map[string]uint64
-	serving   bool
+	mutex   sync.Mutex
+	serving bool
 	// newestStore is when a store last registered for the first time.
 	newestStore, firstStore time.Time
 }
@@ -79,11 +79,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Directory{
+	d := &Directory{
 		settings: settings, logger: logger, machine: machine, replica: opened,
-		client: replica.NewInternalClient(), watches: &watchCounter{}, metrics: newDirectoryMetrics(),
-		heard: map[string]time.Time{}, sequences: map[string]uint64{},
-	}, nil
+		client: replica.NewInternalClient(), watches: &watchCounter{}, metrics: newDirectoryMetrics(), heartbeats: newHeartbeats(),
+	}
+	d.view.Store(directory.NewCatalog())
+	return d, nil
 }
 
 // directoryFounders returns the first members and this process's identity among
@@ -116,19 +117,13 @@
 	serveHTTP(httpServer, internal, d.logger)
 	defer httpServer.Close()
 	go d.review(ctx)
+	go d.followMachine(ctx)
 	return d.replica.Run(ctx)
 }
 
 // Status returns the replica's status.
 func (d *Directory) Status() *replica.Status { return d.replica.Status() }
 
-// Heartbeat takes in what a backend says about itself, and returns the internal
-// address of the leader.
-func (d *Directory) Heartbeat(ctx context.Context, heartbeat Heartbeat) (string, error) {
-	answer, err := d.call(ctx, directoryCall{Heartbeat: &heartbeat})
-	return answer.Leader, err
-}
-
 // Leave takes out a backend that ends.
 func (d *Directory) Leave(ctx context.Context, id string) error {
 	_, err := d.call(ctx, directoryCall{Leave: id})
--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -23,6 +23,8 @@
 	Retired   string                      `cbor:"7,keyasint,omitempty"`
 	Store     *directory.Store            `cbor:"8,keyasint,omitempty"`
 	Report    *directory.Group            `cbor:"9,keyasint,omitempty"`
+	// Heard are backends that another replica has heard of.
+	Heard []string `cbor:"10,keyasint,omitempty"`
 }
 
 // directoryAnswer is the answer to a directoryCall.
@@ -93,6 +95,8 @@
 	switch {
 	case call.Heartbeat != nil:
 		err = d.handleHeartbeat(ctx, *call.Heartbeat)
+	case len(call.Heard) > 0:
+		d.heartbeats.noteHeard(time.Now(), call.Heard)
 	case call.Leave != "":
 		event.BackendLeft.On(d.logger).Str("backend", call.Leave).Send()
 		_, err = d.execute(ctx, directory.Command{RemoveBackend: &directory.RemoveBackend{ID: call.Leave}})
@@ -179,30 +183,6 @@
 	return err
 }
 
-// handleHeartbeat notes that the backend was heard. Only what changes its
-// registration becomes an entry of the log.
-func (d *Directory) handleHeartbeat(ctx context.Context, heartbeat Heartbeat) error {
-	if !d.noteHeard(heartbeat) {
-		return nil
-	}
-	backend := heartbeat.Backend
-	var known directory.Backend
-	var registered, gone bool
-	if !d.replica.Do(func() {
-		known, registered = d.machine.Backend(backend.ID)
-		gone = d.machine.Gone(backend.ID)
-	}) {
-		return replica.ErrUnavailable.New("the replica has stopped")
-	}
-	if gone || registered && sameRegistration(known, backend) {
-		return nil
-	}
-	event.BackendRegistered.On(d.logger).Str("backend", backend.ID).Str("service", backend.Service).
-		Str("address", backend.Address).Uint("draining", boolToUint(backend.Draining)).Send()
-	_, err := d.execute(ctx, directory.Command{PutBackend: &backend})
-	return err
-}
-
 func boolToUint(value bool) uint64 {
 	if value {
 		return 1
--- a/server/directory_review.go
+++ b/server/directory_review.go
@@ -11,20 +11,6 @@
 	"github.com/dillchute/dillchute/event"
 )
 
-// noteHeard takes in when the backend was heard, and tells whether the
-// heartbeat is newer than those before.
-func (d *Directory) noteHeard(heartbeat Heartbeat) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	id := heartbeat.Backend.ID
-	if heartbeat.Sequence < d.sequences[id] {
-		return false
-	}
-	d.sequences[id] = heartbeat.Sequence
-	d.heard[id] = time.Now()
-	return true
-}
-
 func sameRegistration(known, backend directory.Backend) bool {
 	if len(known.Models) != len(backend.Models) {
 		return false
@@ -53,6 +39,7 @@
 		serving := d.replica.Status().Serving
 		d.beginServing(serving)
 		if !serving {
+			d.tellHeard(ctx)
 			continue
 		}
 		limited, cancel := context.WithTimeout(ctx, time.Second)
@@ -67,7 +54,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if serving && !d.serving {
-		d.heard, d.sequences = map[string]time.Time{}, map[string]uint64{}
+		d.heartbeats.reset()
 		d.firstStore, d.newestStore = time.Time{}, time.Time{}
 	}
 	d.serving = serving
@@ -77,7 +64,7 @@
 	var backends []directory.Backend
 	d.replica.Do(func() { backends = d.machine.Backends() })
 	for _, backend := range backends {
-		switch silence := d.silence(backend.ID); {
+		switch silence := d.heartbeats.silence(time.Now(), backend.ID); {
 		case silence > goneBeats*d.settings.HeartbeatInterval:
 			event.BackendGone.On(d.logger).Str("backend", backend.ID).Uint("silent_ms", uint64(silence.Milliseconds())).Send()
 			d.execute(ctx, directory.Command{RemoveBackend: &directory.RemoveBackend{ID: backend.ID}})
@@ -89,19 +76,6 @@
 	}
 }
 
-// silence returns how long the backend has not been heard of, counted from the
-// start of this leadership at the earliest.
-func (d *Directory) silence(id string) time.Duration {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	heard, ok := d.heard[id]
-	if !ok {
-		d.heard[id] = time.Now()
-		return 0
-	}
-	return time.Since(heard)
-}
-
 // formGroup makes the first group of the ledger out of the stores that have
 // registered, with as many zones as there are.
 func (d *Directory) formGroup(ctx context.Context) {
--- /dev/null
+++ b/server/heartbeat.go
@@ -0,0 +1,147 @@
+package server
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/replica"
+)
+
+// heartbeats remembers when backends were heard of. A replica that does not lead
+// gathers whom it has heard, and tells the leader now and then.
+type heartbeats struct {
+	mutex     sync.Mutex
+	heard     map[string]time.Time
+	sequences map[string]uint64
+	untold    map[string]bool
+}
+
+func newHeartbeats() *heartbeats {
+	h := &heartbeats{}
+	h.reset()
+	return h
+}
+
+// reset forgets everything, as at the start of a leadership.
+func (h *heartbeats) reset() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.heard, h.sequences, h.untold = map[string]time.Time{}, map[string]uint64{}, map[string]bool{}
+}
+
+// note takes in a heartbeat, and tells whether it is not older than one before.
+func (h *heartbeats) note(now time.Time, id string, sequence uint64) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if sequence < h.sequences[id] {
+		return false
+	}
+	h.sequences[id] = sequence
+	h.heard[id] = now
+	h.untold[id] = true
+	return true
+}
+
+// noteHeard takes in whom another replica has heard.
+func (h *heartbeats) noteHeard(now time.Time, ids []string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, id := range ids {
+		h.heard[id] = now
+	}
+}
+
+// takeUntold returns whom the leader has not been told of, and forgets them.
+func (h *heartbeats) takeUntold() []string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	ids := slices.Sorted(maps.Keys(h.untold))
+	clear(h.untold)
+	return ids
+}
+
+// silence returns how long the backend has not been heard of, counted from the
+// first question at the earliest.
+func (h *heartbeats) silence(now time.Time, id string) time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	heard, ok := h.heard[id]
+	if !ok {
+		h.heard[id] = now
+		return 0
+	}
+	return now.Sub(heard)
+}
+
+// Heartbeat takes in what a backend says about itself, and returns the internal
+// address of the replica that is to be told next time. What changes nothing is
+// answered by any replica that hears a leader; the rest is the leader's to commit.
+func (d *Directory) Heartbeat(ctx context.Context, heartbeat Heartbeat) (string, error) {
+	if !d.replica.Status().Heard {
+		return "", replica.ErrUnavailable.New("no leader is known")
+	}
+	known, registered := d.view.Load().Backend(heartbeat.Backend.ID)
+	if registered && sameRegistration(known, heartbeat.Backend) {
+		d.heartbeats.note(time.Now(), heartbeat.Backend.ID, heartbeat.Sequence)
+		return d.settings.InternalAddress, nil
+	}
+	_, err := d.call(ctx, directoryCall{Heartbeat: &heartbeat})
+	return d.settings.InternalAddress, err
+}
+
+// handleHeartbeat commits, on the leader, what a heartbeat changes.
+func (d *Directory) handleHeartbeat(ctx context.Context, heartbeat Heartbeat) error {
+	if !d.heartbeats.note(time.Now(), heartbeat.Backend.ID, heartbeat.Sequence) {
+		return nil
+	}
+	backend := heartbeat.Backend
+	var known directory.Backend
+	var registered, gone bool
+	if !d.replica.Do(func() {
+		known, registered = d.machine.Backend(backend.ID)
+		gone = d.machine.Gone(backend.ID)
+	}) {
+		return replica.ErrUnavailable.New("the replica has stopped")
+	}
+	if gone || registered && sameRegistration(known, backend) {
+		return nil
+	}
+	event.BackendRegistered.On(d.logger).Str("backend", backend.ID).Str("service", backend.Service).
+		Str("address", backend.Address).Uint("draining", boolToUint(backend.Draining)).Send()
+	_, err := d.execute(ctx, directory.Command{PutBackend: &backend})
+	return err
+}
+
+// tellHeard tells the leader whom this replica has heard.
+func (d *Directory) tellHeard(ctx context.Context) {
+	heard := d.heartbeats.takeUntold()
+	if len(heard) == 0 {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	// What is lost is told again with the next heartbeats.
+	_, _ = d.call(limited, directoryCall{Heard: heard})
+}
+
+// followMachine keeps a view of the machine that needs no turn of the loop.
+func (d *Directory) followMachine(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := d.replica.Changed()
+		view := d.view.Load()
+		d.replica.Do(func() {
+			if d.machine.Revision() != view.Revision {
+				d.view.Store(view.With(d.machine.DeltaSince(view.Revision)))
+			}
+		})
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
