Directory: a process that knows nothing is told what a quorum has confirmed

Cause: a replica answered watches as soon as it heard a leader; what it holds then is what it had applied before its own end, since the commit index reaches it only with the next append.

Now the first watch of a process (revision 0) has the leader confirm its revision by a quorum, and is answered once the replica holds that. Later watches cannot go back and cost nothing more.

Ruled out: answering only once an entry of the term is committed here: a replica that was cut off within one term would still trail; and pausing each replica's watches after every election, which would hold up gateways that know more.

--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -25,6 +25,8 @@
 	Report    *directory.Group            `cbor:"9,keyasint,omitempty"`
 	// Heard are backends that another replica has heard of.
 	Heard []string `cbor:"10,keyasint,omitempty"`
+	// Newest asks for the revision that a quorum has confirmed.
+	Newest bool `cbor:"11,keyasint,omitempty"`
 }
 
 // directoryAnswer is the answer to a directoryCall.
@@ -36,6 +38,8 @@
 	Retire  directory.RetireOutcome `cbor:"4,keyasint,omitempty"`
 	Found   bool                    `cbor:"5,keyasint,omitempty"`
 	Retired bool                    `cbor:"6,keyasint,omitempty"`
+	// Revision answers Newest.
+	Revision uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // call has the leader carry out the call, wherever it is.
@@ -107,6 +111,8 @@
 		_, err = d.execute(ctx, directory.Command{NameVersion: call.Name})
 	case call.Read:
 		err = d.handleRead(ctx, answer)
+	case call.Newest:
+		err = d.handleNewest(ctx, answer)
 	case call.Retire != nil:
 		err = d.handleRetire(ctx, call.Retire, answer)
 	case call.Retired != "":
@@ -146,6 +152,14 @@
 	return nil
 }
 
+func (d *Directory) handleNewest(ctx context.Context, answer *directoryAnswer) error {
+	if err := d.replica.Confirm(ctx); err != nil {
+		return err
+	}
+	d.replica.Do(func() { answer.Revision = d.machine.Revision() })
+	return nil
+}
+
 func (d *Directory) handleRetire(ctx context.Context, retire *directory.Retire, answer *directoryAnswer) error {
 	result, err := d.execute(ctx, directory.Command{Retire: retire})
 	answer.Retire = result.Retire
