Consensus: a group that starts together elects at once

Now the first voter asks after one tick, each further one a tick later, and again soon until a leader is heard; of two that ask at once the higher identity gives way. A pre-vote binds nobody, and followers that hear a leader refuse it, so a replica that restarts alone disturbs none.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -41,6 +41,23 @@
 	r.electionTimeout = r.config.ElectionTicks + r.random.IntN(r.config.ElectionTicks)
 }
 
+// awaitsFirstLeader tells whether the replica is to ask for pre-votes before an
+// election timeout, since it has heard no leader after its start.
+func (r *Raft) awaitsFirstLeader() bool {
+	return r.config.FirstElectionTicks > 0 && !r.heardLeader
+}
+
+// rank returns the number of voters with a lower identity.
+func (r *Raft) rank() int {
+	lower := 0
+	for _, member := range r.Membership().Members {
+		if member.Voter && member.ID < r.config.ID {
+			lower++
+		}
+	}
+	return lower
+}
+
 func (r *Raft) becomeFollower(term uint64, leader ReplicaID) {
 	if term > r.term {
 		r.term, r.vote = term, None
@@ -64,6 +81,9 @@
 // working leader when it returns.
 func (r *Raft) campaign(role Role, transfer bool) {
 	r.resetElectionTimeout()
+	if role == PreCandidate && r.awaitsFirstLeader() {
+		r.electionTimeout = r.config.FirstElectionTicks + r.random.IntN(2*r.Membership().Voters()+1)
+	}
 	// Also a replica that does not know itself to be a voter gives up the
 	// silent leader: it may have been promoted, and its vote be needed.
 	r.leader = None
@@ -112,7 +132,7 @@
 
 func (r *Raft) becomeLeader() {
 	r.role, r.leader, r.transferee = Leader, r.config.ID, None
-	r.sinceHeard, r.sinceHeartbeat = 0, 0
+	r.sinceHeard, r.sinceHeartbeat, r.heardLeader = 0, 0, true
 	r.followers = map[ReplicaID]*progress{}
 	r.syncFollowers()
 	r.appendOwn(EntryNormal, nil)
--- a/consensus/raft.go
+++ b/consensus/raft.go
@@ -29,10 +29,10 @@
 	// ElectionTicks is the least number of ticks without a leader after which
 	// a replica campaigns; the actual number is drawn from [n, 2n).
 	ElectionTicks int
-	// FirstElectionTicks, if not 0, takes the place of ElectionTicks until the
-	// replica has heard a leader or campaigned: whoever starts does not wait for
-	// a leader's silence. Where there is a leader, its followers refuse the
-	// pre-vote.
+	// FirstElectionTicks, if not 0, has a replica that has just started ask for
+	// pre-votes before an election timeout: the first voter after that many
+	// ticks, each further one a tick later, and again until a leader is heard.
+	// Where there is a leader, its followers refuse the pre-vote.
 	FirstElectionTicks int
 	// HeartbeatTicks is the number of ticks between a leader's heartbeats.
 	HeartbeatTicks int
@@ -94,6 +94,8 @@
 	sinceHeard      int
 	sinceHeartbeat  int
 	electionTimeout int
+	// heardLeader is set once a leader has been heard since the start.
+	heardLeader bool
 
 	votes     map[ReplicaID]bool
 	followers map[ReplicaID]*progress
@@ -127,8 +129,8 @@
 	r.noteMemberships(config.Snapshot.Index + 1)
 	r.log.committed = max(r.log.committed, min(config.HardState.Commit, r.log.lastIndex()))
 	r.resetElectionTimeout()
-	if config.FirstElectionTicks > 0 {
-		r.electionTimeout = config.FirstElectionTicks + r.random.IntN(config.FirstElectionTicks)
+	if r.awaitsFirstLeader() {
+		r.electionTimeout = config.FirstElectionTicks + r.rank()
 	}
 	return r
 }
--- a/consensus/raft_test.go
+++ b/consensus/raft_test.go
@@ -39,12 +39,15 @@
 	reads     map[uint64]uint64
 	nextRead  uint64
 	proposals int
+	// electionTicks and firstElectionTicks are the replicas' settings.
+	electionTicks, firstElectionTicks int
 }
 
 func newTestGroup(t require.TestingT, size int, seed uint64) *testGroup {
 	g := &testGroup{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), replicas: map[ReplicaID]*testReplica{},
 		committed: map[uint64]Entry{}, leaders: map[uint64]ReplicaID{}, reads: map[uint64]uint64{},
+		electionTicks: testElectionTicks, firstElectionTicks: int(seed % 2),
 	}
 	var membership Membership
 	for number := range size {
@@ -65,7 +68,7 @@
 
 func (g *testGroup) restart(replica *testReplica) {
 	replica.raft = New(Config{
-		ID: replica.id, ElectionTicks: testElectionTicks, HeartbeatTicks: 1, MaxAppendBytes: 64, Seed: g.random.Uint64(),
+		ID: replica.id, ElectionTicks: g.electionTicks, FirstElectionTicks: g.firstElectionTicks, HeartbeatTicks: 1, MaxAppendBytes: 64, Seed: g.random.Uint64(),
 		HardState: replica.hard, Snapshot: replica.snapshot, Entries: append([]Entry(nil), replica.entries...),
 	})
 	replica.applied = replica.snapshot.Index
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -78,9 +78,23 @@
 	if !granted {
 		reply.Term, reply.Reject = r.term, true
 	}
+	if granted && r.awaitsFirstLeader() {
+		r.yield(message.From)
+	}
 	r.send(reply)
 }
 
+// yield leaves the first election to a candidate that has asked for a pre-vote:
+// of two that ask at the same moment, the one with the higher identity gives way.
+func (r *Raft) yield(candidate ReplicaID) {
+	if r.role == PreCandidate && candidate < r.config.ID {
+		r.role = Follower
+	}
+	if r.role == Follower {
+		r.sinceHeard = 0
+	}
+}
+
 // stepVote grants at most one vote in a term; the vote is persisted with the
 // hard state before the reply leaves.
 func (r *Raft) stepVote(message Message) {
@@ -113,7 +127,7 @@
 		panic("consensus: two leaders in one term")
 	}
 	r.role, r.leader = Follower, message.From
-	r.sinceHeard = 0
+	r.sinceHeard, r.heardLeader = 0, true
 	switch message.Kind {
 	case MessageAppend:
 		r.stepAppend(message)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -24,8 +24,8 @@
 	// TickInterval is the unit of consensus timing.
 	TickInterval  = 50 * time.Millisecond
 	electionTicks = 8
-	// firstElectionTicks leaves time for three heartbeats of a leader.
-	firstElectionTicks = 5
+	// firstElectionTicks leaves processes that start together time to listen.
+	firstElectionTicks = 1
 	heartbeatTicks     = 2
 	// silentTicks is how long a voter is silent before a learner replaces it.
 	silentTicks    = 30
