Gateway: requests right after a start wait for the first configuration

Now such requests wait, until 0.4 s after the gateway's start at the latest; after that a refusal is given at once, as before.

Ruled out: a shorter Retry-After: the attempts are spent all the same.

--- a/server/gateway.go
+++ b/server/gateway.go
@@ -33,6 +33,9 @@
 	// and StartRetryAfter that while the gateway knows no configuration yet.
 	RetryAfter      = 100 * time.Millisecond
 	StartRetryAfter = 500 * time.Millisecond
+	// startWait is how long after a gateway's start requests wait for its first
+	// configuration, which is expected at any moment; later they are refused at once.
+	startWait = 400 * time.Millisecond
 )
 
 // spread returns a number that differs between processes.
@@ -52,8 +55,10 @@
 	client    *http.Client
 	metrics   gatewayMetrics
 
-	stopping atomic.Bool
-	inFlight atomic.Int64
+	// startedAt is when the gateway began to follow the directory.
+	startedAt time.Time
+	stopping  atomic.Bool
+	inFlight  atomic.Int64
 	// bodyBytes are the bytes of bodies in memory.
 	bodyBytes atomic.Int64
 
@@ -67,6 +72,7 @@
 		settings: settings, logger: logger,
 		watcher:   NewWatcher(seeds, spread(settings.Name), logger),
 		forwarder: forward.New(backends, settings.Zone), client: replica.NewInternalClient(), metrics: newGatewayMetrics(),
+		startedAt: time.Now(),
 	}
 }
 
@@ -112,10 +118,32 @@
 // InFlight returns the number of requests that have not ended.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
+// firstConfiguration returns the directory as the gateway knows it. Right after
+// the gateway's start it waits for a configuration.
+func (g *Gateway) firstConfiguration(ctx context.Context) *directory.Catalog {
+	if catalog := g.watcher.Catalog(); catalog.Version > 0 {
+		return catalog
+	}
+	limited, cancel := context.WithDeadline(ctx, g.startedAt.Add(startWait))
+	defer cancel()
+	for {
+		changed := g.watcher.Changed()
+		catalog := g.watcher.Catalog()
+		if catalog.Version > 0 {
+			return catalog
+		}
+		select {
+		case <-changed:
+		case <-limited.Done():
+			return catalog
+		}
+	}
+}
+
 // Match returns the route of a request. It fails with ErrUnavailable while no
 // configuration is known, and with ErrNotFound if there is no route.
-func (g *Gateway) Match(host, path string) (routing.Route, *directory.Catalog, error) {
-	catalog := g.watcher.Catalog()
+func (g *Gateway) Match(ctx context.Context, host, path string) (routing.Route, *directory.Catalog, error) {
+	catalog := g.firstConfiguration(ctx)
 	if catalog.Version == 0 {
 		return routing.Route{}, catalog, replica.ErrUnavailable.New("no configuration is known yet")
 	}
