Ledger: checkpoints of long runs; the next leader goes on after them

Cause: a step waits for its longest samples, and a change of the leader threw away what they had produced.

A new leader continues after that with the last event's ID. A text begun anew replaces what was kept; a gap is refused (TestCheckpointsTileTheText). A text that no engine continues four times in a row is begun anew, so that a kept text can never hold a sample up (TestTextThatCannotBeContinuedBeginsAnew).

Ruled out: copying runs to a second store without a commit: which copy counts after a change of the leader would need an agreement of its own. Keeping every event: short runs, the most, gain nothing.

--- a/event/event.go
+++ b/event/event.go
@@ -75,6 +75,7 @@
 	LoadEnded       = Event{6009, zerolog.InfoLevel, "a load of weights has ended"}
 	SampleKept      = Event{6010, zerolog.InfoLevel, "a sample's text was kept from an earlier step"}
 	SampleMoved     = Event{6011, zerolog.InfoLevel, "a sample leaves an engine that is slow"}
+	TextsKept       = Event{6012, zerolog.InfoLevel, "the texts of long runs were kept"}
 
 	RequestEnded    = Event{7001, zerolog.InfoLevel, "a request has ended"}
 	GatewayStarted  = Event{7002, zerolog.InfoLevel, "gateway started"}
@@ -91,7 +92,7 @@
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
 	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable,
-	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved,
+	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsKept,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded,
 }
 
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -14,6 +14,8 @@
 	End    *End    `cbor:"3,keyasint,omitempty"`
 	Prune  *Prune  `cbor:"4,keyasint,omitempty"`
 	Order  *Order  `cbor:"5,keyasint,omitempty"`
+	// Checkpoint keeps what long runs have produced so far.
+	Checkpoint *Checkpoint `cbor:"6,keyasint,omitempty"`
 }
 
 // Order says that a leader is about to give an order to an engine, so that the
@@ -104,6 +106,23 @@
 	Results []Result `cbor:"2,keyasint"`
 }
 
+// Checkpoint adds to the partial texts of a step's samples.
+type Checkpoint struct {
+	Step  string         `cbor:"1,keyasint"`
+	Texts []Continuation `cbor:"2,keyasint"`
+}
+
+// Continuation is what a sample's run has produced after some events.
+type Continuation struct {
+	Sample string `cbor:"1,keyasint"`
+	// After is the number of events of the text before these. What is kept
+	// beyond it is replaced: 0 begins the text anew.
+	After  uint64   `cbor:"2,keyasint"`
+	Events []string `cbor:"3,keyasint"`
+	// Versions made the whole text up to the last of Events.
+	Versions []uint64 `cbor:"4,keyasint"`
+}
+
 // End closes a step: no more of it is run.
 type End struct {
 	Step string `cbor:"1,keyasint"`
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -14,10 +14,19 @@
 	Step    *Step    `cbor:"1,keyasint"`
 	Results []Result `cbor:"2,keyasint"`
 	Ended   bool     `cbor:"3,keyasint"`
+	// Partials holds the partial texts of samples without a result.
+	Partials map[string]Partial `cbor:"4,keyasint,omitempty"`
 	// listed holds the samples that have a result.
 	listed map[string]bool
 }
 
+// Partial is the text of a sample as far as a checkpoint kept it: the data of
+// its first events, and the versions that made them. It is never changed.
+type Partial struct {
+	Events   []string `cbor:"1,keyasint"`
+	Versions []uint64 `cbor:"2,keyasint"`
+}
+
 // Listed tells whether the sample has a result.
 func (e *Entry) Listed(sample string) bool { return e.listed[sample] }
 
@@ -51,14 +60,15 @@
 }
 
 // Snapshot returns a function that writes the state as it is now, one entry after
-// the other. Steps are never changed and results only appended, so copies of the
-// entries do.
+// the other. Steps and partial texts are never changed and results only appended,
+// so copies of the entries do.
 func (m *Machine) Snapshot() func(io.Writer) error {
 	header := snapshotHeader{Orders: maps.Clone(m.orders)}
 	entries := make([]*Entry, 0, len(m.steps))
 	for _, entry := range m.Steps() {
 		entries = append(entries, &Entry{
 			Step: entry.Step, Results: entry.Results[:len(entry.Results):len(entry.Results)], Ended: entry.Ended,
+			Partials: maps.Clone(entry.Partials),
 		})
 	}
 	return func(writer io.Writer) error {
@@ -133,6 +143,10 @@
 		m.order(*command.Order)
 		return nil
 	}
+	if command.Checkpoint != nil {
+		m.checkpoint(command.Checkpoint)
+		return nil
+	}
 	m.Generation++
 	switch {
 	case command.Submit != nil:
@@ -172,12 +186,34 @@
 		}
 		entry.listed[result.Sample] = true
 		entry.Results = append(entry.Results, result)
+		delete(entry.Partials, result.Sample)
+	}
+}
+
+// checkpoint takes in the partial texts of samples that have no result. A
+// continuation that begins beyond what is kept would leave a gap and is dropped.
+func (m *Machine) checkpoint(checkpoint *Checkpoint) {
+	entry := m.steps[checkpoint.Step]
+	if entry == nil || entry.Ended {
+		return
+	}
+	for _, text := range checkpoint.Texts {
+		kept := entry.Partials[text.Sample].Events
+		if entry.listed[text.Sample] || text.After > uint64(len(kept)) || entry.Sample(text.Sample) == nil {
+			continue
+		}
+		if entry.Partials == nil {
+			entry.Partials = map[string]Partial{}
+		}
+		entry.Partials[text.Sample] = Partial{
+			Events: slices.Concat(kept[:text.After], text.Events), Versions: text.Versions,
+		}
 	}
 }
 
 func (m *Machine) end(id string) {
 	if entry := m.steps[id]; entry != nil {
-		entry.Ended = true
+		entry.Ended, entry.Partials = true, nil
 	}
 }
 
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -28,7 +28,7 @@
 		seen := map[string][]Result{}
 		for range rapid.IntRange(1, 60).Draw(t, "commands") {
 			id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "step")
-			switch rapid.IntRange(0, 5).Draw(t, "command") {
+			switch rapid.IntRange(0, 6).Draw(t, "command") {
 			case 0:
 				m.Apply(Command{Submit: step(id, rapid.IntRange(1, 6).Draw(t, "samples"))}.Encode())
 			case 1, 2, 3:
@@ -48,8 +48,17 @@
 				require.NoError(t, m.Snapshot()(&written))
 				require.NoError(t, restored.Restore(&written))
 				m = restored
+			case 6:
+				m.Apply(Command{Checkpoint: &Checkpoint{Step: id, Texts: []Continuation{{
+					Sample: fmt.Sprintf("%s-%d", id, rapid.IntRange(0, 7).Draw(t, "sample")),
+					After:  rapid.Uint64Range(0, 3).Draw(t, "after"), Events: []string{"x"},
+				}}}}.Encode())
 			}
 			for _, entry := range m.Steps() {
+				for sample := range entry.Partials {
+					require.False(t, entry.Ended || entry.Listed(sample), "no partial text beside a result")
+					require.NotNil(t, entry.Sample(sample))
+				}
 				before := seen[entry.Step.ID]
 				require.GreaterOrEqual(t, len(entry.Results), len(before))
 				require.Equal(t, before, append([]Result(nil), entry.Results[:len(before)]...))
@@ -78,3 +87,37 @@
 	m.Apply(Command{Prune: &Prune{Steps: []string{"a"}}}.Encode())
 	require.Nil(t, m.Step("a"))
 }
+
+// TestCheckpointsTileTheText: a checkpoint adds to what is kept, repeats change
+// nothing, a gap is refused, a text that begins anew replaces the old one, and
+// a copy for a snapshot does not change.
+func TestCheckpointsTileTheText(t *testing.T) {
+	m := NewMachine()
+	m.Apply(Command{Submit: step("a", 2)}.Encode())
+	save := func(after uint64, versions []uint64, events ...string) {
+		m.Apply(Command{Checkpoint: &Checkpoint{Step: "a", Texts: []Continuation{
+			{Sample: "a-0", After: after, Events: events, Versions: versions},
+		}}}.Encode())
+	}
+	save(0, []uint64{1}, "1", "2")
+	save(2, []uint64{1, 2}, "3", "4")
+	snapshot := m.Snapshot()
+	save(2, []uint64{1, 2}, "3", "4")
+	require.Equal(t, Partial{Events: []string{"1", "2", "3", "4"}, Versions: []uint64{1, 2}}, m.Step("a").Partials["a-0"])
+	save(5, []uint64{1}, "6")
+	require.Len(t, m.Step("a").Partials["a-0"].Events, 4)
+	save(3, []uint64{1, 2}, "d", "e")
+	require.Equal(t, []string{"1", "2", "3", "d", "e"}, m.Step("a").Partials["a-0"].Events)
+	save(0, []uint64{3}, "new")
+	require.Equal(t, Partial{Events: []string{"new"}, Versions: []uint64{3}}, m.Step("a").Partials["a-0"])
+
+	var written bytes.Buffer
+	require.NoError(t, snapshot(&written))
+	restored := NewMachine()
+	require.NoError(t, restored.Restore(&written))
+	require.Equal(t, []string{"1", "2", "3", "4"}, restored.Step("a").Partials["a-0"].Events)
+
+	m.Apply(Command{Record: &Record{Step: "a", Results: []Result{{Sample: "a-0", State: Succeeded}}}}.Encode())
+	save(0, []uint64{3}, "late")
+	require.Empty(t, m.Step("a").Partials)
+}
--- a/scheduler/kept.go
+++ b/scheduler/kept.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"slices"
-
 	"github.com/dillchute/dillchute/ledger"
 )
 
@@ -46,10 +44,7 @@
 // take returns the text of a sample if all its versions are allowed by the step.
 func (k *keptTexts) take(step *ledger.Step, sample *ledger.Sample) (Text, bool) {
 	known, ok := k.texts[step.Model][sample.ID]
-	if !ok || len(known.text.Versions) == 0 || slices.Min(known.text.Versions) < step.OldestVersion {
-		return Text{}, false
-	}
-	if step.SingleVersion && len(known.text.Versions) > 1 {
+	if !ok || !fits(known.text, step) {
 		return Text{}, false
 	}
 	return known.text, true
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+
+	"github.com/dillchute/dillchute/ledger"
 )
 
 // RunEnd is how a run ended.
@@ -40,7 +42,7 @@
 		s.observePace(now, task)
 		task.Text.Whole = true
 		task.State = Scoring
-		if !s.usable(task) {
+		if !fits(task.Text, task.Step) {
 			s.restart(task)
 		}
 	case Failed:
@@ -54,6 +56,9 @@
 		if !task.moving {
 			known.fail(now)
 		}
+		if end == Broken {
+			s.noteBroken(task)
+		}
 	}
 	if task.State == Waiting {
 		s.requeue(task)
@@ -70,17 +75,30 @@
 	s.tokenMillis += paceSmoothing * (pace - s.tokenMillis)
 }
 
-// usable tells whether the text was made under versions that the step allows.
-func (s *Scheduler) usable(task *Task) bool {
-	if task.Step.SingleVersion && len(task.Text.Versions) > 1 {
+// fits tells whether the text was made under versions that the step allows.
+func fits(text Text, step *ledger.Step) bool {
+	if len(text.Versions) == 0 || slices.Min(text.Versions) < step.OldestVersion {
 		return false
 	}
-	for _, version := range task.Text.Versions {
-		if version < task.Step.OldestVersion {
-			return false
-		}
+	return !step.SingleVersion || len(text.Versions) == 1
+}
+
+// maxFruitless bounds the runs in a row that broke off without a further event,
+// after which a text that was to be continued is begun anew.
+const maxFruitless = 4
+
+// noteBroken counts runs that add nothing to a kept text: an engine may be unable
+// to continue it.
+func (s *Scheduler) noteBroken(task *Task) {
+	if task.Text.Last > task.from || task.from == 0 {
+		task.fruitless = 0
+		return
+	}
+	task.fruitless++
+	if task.fruitless >= maxFruitless {
+		task.fruitless = 0
+		s.restart(task)
 	}
-	return len(task.Text.Versions) > 0
 }
 
 func (s *Scheduler) restart(task *Task) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -124,14 +124,11 @@
 		if entry.Listed(sample.ID) {
 			continue
 		}
-		task := &Task{Step: step, Sample: sample}
+		task := &Task{Step: step, Sample: sample, Text: s.firstText(entry, sample)}
 		state.tasks = append(state.tasks, task)
-		if text, ok := s.kept.take(step, sample); ok {
-			task.Text = text
-			if text.Whole {
-				task.State = Scoring
-				whole = append(whole, task)
-			}
+		if task.Text.Whole {
+			task.State = Scoring
+			whole = append(whole, task)
 		}
 	}
 	s.kept.note(step)
@@ -141,6 +138,21 @@
 	return whole
 }
 
+// firstText returns what there is of a sample's text: what an earlier step has
+// left, or what an earlier leader has kept of its run.
+func (s *Scheduler) firstText(entry *ledger.Entry, sample *ledger.Sample) Text {
+	text, ok := s.kept.take(entry.Step, sample)
+	if ok && text.Whole {
+		return text
+	}
+	partial := entry.Partials[sample.ID]
+	saved := Text{Events: partial.Events, Last: uint64(len(partial.Events)), Versions: partial.Versions}
+	if saved.Last > text.Last && fits(saved, entry.Step) {
+		return saved
+	}
+	return text
+}
+
 // Steps returns the IDs of the steps that are known.
 func (s *Scheduler) Steps() []string {
 	ids := make([]string, 0, len(s.steps))
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -290,3 +290,51 @@
 	require.Empty(t, s.Overdue(1000+giveUpMargin-1))
 	require.Len(t, s.Overdue(1000+giveUpMargin), 2)
 }
+
+// TestRunGoesOnAfterACheckpoint: a new leader continues a sample after what an
+// earlier one has kept, unless the step does not allow the versions of that.
+func TestRunGoesOnAfterACheckpoint(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(1, 4, "m"), nil)
+	taken := entry("a", "m", 1, 2)
+	taken.Partials = map[string]ledger.Partial{
+		"a-0": {Events: []string{"1", "2"}, Versions: []uint64{1}},
+	}
+	s.AddStep(taken)
+	after := map[string]uint64{}
+	for _, assignment := range s.Assign(0, anywhere) {
+		after[assignment.Task.Sample.ID] = assignment.Task.Text.Last
+	}
+	require.Equal(t, map[string]uint64{"a-0": 2, "a-1": 0}, after)
+
+	stale := entry("b", "m", 2, 1)
+	stale.Partials = map[string]ledger.Partial{"b-0": {Events: []string{"1"}, Versions: []uint64{1}}}
+	fresh := New()
+	fresh.SyncEngines(0, engines(1, 4, "m"), nil)
+	fresh.NoteVersion("e00", "m", 2)
+	fresh.AddStep(stale)
+	assignments := fresh.Assign(0, anywhere)
+	require.Len(t, assignments, 1)
+	require.Zero(t, assignments[0].Task.Text.Last)
+}
+
+// TestTextThatCannotBeContinuedBeginsAnew: after some runs in a row that add
+// nothing to a kept text, it is made from its beginning.
+func TestTextThatCannotBeContinuedBeginsAnew(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(1, 4, "m"), nil)
+	taken := entry("a", "m", 1, 1)
+	taken.Partials = map[string]ledger.Partial{"a-0": {Events: []string{"1", "2"}, Versions: []uint64{1}}}
+	s.AddStep(taken)
+	now := int64(0)
+	for range maxFruitless {
+		assignments := s.Assign(now, anywhere)
+		require.Len(t, assignments, 1)
+		require.Equal(t, uint64(2), assignments[0].Task.Text.Last)
+		s.RunEnded(now, assignments[0].Task, assignments[0].Run, Broken)
+		now += 2 * maxAvoidMillis
+	}
+	assignments := s.Assign(now, anywhere)
+	require.Len(t, assignments, 1)
+	require.Zero(t, assignments[0].Task.Text.Last)
+}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -53,6 +53,8 @@
 	// counts such ends.
 	moving bool
 	moves  int
+	// fruitless counts the runs in a row that added nothing to a kept text.
+	fruitless int
 	// needed is set on tasks of groups that the trainer waits for.
 	needed bool
 	// startedAt is when the current run began, and from the event it began after.
--- a/server/executor.go
+++ b/server/executor.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -76,7 +75,8 @@
 	t := &tenure{
 		Executor: x, context: leadership, replica: opened, machine: machine, term: term,
 		loop: eventloop.New(), scheduler: scheduler.New(),
-		cancels: map[*scheduler.Task]context.CancelFunc{}, progress: map[*scheduler.Task]*atomic.Int64{},
+		cancels: map[*scheduler.Task]context.CancelFunc{}, progress: map[*scheduler.Task]*runProgress{},
+		kept: map[*scheduler.Task]uint64{},
 	}
 	t.deferOrders()
 	go t.follow(stop)
@@ -96,10 +96,13 @@
 	catalog    *directory.Catalog
 	generation uint64
 	cancels    map[*scheduler.Task]context.CancelFunc
-	// progress counts the events of each run under way.
-	progress  map[*scheduler.Task]*atomic.Int64
-	results   []pendingResult
-	recording bool
+	// progress holds what each run under way has produced.
+	progress map[*scheduler.Task]*runProgress
+	// kept holds the number of events of each task's text that the ledger keeps.
+	kept          map[*scheduler.Task]uint64
+	checkpointing bool
+	results       []pendingResult
+	recording     bool
 	// recordAfter is when results that could not be recorded are tried again.
 	recordAfter time.Time
 	prunedAt    time.Time
@@ -139,6 +142,7 @@
 		t.finish(task, ledger.Result{Sample: task.Sample.ID, State: ledger.Dead}, "overdue")
 	}
 	t.moveSlow()
+	t.checkpoint()
 	if time.Since(t.prunedAt) > pruneInterval {
 		t.prunedAt = time.Now()
 		t.prune()
@@ -218,6 +222,7 @@
 		}
 		for _, task := range t.scheduler.EndStep(id) {
 			t.cancel(task)
+			delete(t.kept, task)
 		}
 	}
 }
--- a/server/role_metrics.go
+++ b/server/role_metrics.go
@@ -60,23 +60,24 @@
 
 // ledgerMetrics count what a store's executor does.
 type ledgerMetrics struct {
-	runs, samples, orders *prometheus.CounterVec
-	loads, records, run   *prometheus.HistogramVec
+	runs, samples, orders, checkpoints *prometheus.CounterVec
+	loads, records, run                *prometheus.HistogramVec
 }
 
 func newLedgerMetrics() ledgerMetrics {
 	return ledgerMetrics{
-		runs:    newCounter("ledger_runs_total", "Runs of samples on engines, by their end (see event 6005).", "end"),
-		samples: newCounter("ledger_samples_total", "Samples with a result, by state.", "state"),
-		orders:  newCounter("ledger_orders_total", "Orders to engines, by answer (see event 6008).", "answer"),
-		loads:   newHistogram("ledger_load_seconds", "Time from an order to the end of its load, by outcome.", "outcome"),
-		records: newHistogram("ledger_record_seconds", "Time to commit results, by outcome.", "outcome"),
-		run:     newHistogram("ledger_run_seconds", "Time of a run on an engine."),
+		runs:        newCounter("ledger_runs_total", "Runs of samples on engines, by their end (see event 6005).", "end"),
+		samples:     newCounter("ledger_samples_total", "Samples with a result, by state.", "state"),
+		orders:      newCounter("ledger_orders_total", "Orders to engines, by answer (see event 6008).", "answer"),
+		checkpoints: newCounter("ledger_checkpoints_total", "Texts of runs under way that were kept."),
+		loads:       newHistogram("ledger_load_seconds", "Time from an order to the end of its load, by outcome.", "outcome"),
+		records:     newHistogram("ledger_record_seconds", "Time to commit results, by outcome.", "outcome"),
+		run:         newHistogram("ledger_run_seconds", "Time of a run on an engine."),
 	}
 }
 
 func (m ledgerMetrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.runs, m.samples, m.orders, m.loads, m.records, m.run}
+	return []prometheus.Collector{m.runs, m.samples, m.orders, m.checkpoints, m.loads, m.records, m.run}
 }
 
 // directoryMetrics count what a replica of the directory is asked.
--- a/server/run.go
+++ b/server/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/dillchute/dillchute/event"
@@ -17,8 +16,9 @@
 		return
 	}
 	now := nowMillis()
-	for task, events := range t.progress {
-		t.scheduler.Observe(now, task, int(events.Load()))
+	for task, progress := range t.progress {
+		_, events := progress.read()
+		t.scheduler.Observe(now, task, events)
 	}
 	t.scheduler.UpdatePaces()
 	for _, task := range t.scheduler.Move(now, t.servicesOf) {
@@ -42,12 +42,11 @@
 	event.SampleStarted.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).
 		Str("engine", assignment.Backend.ID).Uint("attempt", uint64(task.Attempts)).Uint("after", task.Text.Last).Send()
 	request := RunRequest{Backend: assignment.Backend, Host: task.Step.Host, Sample: task.Sample, After: task.Text.Last}
-	text := scheduler.Text{
-		// The full slice expression forces a copy: an earlier run may still append.
-		Events: task.Text.Events[:len(task.Text.Events):len(task.Text.Events)], Last: task.Text.Last, Versions: append([]uint64(nil), task.Text.Versions...),
+	progress := newRunProgress(task.Text)
+	t.progress[task] = progress
+	if task.Text.Last == 0 {
+		delete(t.kept, task)
 	}
-	events := &atomic.Int64{}
-	t.progress[task] = events
 	stall := stallTimeout
 	if t.scheduler.Loading(assignment.Backend.ID, task.Step.Model) {
 		stall = loadStall
@@ -56,29 +55,25 @@
 	go func() {
 		defer cancel()
 		defer func() { t.metrics.run.WithLabelValues().Observe(time.Since(began).Seconds()) }()
-		end, version := t.runTask(runContext, cancel, request, &text, events, stall)
+		end, version := t.runTask(runContext, cancel, request, progress, stall)
+		text, _ := progress.read()
 		t.loop.Call(func() { t.runEnded(task, assignment, end, text, version) })
 	}()
 }
 
 // runTask reads a run's stream. It gives up a stream that stands still.
-func (t *tenure) runTask(ctx context.Context, cancel context.CancelFunc, request RunRequest, text *scheduler.Text, events *atomic.Int64, stall time.Duration) (scheduler.RunEnd, uint64) {
+func (t *tenure) runTask(ctx context.Context, cancel context.CancelFunc, request RunRequest, progress *runProgress, stall time.Duration) (scheduler.RunEnd, uint64) {
 	timer := time.AfterFunc(stall, cancel)
 	defer timer.Stop()
 	version, gap := uint64(0), false
 	end := t.engines.Run(ctx, request, func(event RunEvent) {
 		timer.Reset(stall)
-		events.Add(1)
 		version = max(version, event.Version)
-		if gap = gap || event.ID != text.Last+1; gap {
+		if gap = gap || !progress.add(event); gap {
 			cancel()
-			return
 		}
-		text.Events = append(text.Events, event.Data)
-		text.Last = event.ID
-		text.AddVersion(event.Version)
 	})
-	if end == scheduler.Complete && (gap || text.Last == 0) {
+	if text, _ := progress.read(); end == scheduler.Complete && (gap || text.Last == 0) {
 		end = scheduler.Broken
 	}
 	return end, version
@@ -117,6 +112,7 @@
 
 func (t *tenure) finish(task *scheduler.Task, result ledger.Result, why string) {
 	t.cancel(task)
+	delete(t.kept, task)
 	t.scheduler.Finish(task)
 	t.metrics.samples.WithLabelValues(strconv.Itoa(int(result.State))).Inc()
 	t.results = append(t.results, pendingResult{task: task, result: result})
