Soak of random faults on real processes; a store may found after a restart

Cause: the settings say first start once only, and a store that came back had forgotten that it might found, though it had never held anything. Now that is made durable with the identity before it is offered. Ruled out: letting any empty store found, which a lost disk would then do too.

Metrics of a group's redundancy: dillchute_replica_voters and dillchute_replica_silent_voters.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PROTOC_GEN_CONNECT_GO_VERSION := v1.21.1
 STATICCHECK_VERSION := v0.8.2
 
-.PHONY: build test bench demo simulate lint generate tools clean
+.PHONY: build test soak bench demo simulate lint generate tools clean
 
 build:
 	mkdir -p bin
@@ -17,6 +17,12 @@
 test:
 	$(GO) test ./...
 
+# Random faults on real processes; the seed draws them.
+SOAK_FAULTS ?= 60
+SOAK_SEED ?= 1
+soak:
+	$(GO) test ./platform -run '^TestSoak$$' -count=1 -v -timeout 30m -soak.faults $(SOAK_FAULTS) -soak.seed $(SOAK_SEED)
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchtime 2s ./...
 
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -48,6 +48,21 @@
 	ready consensus.ReplicaID
 }
 
+// SilentVoters returns, on a leader, the number of voters that have not replied
+// for an election timeout.
+func (c *Core) SilentVoters() int {
+	if !c.Leading() {
+		return 0
+	}
+	count := 0
+	for _, member := range c.raft.Membership().Members {
+		if _, silent := c.raft.Match(member.ID); member.Voter && silent > c.config.Consensus.ElectionTicks {
+			count++
+		}
+	}
+	return count
+}
+
 func (c *Core) viewMembership() membershipView {
 	var view membershipView
 	for _, member := range c.raft.Membership().Members {
--- a/replica/status.go
+++ b/replica/status.go
@@ -22,8 +22,14 @@
 	Members []consensus.Member
 	// MembersCommitted is set once no leader can go back to earlier members.
 	MembersCommitted bool
+	// SilentVoters is, on a leader, the number of voters that have not replied
+	// for an election timeout: how much of the group's redundancy is gone.
+	SilentVoters int
 }
 
+// Voters returns the number of members with a vote.
+func (s *Status) Voters() int { return consensus.Membership{Members: s.Members}.Voters() }
+
 // Status returns the newest status.
 func (r *Replica) Status() *Status { return r.status.Load() }
 
@@ -34,6 +40,7 @@
 		ID: raft.ID(), Leading: r.core.Leading(), Serving: r.core.Serving(), Heard: raft.Leader() != consensus.None,
 		Leader: r.core.LeaderAddress(), Term: raft.Term(), Commit: raft.Commit(), LogSize: raft.LogSize(),
 		Members: raft.Membership().Members, MembersCommitted: raft.MembershipCommitted(),
+		SilentVoters: r.core.SilentVoters(),
 	}
 	if previous.same(status) {
 		return
@@ -48,7 +55,7 @@
 func (s *Status) same(other *Status) bool {
 	return s.Leading == other.Leading && s.Serving == other.Serving && s.Heard == other.Heard && s.Leader == other.Leader &&
 		s.Term == other.Term && s.Commit == other.Commit && s.MembersCommitted == other.MembersCommitted &&
-		s.LogSize == other.LogSize && slices.Equal(s.Members, other.Members)
+		s.SilentVoters == other.SilentVoters && s.LogSize == other.LogSize && slices.Equal(s.Members, other.Members)
 }
 
 func (r *Replica) logLeadership(previous, status *Status) {
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -76,7 +76,8 @@
 	watcher  *Watcher
 	executor *Executor
 	metrics  ledgerMetrics
-	// identity is the replica's, which a store without data makes up at its start.
+	// identity is that of a store without data, and fresh tells that it has never
+	// had any.
 	identity consensus.ReplicaID
 	fresh    bool
 
@@ -132,12 +133,16 @@
 // open opens the data folder. A store without data registers first, and waits
 // until the directory knows the group that it founds or joins.
 func (l *Ledger) open(ctx context.Context) (*replica.Replica, error) {
+	held := storage.Holds(l.settings.DataFolder)
+	if !held {
+		if err := l.identify(); err != nil {
+			return nil, err
+		}
+	}
 	settings := replica.Settings{
-		Cluster: l.settings.Cluster + "-ledger", Address: l.settings.InternalAddress, DataFolder: l.settings.DataFolder,
+		Cluster: l.cluster(), Address: l.settings.InternalAddress, DataFolder: l.settings.DataFolder,
 		Voters: config.Voters(l.settings.ToleratedLosses), Replica: l.identity, Contacts: l.contacts,
 	}
-	held := storage.Holds(l.settings.DataFolder)
-	l.fresh = l.settings.FirstStart && !held
 	if !held {
 		group, ok := l.awaitGroup(ctx)
 		if !ok {
@@ -150,6 +155,28 @@
 	return replica.Open(settings, l.machine, l.logger)
 }
 
+// cluster is the name that the group's data folders carry.
+func (l *Ledger) cluster() string { return l.settings.Cluster + "-ledger" }
+
+// identify finds the identity of a store without data. At the first start of the
+// whole system it may found the group; that is made durable, so that it still may
+// after a restart that comes before the group is formed.
+func (l *Ledger) identify() error {
+	reserved, err := storage.Reserved(l.settings.DataFolder, l.cluster())
+	if err != nil {
+		return err
+	}
+	if reserved != consensus.None {
+		l.identity, l.fresh = reserved, true
+		return nil
+	}
+	if !l.settings.FirstStart {
+		return nil
+	}
+	l.fresh = true
+	return storage.Reserve(l.settings.DataFolder, l.cluster(), l.identity)
+}
+
 // awaitGroup registers until the directory knows a group.
 func (l *Ledger) awaitGroup(ctx context.Context) (directory.Group, bool) {
 	registeredAt := time.Time{}
--- a/server/role_metrics.go
+++ b/server/role_metrics.go
@@ -107,6 +107,8 @@
 	gauge(emit, "replica_commit_index", "The last committed log index.", float64(status.Commit))
 	gauge(emit, "replica_log_entries", "Log entries since the newest snapshot.", float64(status.LogSize))
 	gauge(emit, "replica_members", "Members of the group.", float64(len(status.Members)))
+	gauge(emit, "replica_voters", "Members of the group with a vote.", float64(status.Voters()))
+	gauge(emit, "replica_silent_voters", "On a leader, voters that have not replied for an election timeout.", float64(status.SilentVoters))
 }
 
 func (d *Directory) collect(emit chan<- prometheus.Metric) {
