Replica: a group keeps as many learners as stand by for lost voters

Cause: every store became a learner, so each commit of the ledger went to eight more machines on the grown desk (thirteen stores, five voters), and each kept all texts in memory: bytes between zones and memory at its peak were the dearest prices after the machines themselves.

Now a group lets in as many learners as losses are to be borne, and as many more as voters are missing; other stores ask again each second and are let in when a learner falls silent or becomes a voter (TestStandbyIsBounded). A store outside the group that is to be emptied is reported as empty by the leader's next report (TestRetire). The directory keeps all its replicas: each answers watches.

Ruled out: fewer voters, which would bear fewer losses; learners that receive the log more slowly, which would be promoted later.

--- a/directory/machine.go
+++ b/directory/machine.go
@@ -323,7 +323,7 @@
 // reportGroup takes in the group's membership, and marks retiring stores that
 // are no longer part of it as retired.
 func (m *Machine) reportGroup(group Group) {
-	if group.Number <= m.state.Group.Object.Number {
+	if group.Number < m.state.Group.Object.Number {
 		return
 	}
 	m.state.Group = versioned[Group]{Revision: m.next(), Object: group}
--- a/directory/machine_test.go
+++ b/directory/machine_test.go
@@ -102,6 +102,12 @@
 	apply(t, m, Command{ReportGroup: &Group{Members: members[1:], Number: 10}})
 	store, _ = m.Store("store-1")
 	require.True(t, store.Retired)
+
+	apply(t, m, Command{PutStore: &Store{Name: "store-5", Replica: 5}})
+	require.Equal(t, RetireAccepted, retire("store-5"), "a store that stands outside the group")
+	apply(t, m, Command{ReportGroup: &Group{Members: members[1:], Number: 10}})
+	store, _ = m.Store("store-5")
+	require.True(t, store.Retired, "the leader reports once more")
 }
 
 // TestCatalogFollowsMachine: whatever happens, and however far a watcher
--- a/replica/admission.go
+++ b/replica/admission.go
@@ -24,16 +24,21 @@
 // not a member or hears no leader for long: it may have been replaced while it
 // was away.
 func (r *Replica) askToJoin(ctx context.Context) {
-	ticker := time.NewTicker(joinInterval)
-	defer ticker.Stop()
-	for {
-		if r.outside() {
+	insideAt := time.Now()
+	for ctx.Err() == nil {
+		pause := joinInterval
+		switch {
+		case !r.outside():
+			insideAt = time.Now()
+		case time.Since(insideAt) > joinPatience:
+			pause = standbyInterval
+			fallthrough
+		default:
 			r.sendJoin()
 		}
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		case <-time.After(pause):
 		}
 	}
 }
--- a/replica/core.go
+++ b/replica/core.go
@@ -31,6 +31,9 @@
 	Address string
 	// Voters is the number of voters that the membership loop aims at.
 	Voters int
+	// Standby, if not 0, bounds the learners that are kept to take the places of
+	// lost voters; with 0 every process that asks becomes a learner.
+	Standby int
 	// SilentTicks is how long a voter must be silent before a caught-up
 	// learner takes its place.
 	SilentTicks int
--- a/replica/core_test.go
+++ b/replica/core_test.go
@@ -72,6 +72,7 @@
 	acknowledged []uint64
 	proposals    map[uint64]uint64
 	voters       int
+	standby      int
 }
 
 func newGroup(t require.TestingT, founders, voters int) *group {
@@ -102,7 +103,7 @@
 			ID: p.identity, ElectionTicks: 10, HeartbeatTicks: 2, MaxAppendBytes: 1 << 10, Seed: uint64(p.identity),
 			HardState: p.state, Snapshot: p.snapshot, Entries: slices.Clone(p.entries),
 		},
-		Address: p.address, Voters: g.voters, SilentTicks: 30, SnapshotBytes: 1 << 20, SnapshotEntries: 40,
+		Address: p.address, Voters: g.voters, Standby: g.standby, SilentTicks: 30, SnapshotBytes: 1 << 20, SnapshotEntries: 40,
 	}, p.machine, bytes.NewReader(p.snapshot.Data))
 	require.NoError(g.t, err)
 	p.core = core
@@ -338,6 +339,49 @@
 	require.False(t, ok)
 }
 
+// TestStandbyIsBounded: of many machines that ask, only as many become learners
+// as are to stand by; they take the places of lost voters, others theirs, and a
+// machine that loses its disk while all places are taken is let in again.
+func TestStandbyIsBounded(t *testing.T) {
+	g := newGroup(t, 5, 5)
+	g.standby = 2
+	for _, p := range g.processes {
+		g.start(p)
+	}
+	g.steps(40)
+	for range 8 {
+		g.add()
+	}
+	g.steps(60)
+	require.Equal(t, 5, g.voterCount())
+	require.Len(t, g.leader().core.Raft().Membership().Members, 7)
+	for _, lost := range g.processes {
+		if lost != g.leader() {
+			g.wipe(lost)
+			g.steps(20)
+			g.start(lost)
+			break
+		}
+	}
+	g.propose()
+	g.steps(120)
+	g.check()
+	require.Equal(t, 5, g.voterCount())
+	require.Len(t, g.leader().core.Raft().Membership().Members, 7)
+	down := 0
+	for _, p := range g.processes {
+		if member, ok := g.leader().core.Raft().Membership().Member(p.identity); ok && member.Voter && p != g.leader() && down < 2 {
+			p.core = nil
+			down++
+		}
+	}
+	g.propose()
+	g.steps(300)
+	g.check()
+	require.Equal(t, 5, g.voterCount())
+	require.Zero(t, g.leader().core.SilentVoters())
+}
+
 // TestNothingAcknowledgedIsLost plays random wipes of one machine at a time,
 // kills of several, cuts and restarts.
 func TestNothingAcknowledgedIsLost(t *testing.T) {
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -26,7 +26,7 @@
 			c.superseded[member.ID] = true
 		}
 	}
-	if _, ok := membership.Member(join.ID); ok || c.retiring[join.ID] {
+	if _, ok := membership.Member(join.ID); ok || c.retiring[join.ID] || c.hasStandby() {
 		return
 	}
 	c.raft.ProposeMembership(consensus.MembershipChange{
@@ -34,6 +34,26 @@
 	})
 }
 
+// hasStandby tells whether there are as many learners alive as are wanted, to
+// become voters that are missing and to stand by. Further ones would cost every
+// commit a copy.
+func (c *Core) hasStandby() bool {
+	if c.config.Standby == 0 {
+		return false
+	}
+	voters, learners := 0, 0
+	for _, member := range c.raft.Membership().Members {
+		_, silent := c.raft.Match(member.ID)
+		switch {
+		case member.Voter:
+			voters++
+		case silent <= c.config.SilentTicks && !c.superseded[member.ID] && !c.retiring[member.ID]:
+			learners++
+		}
+	}
+	return learners >= c.config.Standby+max(c.config.Voters-voters, 0)
+}
+
 // SetRetiring names the replicas that are to leave the group.
 func (c *Core) SetRetiring(retiring map[consensus.ReplicaID]bool) { c.retiring = retiring }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -30,8 +30,12 @@
 	// silentTicks is how long a voter is silent before a learner replaces it.
 	silentTicks    = 30
 	maxAppendBytes = 1 << 20
-	joinInterval   = 300 * time.Millisecond
-	transferWait   = time.Second
+	// joinInterval is the time between requests for admission. A process that
+	// has asked for joinPatience in vain stands by, and asks each standbyInterval.
+	joinInterval    = 300 * time.Millisecond
+	joinPatience    = 10 * time.Second
+	standbyInterval = time.Second
+	transferWait    = time.Second
 	// storageRetry is the time between attempts to write to a disk that refuses.
 	storageRetry = 100 * time.Millisecond
 	// ExecutePath is where a leader takes in commands of other replicas.
@@ -56,6 +60,8 @@
 	DataFolder string
 	// Voters is the number of voters that the group aims at.
 	Voters int
+	// Standby bounds the learners, as in CoreConfig.
+	Standby int
 	// Founders are the first members, if this process is one of them and the
 	// folder is empty; otherwise a replica without data joins the group.
 	Founders consensus.Membership
@@ -123,7 +129,7 @@
 			MaxAppendBytes: maxAppendBytes, Seed: rand.Uint64(),
 			HardState: contents.HardState, Snapshot: contents.Snapshot, Entries: contents.Entries,
 		},
-		Address: settings.Address, Voters: settings.Voters, SilentTicks: silentTicks,
+		Address: settings.Address, Voters: settings.Voters, Standby: settings.Standby, SilentTicks: silentTicks,
 		SnapshotBytes: snapshotBytes, SnapshotEntries: snapshotEntries,
 	}, machine, state)
 	if err == nil {
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -141,7 +141,8 @@
 	}
 	settings := replica.Settings{
 		Cluster: l.cluster(), Address: l.settings.InternalAddress, DataFolder: l.settings.DataFolder,
-		Voters: config.Voters(l.settings.ToleratedLosses), Replica: l.identity, Contacts: l.contacts,
+		Voters: config.Voters(l.settings.ToleratedLosses), Standby: max(l.settings.ToleratedLosses, 1),
+		Replica: l.identity, Contacts: l.contacts,
 	}
 	if !held {
 		group, ok := l.awaitGroup(ctx)
@@ -239,13 +240,17 @@
 
 func (l *Ledger) lead(ctx context.Context, opened *replica.Replica, catalog *directory.Catalog, status *replica.Status) {
 	retiring := map[consensus.ReplicaID]bool{}
+	emptied := false
 	for _, store := range catalog.Stores {
-		if store.Retiring {
-			retiring[store.Replica] = true
+		if !store.Retiring {
+			continue
 		}
+		retiring[store.Replica] = true
+		_, member := consensus.Membership{Members: status.Members}.Member(store.Replica)
+		emptied = emptied || !store.Retired && !member
 	}
 	opened.SetRetiring(retiring)
-	if sameMembers(catalog.Group.Members, status.Members) || !status.MembersCommitted {
+	if !status.MembersCommitted || sameMembers(catalog.Group.Members, status.Members) && !emptied {
 		return
 	}
 	l.watcher.call(ctx, directoryCall{Report: &directory.Group{Members: status.Members, Number: status.Commit}})
