--- a/event/event.go
+++ b/event/event.go
@@ -63,6 +63,7 @@
 	ConfigurationTaken   = Event{5011, zerolog.InfoLevel, "this process follows another configuration"}
 	DirectoryReachable   = Event{5012, zerolog.InfoLevel, "the directory can be reached again"}
 	DirectoryUnreachable = Event{5013, zerolog.WarnLevel, "no replica of the directory can be reached"}
+	CallNotServed        = Event{5014, zerolog.WarnLevel, "a call of an operator or trainer was not carried out"}
 
 	StepTaken       = Event{6001, zerolog.InfoLevel, "a step was handed in"}
 	StepKnown       = Event{6002, zerolog.InfoLevel, "a step was handed in again"}
@@ -82,6 +83,7 @@
 	GatewayStopping = Event{7003, zerolog.InfoLevel, "gateway is stopping"}
 	GatewayStopped  = Event{7004, zerolog.InfoLevel, "gateway stopped"}
 	StepForwarded   = Event{7005, zerolog.InfoLevel, "a step was passed to the ledger"}
+	AttemptEnded    = Event{7006, zerolog.InfoLevel, "an attempt brought no answer to its request"}
 )
 
 // All lists the events in the order of their numbers.
@@ -91,9 +93,9 @@
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
-	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable,
+	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed,
 	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsKept,
-	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded,
+	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded,
 }
 
 // On returns a log line for the event, to which fields can be added; Send ends it.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -52,6 +52,11 @@
 	Lost
 )
 
+// String returns the outcome's name in logs.
+func (o Outcome) String() string {
+	return [...]string{"pending", "answered", "not_sent", "refused", "misdirected", "lost"}[o]
+}
+
 // Attempt is the result of sending a request to one backend.
 type Attempt struct {
 	Outcome  Outcome
@@ -91,11 +96,49 @@
 	Attempts   int
 	// Failures counts the backends that ran the request and failed.
 	Failures int
+	// Trials are the attempts in the order in which they began.
+	Trials []Trial
 	// Backend is the one whose answer this is.
 	Backend string
 	Service string
 }
 
+// Trial tells what became of one attempt of a request.
+type Trial struct {
+	Backend string
+	// Outcome is 0 if the request ended before the attempt did.
+	Outcome Outcome
+	// Status is the backend's, 0 if it gave no answer.
+	Status int
+	Began  time.Time
+	// Took is the time until the attempt's end, or the request's.
+	Took time.Duration
+}
+
+// beginTrial notes an attempt that begins.
+func (r *Result) beginTrial(backend string) {
+	r.Trials = append(r.Trials, Trial{Backend: backend, Began: time.Now()})
+}
+
+// endTrial notes the end of the newest attempt at the backend.
+func (r *Result) endTrial(backend string, outcome Outcome, status int) {
+	for position := len(r.Trials) - 1; position >= 0; position-- {
+		if trial := &r.Trials[position]; trial.Backend == backend {
+			trial.Outcome, trial.Status, trial.Took = outcome, status, time.Since(trial.Began)
+			return
+		}
+	}
+}
+
+// endPending notes for how long the attempts ran that have no end.
+func (r *Result) endPending() {
+	for position := range r.Trials {
+		if trial := &r.Trials[position]; trial.Outcome == 0 {
+			trial.Took = time.Since(trial.Began)
+		}
+	}
+}
+
 const (
 	// hedgeShare of the route's target is how long a repeatable request waits
 	// for an answer before another backend is asked as well.
@@ -167,7 +210,9 @@
 		forwarder: f, catalog: catalog, route: route, request: request, services: f.order(route),
 		tried: map[string]bool{}, attempts: make(chan attempted, max(route.Attempts, 1)),
 	}
-	return r.do(ctx)
+	result := r.do(ctx)
+	result.endPending()
+	return result
 }
 
 func (r *run) do(ctx context.Context) Result {
@@ -187,6 +232,7 @@
 			hedge.Reset(r.hedgeDelay())
 		case done := <-r.attempts:
 			r.pending--
+			r.result.endTrial(done.backend.ID, done.attempt.Outcome, done.attempt.Response.Status)
 			if r.take(done) {
 				return r.result
 			}
@@ -277,6 +323,7 @@
 	}
 	r.tried[backend.ID] = true
 	r.result.Attempts++
+	r.result.beginTrial(backend.ID)
 	r.pending++
 	go func() {
 		started := time.Now()
--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -42,8 +42,34 @@
 	Revision uint64 `cbor:"7,keyasint,omitempty"`
 }
 
+// kind returns the call's name in logs, or "" if calls of its kind are frequent
+// and repeated anyway.
+func (c directoryCall) kind() string {
+	switch {
+	case c.Put != nil:
+		return "put"
+	case c.Read:
+		return "read"
+	case c.Name != nil:
+		return "name"
+	case c.Retire != nil:
+		return "retire"
+	case c.Retired != "":
+		return "retired"
+	}
+	return ""
+}
+
 // call has the leader carry out the call, wherever it is.
 func (d *Directory) call(ctx context.Context, call directoryCall) (directoryAnswer, error) {
+	answer, err := d.pass(ctx, call)
+	if kind := call.kind(); err != nil && kind != "" {
+		event.CallNotServed.On(d.logger).Str("call", kind).Str("leader", d.replica.Status().Leader).Err(err).Send()
+	}
+	return answer, err
+}
+
+func (d *Directory) pass(ctx context.Context, call directoryCall) (directoryAnswer, error) {
 	status := d.replica.Status()
 	if status.Leading {
 		return d.handle(ctx, call)
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -180,10 +180,18 @@
 	}
 }
 
-// noteRequest counts and logs a request that has ended.
+// noteRequest counts and logs a request that has ended, and its attempts that
+// did not bring the answer.
 func (g *Gateway) noteRequest(catalog *directory.Catalog, route routing.Route, request *forward.Request, result forward.Result, started time.Time) {
 	took := time.Since(started)
 	g.metrics.noteRequest(result, took)
+	for _, trial := range result.Trials {
+		if result.Response != nil && trial.Backend == result.Backend {
+			continue
+		}
+		event.AttemptEnded.On(g.logger).Str("request", request.ID).Str("backend", trial.Backend).
+			Str("outcome", trial.Outcome.String()).Uint("status", uint64(trial.Status)).Int("ms", trial.Took.Milliseconds()).Send()
+	}
 	line := event.RequestEnded.On(g.logger).Str("request", request.ID).Str("route", route.Name).
 		Uint("attempts", uint64(result.Attempts)).Int("ms", took.Milliseconds()).
 		Uint("version", catalog.Version).Uint("revision", catalog.Revision)
