Transport: a connection that hangs is tried again beside the first attempt

Cause: after all power was lost, gateways that were back before the directory had sent their first packets to machines without power; these are lost, the kernel sends again after a second, and the dial was given up after 0.7 s.

Now a connection between the system's own processes that is not up after 0.12 s is tried once more beside the first attempt, five times at most; a refusal is believed at once. Connections to workers are dialled as before: each costs one.

Ruled out: a shorter time limit alone, which distant regions would exceed.

--- a/replica/http.go
+++ b/replica/http.go
@@ -36,5 +36,5 @@
 
 // NewInternalClient returns a client for calls between the system's processes.
 func NewInternalClient() *http.Client {
-	return &http.Client{Transport: transport.NewHTTPTransport()}
+	return &http.Client{Transport: transport.NewInternalTransport()}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -145,7 +145,7 @@
 func newReplica(settings Settings, store Store, core *Core, logger *zerolog.Logger) *Replica {
 	r := &Replica{
 		settings: settings, logger: logger, store: store, core: core, loop: eventloop.New(), context: context.Background(),
-		client: &http.Client{Transport: transport.NewHTTPTransport()}, waiting: map[uint64]chan Reply{},
+		client: &http.Client{Transport: transport.NewInternalTransport()}, waiting: map[uint64]chan Reply{},
 	}
 	r.status.Store(&Status{ID: core.Raft().ID()})
 	changed := make(chan struct{})
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -81,7 +81,7 @@
 	background, stop := context.WithCancel(context.Background())
 	return &Transport{
 		logger: logger, receive: receive, context: background, stop: stop,
-		client: &http.Client{Transport: NewHTTPTransport()},
+		client: &http.Client{Transport: NewInternalTransport()},
 		links:  map[string]*link{},
 	}
 }
