--- a/control/core.go
+++ b/control/core.go
@@ -79,9 +79,7 @@
 	clock   Clock
 
 	waiting   map[uint64]waiter
-	contexts  uint64
-	reads     map[uint64]pendingRead
-	ready     []pendingRead
+	reads     *consensus.Reads[pendingRead]
 	addresses map[consensus.ReplicaID]string
 
 	// The following belong to one leadership and are made anew with each.
@@ -120,7 +118,7 @@
 	c := &Core{
 		config: config, raft: consensus.New(config.Consensus), machine: machine,
 		applied: config.Consensus.Snapshot.Index,
-		waiting: map[uint64]waiter{}, reads: map[uint64]pendingRead{},
+		waiting: map[uint64]waiter{}, reads: consensus.NewReads[pendingRead](),
 		addresses: map[consensus.ReplicaID]string{},
 	}
 	for _, entry := range config.Consensus.Entries {
--- a/control/lease.go
+++ b/control/lease.go
@@ -60,11 +60,8 @@
 	if c.beatContext != 0 || len(c.beats) == 0 {
 		return
 	}
-	c.contexts++
-	c.beatContext = c.contexts
-	c.reads[c.contexts] = pendingRead{beats: c.beats}
+	c.beatContext = c.reads.Begin(c.raft, pendingRead{beats: c.beats})
 	c.beats = nil
-	c.raft.ReadIndex(c.contexts)
 }
 
 // mayRenew tells whether a new leader knows enough to renew leases. What the
--- a/control/read.go
+++ b/control/read.go
@@ -10,7 +10,6 @@
 
 // pendingRead waits for a quorum's confirmation: a local read, or heartbeats.
 type pendingRead struct {
-	index uint64
 	local uint64
 	beats []pendingBeat
 }
@@ -61,44 +60,24 @@
 		c.answer(requester{id: id}, protocol.ProposeNotLeader, state.Result{})
 		return
 	}
-	c.contexts++
-	c.reads[c.contexts] = pendingRead{local: id}
-	c.raft.ReadIndex(c.contexts)
+	c.reads.Begin(c.raft, pendingRead{local: id})
 }
 
 // confirmReads takes in which reads a quorum has confirmed, and serves those
 // whose index is applied.
 func (c *Core) confirmReads(ready consensus.Ready) {
-	for _, context := range ready.RejectedReads {
-		if read, ok := c.reads[context]; ok && read.local != 0 {
+	for _, read := range c.reads.Rejected(ready) {
+		if read.local != 0 {
 			c.answer(requester{id: read.local}, protocol.ProposeNotLeader, state.Result{})
 		}
-		c.finishRead(context)
-	}
-	for _, confirmed := range ready.ReadStates {
-		if read, ok := c.reads[confirmed.Context]; ok {
-			read.index = confirmed.Index
-			c.ready = append(c.ready, read)
-		}
-		c.finishRead(confirmed.Context)
 	}
-	kept := c.ready[:0]
-	for _, read := range c.ready {
-		if read.index > c.applied {
-			kept = append(kept, read)
-			continue
-		}
+	for _, read := range c.reads.Confirmed(ready, c.applied) {
 		c.serveRead(read)
 	}
-	c.ready = kept
-	c.confirmBeats()
-}
-
-func (c *Core) finishRead(context uint64) {
-	delete(c.reads, context)
-	if context == c.beatContext {
+	if !c.reads.Waits(c.beatContext) {
 		c.beatContext = 0
 	}
+	c.confirmBeats()
 }
 
 func (c *Core) serveRead(read pendingRead) {
--- a/replica/core.go
+++ b/replica/core.go
@@ -75,11 +75,6 @@
 	id   uint64
 }
 
-type pendingRead struct {
-	id    uint64
-	index uint64
-}
-
 // Core is one replica. Its methods must not be called concurrently.
 type Core struct {
 	config  CoreConfig
@@ -87,10 +82,9 @@
 	machine Machine
 	applied uint64
 
-	waiting   map[uint64]waiter
-	contexts  uint64
-	reads     map[uint64]uint64
-	confirmed []pendingRead
+	waiting map[uint64]waiter
+	// reads holds the IDs of reads that wait for their confirmation.
+	reads     *consensus.Reads[uint64]
 	addresses map[consensus.ReplicaID]string
 	// leadingTerm is the term that this replica leads in, or 0.
 	leadingTerm uint64
@@ -119,7 +113,7 @@
 	c := &Core{
 		config: config, raft: consensus.New(config.Consensus), machine: machine,
 		applied: config.Consensus.Snapshot.Index,
-		waiting: map[uint64]waiter{}, reads: map[uint64]uint64{},
+		waiting: map[uint64]waiter{}, reads: consensus.NewReads[uint64](),
 		addresses: map[consensus.ReplicaID]string{}, retiring: map[consensus.ReplicaID]bool{},
 		superseded: map[consensus.ReplicaID]bool{},
 	}
@@ -195,9 +189,7 @@
 		c.answer(id, NotLeader, nil)
 		return
 	}
-	c.contexts++
-	c.reads[c.contexts] = id
-	c.raft.ReadIndex(c.contexts)
+	c.reads.Begin(c.raft, id)
 }
 
 // TransferLeadership hands leadership to the most complete other voter, and
@@ -298,25 +290,12 @@
 }
 
 func (c *Core) confirmReads(ready consensus.Ready) {
-	for _, context := range ready.RejectedReads {
-		c.answer(c.reads[context], NotLeader, nil)
-		delete(c.reads, context)
-	}
-	for _, confirmed := range ready.ReadStates {
-		if id, ok := c.reads[confirmed.Context]; ok {
-			c.confirmed = append(c.confirmed, pendingRead{id: id, index: confirmed.Index})
-			delete(c.reads, confirmed.Context)
-		}
+	for _, id := range c.reads.Rejected(ready) {
+		c.answer(id, NotLeader, nil)
 	}
-	kept := c.confirmed[:0]
-	for _, read := range c.confirmed {
-		if read.index > c.applied {
-			kept = append(kept, read)
-			continue
-		}
-		c.answer(read.id, Done, nil)
+	for _, id := range c.reads.Confirmed(ready, c.applied) {
+		c.answer(id, Done, nil)
 	}
-	c.confirmed = kept
 }
 
 // SnapshotJob is a snapshot to be encoded and persisted, which may take long
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -13,7 +13,6 @@
 	"github.com/dillchute/dillchute/config"
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/directory"
-	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/forward"
 	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/replica"
@@ -21,52 +20,13 @@
 )
 
 const (
-	ledgerCallPath = "/internal/ledger/call"
 	// registerInterval is the time between a store's reviews of its
 	// registration, and of what it has to do for the group.
 	registerInterval = 200 * time.Millisecond
 	// registerRefresh is how long a registration that was taken is not repeated.
 	registerRefresh = 3 * time.Second
-	// resultBytes bounds the texts in one answer, though one result is always there.
-	resultBytes = 768 << 10
-	// maxResultWait bounds how long a call for results is held.
-	maxResultWait = time.Second
 )
 
-// ledgerCall is a call to the leader of a group of the ledger. Exactly one
-// pointer is set.
-type ledgerCall struct {
-	Submit  *ledger.Step `cbor:"1,keyasint,omitempty"`
-	Results *resultsCall `cbor:"2,keyasint,omitempty"`
-	Sample  *sampleCall  `cbor:"3,keyasint,omitempty"`
-	End     *ledger.End  `cbor:"4,keyasint,omitempty"`
-}
-
-type resultsCall struct {
-	Step  string        `cbor:"1,keyasint"`
-	After int           `cbor:"2,keyasint"`
-	Wait  time.Duration `cbor:"3,keyasint"`
-}
-
-type sampleCall struct {
-	Step string `cbor:"1,keyasint"`
-	ID   string `cbor:"2,keyasint"`
-}
-
-// ledgerAnswer is the answer to a ledgerCall.
-type ledgerAnswer struct {
-	// NotLeader: nothing was done; Leader is where to ask, if that is known.
-	NotLeader bool   `cbor:"1,keyasint,omitempty"`
-	Leader    string `cbor:"2,keyasint,omitempty"`
-	// Unknown: the call may or may not have been carried out.
-	Unknown bool `cbor:"3,keyasint,omitempty"`
-	Found   bool `cbor:"4,keyasint,omitempty"`
-	// Total is the number of samples of the step.
-	Total   int             `cbor:"5,keyasint,omitempty"`
-	Results []ledger.Result `cbor:"6,keyasint,omitempty"`
-	Body    []byte          `cbor:"7,keyasint,omitempty"`
-}
-
 // Ledger runs a store: a replica of a group of the ledger and, on its leader,
 // the executor that runs the samples.
 type Ledger struct {
@@ -267,141 +227,3 @@
 	}
 	return true
 }
-
-func (l *Ledger) serveCall(response http.ResponseWriter, request *http.Request) {
-	var call ledgerCall
-	if readCBOR(response, request, &call) {
-		writeCBOR(response, l.handle(request.Context(), call))
-	}
-}
-
-func (l *Ledger) handle(ctx context.Context, call ledgerCall) ledgerAnswer {
-	status := l.replica.Status()
-	if !status.Serving {
-		return ledgerAnswer{NotLeader: true, Leader: status.Leader}
-	}
-	switch {
-	case call.Submit != nil:
-		return l.submit(ctx, call.Submit)
-	case call.Results != nil:
-		return l.results(ctx, *call.Results)
-	case call.Sample != nil:
-		return l.sample(ctx, *call.Sample)
-	case call.End != nil:
-		return l.end(ctx, call.End)
-	}
-	return ledgerAnswer{}
-}
-
-// submit takes a step in. Its times are counted from the first send, by the
-// leader's clock.
-func (l *Ledger) submit(ctx context.Context, step *ledger.Step) ledgerAnswer {
-	now := nowMillis()
-	step.SubmittedAt = now
-	step.DueAt += now
-	if step.GiveUpAt > 0 {
-		step.GiveUpAt += now
-	}
-	known := false
-	l.replica.Do(func() { known = l.machine.Step(step.ID) != nil })
-	if known {
-		event.StepKnown.On(l.logger).Str("step", step.ID).Send()
-		return ledgerAnswer{Found: true}
-	}
-	_, err := l.replica.Execute(ctx, ledger.Command{Submit: step}.Encode())
-	line := event.StepTaken.On(l.logger).Str("step", step.ID).Uint("number", uint64(step.Number)).
-		Uint("samples", uint64(len(step.Samples))).Uint("oldest_version", step.OldestVersion)
-	if err != nil {
-		line.Err(err).Send()
-		return ledgerAnswer{Unknown: true}
-	}
-	line.Send()
-	return ledgerAnswer{Found: true}
-}
-
-// results answers with the results after a position, as soon as there are some.
-func (l *Ledger) results(ctx context.Context, call resultsCall) ledgerAnswer {
-	timeout := time.NewTimer(min(call.Wait, maxResultWait))
-	defer timeout.Stop()
-	for {
-		changed := l.replica.Changed()
-		answer := l.resultsNow(call)
-		if !answer.Found {
-			return l.notFound(ctx)
-		}
-		if len(answer.Results) > 0 || call.Wait <= 0 {
-			return answer
-		}
-		select {
-		case <-changed:
-		case <-timeout.C:
-			return answer
-		case <-ctx.Done():
-			return answer
-		}
-		if !l.replica.Status().Serving {
-			return ledgerAnswer{NotLeader: true, Leader: l.replica.Status().Leader}
-		}
-	}
-}
-
-func (l *Ledger) resultsNow(call resultsCall) ledgerAnswer {
-	var answer ledgerAnswer
-	l.replica.Do(func() {
-		entry := l.machine.Step(call.Step)
-		if entry == nil {
-			return
-		}
-		answer.Found, answer.Total = true, len(entry.Step.Samples)
-		bytes := 0
-		for position := max(call.After, 0); position < len(entry.Results) && bytes < resultBytes; position++ {
-			answer.Results = append(answer.Results, entry.Results[position])
-			bytes += len(entry.Results[position].Text)
-		}
-	})
-	return answer
-}
-
-// notFound says that something does not exist, which only a leader that a
-// quorum has confirmed can know.
-func (l *Ledger) notFound(ctx context.Context) ledgerAnswer {
-	if l.replica.Confirm(ctx) != nil {
-		return ledgerAnswer{Unknown: true}
-	}
-	return ledgerAnswer{}
-}
-
-func (l *Ledger) sample(ctx context.Context, call sampleCall) ledgerAnswer {
-	var answer ledgerAnswer
-	l.replica.Do(func() {
-		entry := l.machine.Step(call.Step)
-		if entry == nil {
-			return
-		}
-		if sample := entry.Sample(call.ID); sample != nil {
-			answer.Found, answer.Body = true, sample.Body
-		}
-	})
-	if !answer.Found {
-		return l.notFound(ctx)
-	}
-	return answer
-}
-
-func (l *Ledger) end(ctx context.Context, end *ledger.End) ledgerAnswer {
-	known, ended := false, false
-	l.replica.Do(func() {
-		if entry := l.machine.Step(end.Step); entry != nil {
-			known, ended = true, entry.Ended
-		}
-	})
-	if !known {
-		return l.notFound(ctx)
-	}
-	if ended {
-		return ledgerAnswer{Found: true}
-	}
-	_, err := l.replica.Execute(ctx, ledger.Command{End: end}.Encode())
-	event.StepEnded.On(l.logger).Str("step", end.Step).Uint("failed", boolToUint(err != nil)).Send()
-	return ledgerAnswer{Found: err == nil, Unknown: err != nil}
-}
