Scheduler: texts of whole groups are not kept for later steps

Cause: a step's end kept the texts of all its samples for two more steps, though only groups that are not whole come again. TestTextsOfWholeGroupsAreDropped failed first (eight texts kept).

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -338,3 +338,24 @@
 	require.Len(t, assignments, 1)
 	require.Zero(t, assignments[0].Task.Text.Last)
 }
+
+// TestTextsOfWholeGroupsAreDropped: only groups that are not whole come again,
+// so the texts of the others take no memory.
+func TestTextsOfWholeGroupsAreDropped(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(1, 8, "m"), nil)
+	s.AddStep(entry("a", "m", 1, 8))
+	for _, assignment := range s.Assign(0, anywhere) {
+		assignment.Task.Text = Text{Events: []string{"x"}, Last: 1, Versions: []uint64{1}}
+		if assignment.Task.Sample.Group == "g0" || assignment.Task.Sample.ID == "a-4" {
+			s.RunEnded(0, assignment.Task, assignment.Run, Complete)
+			s.Finish(assignment.Task)
+		}
+	}
+	s.EndStep("a")
+	var kept []string
+	for id := range s.kept.texts["m"] {
+		kept = append(kept, id)
+	}
+	require.ElementsMatch(t, []string{"a-4", "a-5", "a-6", "a-7"}, kept)
+}
