Names that needed explaining; a replica that trails never says that nothing changed

Texts that the ledger holds are checkpointed, not kept (the scheduler's word for texts of earlier steps); an attempt's record is called so. A first watch that times out on a replica one revision behind was answered as unchanged; now it is refused, as any replica that trails does. Behaviour is otherwise the same.

--- a/event/event.go
+++ b/event/event.go
@@ -65,18 +65,18 @@
 	DirectoryUnreachable = Event{5013, zerolog.WarnLevel, "no replica of the directory can be reached"}
 	CallNotServed        = Event{5014, zerolog.WarnLevel, "a call of an operator or trainer was not carried out"}
 
-	StepTaken       = Event{6001, zerolog.InfoLevel, "a step was handed in"}
-	StepKnown       = Event{6002, zerolog.InfoLevel, "a step was handed in again"}
-	StepEnded       = Event{6003, zerolog.InfoLevel, "a step was ended"}
-	SampleStarted   = Event{6004, zerolog.InfoLevel, "a sample starts on an engine"}
-	SampleRunEnded  = Event{6005, zerolog.InfoLevel, "a sample's run has ended"}
-	SampleDead      = Event{6006, zerolog.WarnLevel, "a sample was given up"}
-	ResultsRecorded = Event{6007, zerolog.InfoLevel, "results were recorded"}
-	OrderSent       = Event{6008, zerolog.InfoLevel, "an engine was ordered to load weights"}
-	LoadEnded       = Event{6009, zerolog.InfoLevel, "a load of weights has ended"}
-	SampleKept      = Event{6010, zerolog.InfoLevel, "a sample's text was kept from an earlier step"}
-	SampleMoved     = Event{6011, zerolog.InfoLevel, "a sample leaves an engine that is slow"}
-	TextsKept       = Event{6012, zerolog.InfoLevel, "the texts of long runs were kept"}
+	StepTaken         = Event{6001, zerolog.InfoLevel, "a step was handed in"}
+	StepKnown         = Event{6002, zerolog.InfoLevel, "a step was handed in again"}
+	StepEnded         = Event{6003, zerolog.InfoLevel, "a step was ended"}
+	SampleStarted     = Event{6004, zerolog.InfoLevel, "a sample starts on an engine"}
+	SampleRunEnded    = Event{6005, zerolog.InfoLevel, "a sample's run has ended"}
+	SampleDead        = Event{6006, zerolog.WarnLevel, "a sample was given up"}
+	ResultsRecorded   = Event{6007, zerolog.InfoLevel, "results were recorded"}
+	OrderSent         = Event{6008, zerolog.InfoLevel, "an engine was ordered to load weights"}
+	LoadEnded         = Event{6009, zerolog.InfoLevel, "a load of weights has ended"}
+	SampleKept        = Event{6010, zerolog.InfoLevel, "a sample's text was kept from an earlier step"}
+	SampleMoved       = Event{6011, zerolog.InfoLevel, "a sample leaves an engine that is slow"}
+	TextsCheckpointed = Event{6012, zerolog.InfoLevel, "the texts of long runs were kept"}
 
 	RequestEnded    = Event{7001, zerolog.InfoLevel, "a request has ended"}
 	GatewayStarted  = Event{7002, zerolog.InfoLevel, "gateway started"}
@@ -94,7 +94,7 @@
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
 	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed,
-	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsKept,
+	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded,
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -96,15 +96,15 @@
 	Attempts   int
 	// Failures counts the backends that ran the request and failed.
 	Failures int
-	// Trials are the attempts in the order in which they began.
-	Trials []Trial
+	// History holds the attempts in the order in which they began.
+	History []AttemptRecord
 	// Backend is the one whose answer this is.
 	Backend string
 	Service string
 }
 
-// Trial tells what became of one attempt of a request.
-type Trial struct {
+// AttemptRecord tells what became of one attempt of a request.
+type AttemptRecord struct {
 	Backend string
 	// Outcome is 0 if the request ended before the attempt did.
 	Outcome Outcome
@@ -115,26 +115,26 @@
 	Took time.Duration
 }
 
-// beginTrial notes an attempt that begins.
-func (r *Result) beginTrial(backend string) {
-	r.Trials = append(r.Trials, Trial{Backend: backend, Began: time.Now()})
+// recordBegin notes an attempt that begins.
+func (r *Result) recordBegin(backend string) {
+	r.History = append(r.History, AttemptRecord{Backend: backend, Began: time.Now()})
 }
 
-// endTrial notes the end of the newest attempt at the backend.
-func (r *Result) endTrial(backend string, outcome Outcome, status int) {
-	for position := len(r.Trials) - 1; position >= 0; position-- {
-		if trial := &r.Trials[position]; trial.Backend == backend {
-			trial.Outcome, trial.Status, trial.Took = outcome, status, time.Since(trial.Began)
+// recordEnd notes the end of the newest attempt at the backend.
+func (r *Result) recordEnd(backend string, outcome Outcome, status int) {
+	for position := len(r.History) - 1; position >= 0; position-- {
+		if record := &r.History[position]; record.Backend == backend {
+			record.Outcome, record.Status, record.Took = outcome, status, time.Since(record.Began)
 			return
 		}
 	}
 }
 
-// endPending notes for how long the attempts ran that have no end.
-func (r *Result) endPending() {
-	for position := range r.Trials {
-		if trial := &r.Trials[position]; trial.Outcome == 0 {
-			trial.Took = time.Since(trial.Began)
+// recordPending notes for how long the attempts ran that have no end.
+func (r *Result) recordPending() {
+	for position := range r.History {
+		if record := &r.History[position]; record.Outcome == 0 {
+			record.Took = time.Since(record.Began)
 		}
 	}
 }
@@ -211,7 +211,7 @@
 		tried: map[string]bool{}, attempts: make(chan attempted, max(route.Attempts, 1)),
 	}
 	result := r.do(ctx)
-	result.endPending()
+	result.recordPending()
 	return result
 }
 
@@ -232,7 +232,7 @@
 			hedge.Reset(r.hedgeDelay())
 		case done := <-r.attempts:
 			r.pending--
-			r.result.endTrial(done.backend.ID, done.attempt.Outcome, done.attempt.Response.Status)
+			r.result.recordEnd(done.backend.ID, done.attempt.Outcome, done.attempt.Response.Status)
 			if r.take(done) {
 				return r.result
 			}
@@ -323,7 +323,7 @@
 	}
 	r.tried[backend.ID] = true
 	r.result.Attempts++
-	r.result.beginTrial(backend.ID)
+	r.result.recordBegin(backend.ID)
 	r.pending++
 	go func() {
 		started := time.Now()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -99,13 +99,13 @@
 	if !ok {
 		panic("forward: the client must be able to open streams")
 	}
-	s.result.beginTrial(backend.ID)
+	s.result.recordBegin(backend.ID)
 	opened := client.Open(ctx, backend, s.request, s.last)
 	outcome := opened.Outcome
 	if outcome == Answered {
 		outcome = s.pass(ctx, cancel, backend, opened)
 	}
-	s.result.endTrial(backend.ID, outcome, opened.Status)
+	s.result.recordEnd(backend.ID, outcome, opened.Status)
 	s.forwarder.note(backend.ID, Attempt{Outcome: outcome}, time.Since(started), parent.Err() != nil)
 	if outcome == Answered || outcome == Lost {
 		s.result.MayHaveRun = true
--- a/server/checkpoint.go
+++ b/server/checkpoint.go
@@ -23,9 +23,9 @@
 // runProgress is the text of a run under way. The run's goroutine extends it,
 // and the loop reads it.
 type runProgress struct {
-	// keptAt is when the text was last kept, or when the run began. It belongs
-	// to the loop.
-	keptAt time.Time
+	// checkpointedAt is when the text was last kept, or when the run began. It
+	// belongs to the loop.
+	checkpointedAt time.Time
 
 	mutex  sync.Mutex
 	text   scheduler.Text
@@ -34,7 +34,7 @@
 
 // newRunProgress returns the progress of a run that continues the text.
 func newRunProgress(text scheduler.Text) *runProgress {
-	return &runProgress{keptAt: time.Now(), text: scheduler.Text{
+	return &runProgress{checkpointedAt: time.Now(), text: scheduler.Text{
 		// The full slice expressions force copies: an earlier run may still append.
 		Events: text.Events[:len(text.Events):len(text.Events)], Last: text.Last,
 		Versions: text.Versions[:len(text.Versions):len(text.Versions)],
@@ -63,9 +63,9 @@
 	return p.text, p.events
 }
 
-// keptText says up to which event a task's text is kept in the ledger, and by
+// checkpointedText says up to which event a task's text is kept in the ledger, and by
 // which of its runs that was found out.
-type keptText struct {
+type checkpointedText struct {
 	task *scheduler.Task
 	run  uint64
 	last uint64
@@ -87,7 +87,7 @@
 		t.loop.Call(func() {
 			t.checkpointing = false
 			if err == nil {
-				t.noteKept(texts)
+				t.noteCheckpointed(texts)
 			}
 		})
 	}()
@@ -95,20 +95,20 @@
 
 // collectCheckpoints returns what the runs that are due have produced since
 // their last checkpoints.
-func (t *tenure) collectCheckpoints(now time.Time) (map[string]*ledger.Checkpoint, []keptText) {
+func (t *tenure) collectCheckpoints(now time.Time) (map[string]*ledger.Checkpoint, []checkpointedText) {
 	checkpoints := map[string]*ledger.Checkpoint{}
-	var texts []keptText
+	var texts []checkpointedText
 	bytes := 0
 	for task, progress := range t.progress {
-		if now.Sub(progress.keptAt) < checkpointInterval || task.State != scheduler.Running || bytes > checkpointBytes {
+		if now.Sub(progress.checkpointedAt) < checkpointInterval || task.State != scheduler.Running || bytes > checkpointBytes {
 			continue
 		}
 		text, _ := progress.read()
-		after := min(t.kept[task], text.Last)
+		after := min(t.checkpointed[task], text.Last)
 		if text.Last < after+checkpointEvents {
 			continue
 		}
-		progress.keptAt = now
+		progress.checkpointedAt = now
 		added := text.Events[after:]
 		for _, data := range added {
 			bytes += len(data)
@@ -120,7 +120,7 @@
 		checkpoints[step].Texts = append(checkpoints[step].Texts, ledger.Continuation{
 			Sample: task.Sample.ID, After: after, Events: added, Versions: text.Versions,
 		})
-		texts = append(texts, keptText{task: task, run: task.Run, last: text.Last})
+		texts = append(texts, checkpointedText{task: task, run: task.Run, last: text.Last})
 	}
 	return checkpoints, texts
 }
@@ -130,7 +130,7 @@
 		limited, cancel := context.WithTimeout(t.context, recordTimeout)
 		_, err := t.replica.Execute(limited, ledger.Command{Checkpoint: checkpoint}.Encode())
 		cancel()
-		line := event.TextsKept.On(t.logger).Str("step", step).Uint("texts", uint64(len(checkpoint.Texts)))
+		line := event.TextsCheckpointed.On(t.logger).Str("step", step).Uint("texts", uint64(len(checkpoint.Texts)))
 		if err != nil {
 			line.Err(err).Send()
 			return err
@@ -140,13 +140,13 @@
 	return nil
 }
 
-// noteKept takes in what was kept. A text that has been begun anew meanwhile is
+// noteCheckpointed takes in what was kept. A text that has been begun anew meanwhile is
 // kept from its beginning the next time.
-func (t *tenure) noteKept(texts []keptText) {
+func (t *tenure) noteCheckpointed(texts []checkpointedText) {
 	t.metrics.checkpoints.WithLabelValues().Add(float64(len(texts)))
 	for _, one := range texts {
 		if one.task.Run == one.run && one.task.State == scheduler.Running {
-			t.kept[one.task] = one.last
+			t.checkpointed[one.task] = one.last
 		}
 	}
 }
--- a/server/directory_watch.go
+++ b/server/directory_watch.go
@@ -85,7 +85,7 @@
 		case <-request.Context().Done():
 			return
 		case <-timeout.C:
-			d.answerUnchanged(response, since, revision == least-1)
+			d.answerUnchanged(response, since, revision == since)
 			return
 		}
 	}
--- a/server/executor.go
+++ b/server/executor.go
@@ -76,7 +76,7 @@
 		Executor: x, context: leadership, replica: opened, machine: machine, term: term,
 		loop: eventloop.New(), scheduler: scheduler.New(),
 		cancels: map[*scheduler.Task]context.CancelFunc{}, progress: map[*scheduler.Task]*runProgress{},
-		kept: map[*scheduler.Task]uint64{},
+		checkpointed: map[*scheduler.Task]uint64{},
 	}
 	t.deferOrders()
 	go t.follow(stop)
@@ -98,8 +98,8 @@
 	cancels    map[*scheduler.Task]context.CancelFunc
 	// progress holds what each run under way has produced.
 	progress map[*scheduler.Task]*runProgress
-	// kept holds the number of events of each task's text that the ledger keeps.
-	kept          map[*scheduler.Task]uint64
+	// checkpointed holds the number of events of each task's text that the ledger keeps.
+	checkpointed  map[*scheduler.Task]uint64
 	checkpointing bool
 	results       []pendingResult
 	recording     bool
@@ -222,7 +222,7 @@
 		}
 		for _, task := range t.scheduler.EndStep(id) {
 			t.cancel(task)
-			delete(t.kept, task)
+			delete(t.checkpointed, task)
 		}
 	}
 }
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -185,12 +185,12 @@
 func (g *Gateway) noteRequest(catalog *directory.Catalog, route routing.Route, request *forward.Request, result forward.Result, started time.Time) {
 	took := time.Since(started)
 	g.metrics.noteRequest(result, took)
-	for _, trial := range result.Trials {
-		if result.Response != nil && trial.Backend == result.Backend {
+	for _, attempt := range result.History {
+		if result.Response != nil && attempt.Backend == result.Backend {
 			continue
 		}
-		event.AttemptEnded.On(g.logger).Str("request", request.ID).Str("backend", trial.Backend).
-			Str("outcome", trial.Outcome.String()).Uint("status", uint64(trial.Status)).Int("ms", trial.Took.Milliseconds()).Send()
+		event.AttemptEnded.On(g.logger).Str("request", request.ID).Str("backend", attempt.Backend).
+			Str("outcome", attempt.Outcome.String()).Uint("status", uint64(attempt.Status)).Int("ms", attempt.Took.Milliseconds()).Send()
 	}
 	line := event.RequestEnded.On(g.logger).Str("request", request.ID).Str("route", route.Name).
 		Uint("attempts", uint64(result.Attempts)).Int("ms", took.Milliseconds()).
--- a/server/run.go
+++ b/server/run.go
@@ -45,7 +45,7 @@
 	progress := newRunProgress(task.Text)
 	t.progress[task] = progress
 	if task.Text.Last == 0 {
-		delete(t.kept, task)
+		delete(t.checkpointed, task)
 	}
 	stall := stallTimeout
 	if t.scheduler.Loading(assignment.Backend.ID, task.Step.Model) {
@@ -112,7 +112,7 @@
 
 func (t *tenure) finish(task *scheduler.Task, result ledger.Result, why string) {
 	t.cancel(task)
-	delete(t.kept, task)
+	delete(t.checkpointed, task)
 	t.scheduler.Finish(task)
 	t.metrics.samples.WithLabelValues(strconv.Itoa(int(result.State))).Inc()
 	t.results = append(t.results, pendingResult{task: task, result: result})
