--- a/command/logger.go
+++ b/command/logger.go
@@ -1,22 +1,29 @@
 package command
 
 import (
+	"bytes"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/dillchute/dillchute/event"
 )
 
-// logLines bounds the lines that wait to be written.
-const logLines = 4096
+const (
+	// logLines bounds the lines that wait to be written.
+	logLines = 4096
+	// linesPerEvent bounds the lines of one event in a second, so that a frequent
+	// one does not hide the others.
+	linesPerEvent = 500
+)
 
 // NewProcessLogger returns a logger that never blocks: lines wait in a bounded
 // buffer for a writer of their own. When it is full, lines are dropped and
 // counted, and a line says how many. The function writes what waits.
 func NewProcessLogger(level string, out io.Writer) (*zerolog.Logger, func()) {
-	buffered := &lineWriter{out: out, lines: make(chan []byte, logLines), done: make(chan struct{})}
+	buffered := &lineWriter{out: out, lines: make(chan []byte, logLines), done: make(chan struct{}), budget: eventBudget{now: time.Now}}
 	logger := newLogger(level, buffered)
 	buffered.logger = newLogger(level, out)
 	go buffered.run()
@@ -33,6 +40,39 @@
 	mutex   sync.Mutex
 	dropped uint64
 	closed  bool
+	budget  eventBudget
+}
+
+// eventBudget counts the lines of each event in the current second.
+type eventBudget struct {
+	now    func() time.Time
+	second int64
+	lines  map[string]int
+}
+
+// take tells whether one more line of the event may be written.
+func (b *eventBudget) take(event string) bool {
+	if second := b.now().Unix(); second != b.second || b.lines == nil {
+		b.second, b.lines = second, map[string]int{}
+	}
+	b.lines[event]++
+	return b.lines[event] <= linesPerEvent
+}
+
+// eventField begins the field that holds a line's event number.
+var eventField = []byte(`"event":`)
+
+// eventOf returns the digits of a line's event number, or "" if it has none.
+func eventOf(line []byte) string {
+	_, rest, found := bytes.Cut(line, eventField)
+	if !found {
+		return ""
+	}
+	end := bytes.IndexAny(rest, ",}")
+	if end < 0 {
+		return ""
+	}
+	return string(rest[:end])
 }
 
 // reservedLines of the buffer are for warnings and errors.
@@ -43,14 +83,19 @@
 	return w.WriteLevel(zerolog.InfoLevel, line)
 }
 
-// WriteLevel queues a line, or counts it as dropped. Routine lines leave the
-// rest of the buffer to warnings and errors.
+// WriteLevel queues a line, or counts it as dropped. Each event has a budget of
+// lines a second, and routine lines leave the rest of the buffer to warnings and
+// errors.
 func (w *lineWriter) WriteLevel(level zerolog.Level, line []byte) (int, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.closed {
 		return len(line), nil
 	}
+	if number := eventOf(line); number != "" && !w.budget.take(number) {
+		w.dropped++
+		return len(line), nil
+	}
 	if level < zerolog.WarnLevel && len(w.lines) >= logLines-reservedLines {
 		w.dropped++
 		return len(line), nil
