--- a/event/event.go
+++ b/event/event.go
@@ -77,6 +77,7 @@
 	SampleKept        = Event{6010, zerolog.InfoLevel, "a sample's text was kept from an earlier step"}
 	SampleMoved       = Event{6011, zerolog.InfoLevel, "a sample leaves an engine that is slow"}
 	TextsCheckpointed = Event{6012, zerolog.InfoLevel, "the texts of long runs were kept"}
+	StepWhole         = Event{6013, zerolog.InfoLevel, "the groups that the trainer waits for are whole"}
 
 	RequestEnded    = Event{7001, zerolog.InfoLevel, "a request has ended"}
 	GatewayStarted  = Event{7002, zerolog.InfoLevel, "gateway started"}
@@ -94,7 +95,7 @@
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
 	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed,
-	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed,
+	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded,
 }
 
--- /dev/null
+++ b/scheduler/progress.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import "slices"
+
+// progress follows how much of a step is done. The trainer waits for a number
+// of whole groups, among which must be those that an earlier step had.
+type progress struct {
+	// open holds the number of unfinished tasks of each group.
+	open map[string]int
+	// again holds the groups that an earlier step had and that are not whole.
+	again map[string]bool
+	// missing is the number of groups that must become whole still.
+	missing int
+	// reported is set once the trainer has what it waits for.
+	reported bool
+}
+
+// newProgress returns the progress of a step whose groups, among them those that
+// come again, have the given unfinished tasks.
+func newProgress(wanted int, groups []string, again map[string]bool, tasks []*Task) *progress {
+	if wanted <= 0 || wanted > len(groups) {
+		wanted = len(groups)
+	}
+	p := &progress{open: map[string]int{}, again: map[string]bool{}, missing: wanted}
+	for _, task := range tasks {
+		p.open[task.Sample.Group]++
+	}
+	for _, group := range groups {
+		if p.open[group] == 0 {
+			p.missing--
+		} else if again[group] {
+			p.again[group] = true
+		}
+	}
+	return p
+}
+
+// progressOf returns the progress of a step that is taken in.
+func (s *Scheduler) progressOf(state *stepState) *progress {
+	var groups []string
+	again := map[string]bool{}
+	for position := range state.step.Samples {
+		group := state.step.Samples[position].Group
+		if !slices.Contains(groups, group) {
+			groups = append(groups, group)
+		}
+		again[group] = s.kept.cameBefore(state.step, group)
+	}
+	return newProgress(state.step.Wanted, groups, again, state.tasks)
+}
+
+// finish takes in that a task of the group is finished, and tells whether the
+// trainer has what it waits for by that.
+func (p *progress) finish(group string) bool {
+	p.open[group]--
+	if p.open[group] > 0 {
+		return false
+	}
+	p.missing--
+	delete(p.again, group)
+	if p.reported || p.missing > 0 || len(p.again) > 0 {
+		return false
+	}
+	p.reported = true
+	return true
+}
--- /dev/null
+++ b/scheduler/progress_test.go
@@ -0,0 +1,70 @@
+package scheduler
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dillchute/dillchute/ledger"
+)
+
+// finishGroup finishes the four samples of a group and tells whether the step's
+// trainer had all that it waits for by one of them.
+func finishGroup(s *Scheduler, step string, group int) bool {
+	whole := false
+	for _, task := range s.steps[step].tasks[4*group : 4*group+4] {
+		whole = s.Finish(task) || whole
+	}
+	return whole
+}
+
+// TestStepIsWholeOnce: the trainer waits for two of three groups; the first two
+// make the step whole, and nothing after them does so again.
+func TestStepIsWholeOnce(t *testing.T) {
+	s := New()
+	step := entry("x", "m", 1, 12)
+	step.Step.Wanted = 2
+	s.AddStep(step)
+	require.False(t, finishGroup(s, "x", 2))
+	require.False(t, s.Finish(s.steps["x"].tasks[8]), "a sample that is finished twice")
+	require.True(t, finishGroup(s, "x", 0))
+	require.False(t, finishGroup(s, "x", 1))
+}
+
+// TestStepWaitsForGroupsThatComeAgain: whichever others are whole.
+func TestStepWaitsForGroupsThatComeAgain(t *testing.T) {
+	s := New()
+	first := entry("x", "m", 1, 12)
+	s.AddStep(first)
+	s.EndStep("x")
+	step := entry("y", "m", 1, 12)
+	step.Step.Number, step.Step.Wanted = 1, 1
+	for position := range step.Step.Samples {
+		if position >= 4 {
+			step.Step.Samples[position].Group = "new" + step.Step.Samples[position].Group
+		}
+	}
+	s.AddStep(step)
+	require.False(t, finishGroup(s, "y", 1))
+	require.True(t, finishGroup(s, "y", 0))
+}
+
+// TestProgressAfterALeaderChange: groups that have all their results count as whole.
+func TestProgressAfterALeaderChange(t *testing.T) {
+	s := New()
+	step := entry("x", "m", 1, 12)
+	step.Step.Wanted = 2
+	machine := ledger.NewMachine()
+	machine.Apply(ledger.Command{Submit: step.Step}.Encode())
+	record := &ledger.Record{Step: "x"}
+	for _, sample := range step.Step.Samples[:4] {
+		record.Results = append(record.Results, ledger.Result{Sample: sample.ID, State: ledger.Succeeded})
+	}
+	machine.Apply(ledger.Command{Record: record}.Encode())
+	s.AddStep(machine.Step("x"))
+	whole := false
+	for _, task := range s.steps["x"].tasks[:4] {
+		whole = s.Finish(task) || whole
+	}
+	require.True(t, whole)
+}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -125,10 +125,17 @@
 	s.requeue(task)
 }
 
-// Finish marks a task as done.
-func (s *Scheduler) Finish(task *Task) {
+// Finish marks a task as done. It tells whether the trainer has the whole groups
+// that it waits for by that.
+func (s *Scheduler) Finish(task *Task) (stepWhole bool) {
 	s.leave(task)
 	task.State = Finished
+	state := s.steps[task.Step.ID]
+	if state == nil || task.counted {
+		return false
+	}
+	task.counted = true
+	return state.progress.finish(task.Sample.Group)
 }
 
 func (e *engine) avoid(now, millis int64) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -63,6 +63,8 @@
 	tasks []*Task
 	// queue holds the tasks in the order in which they are started.
 	queue []*Task
+	// progress follows what the trainer waits for.
+	progress *progress
 }
 
 // New returns a scheduler that knows nothing.
@@ -133,6 +135,7 @@
 	}
 	s.kept.note(step)
 	state.queue = s.queueOf(state)
+	state.progress = s.progressOf(state)
 	s.steps[step.ID] = state
 	s.model(step.Model).noteStep(step)
 	return whole
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -57,6 +57,8 @@
 	fruitless int
 	// needed is set on tasks of groups that the trainer waits for.
 	needed bool
+	// counted is set once the progress of the step has taken the task in as finished.
+	counted bool
 	// startedAt is when the current run began, and from the event it began after.
 	startedAt int64
 	from      uint64
--- a/server/role_metrics.go
+++ b/server/role_metrics.go
@@ -61,7 +61,7 @@
 // ledgerMetrics count what a store's executor does.
 type ledgerMetrics struct {
 	runs, samples, orders, checkpoints *prometheus.CounterVec
-	loads, records, run                *prometheus.HistogramVec
+	loads, records, run, steps         *prometheus.HistogramVec
 }
 
 func newLedgerMetrics() ledgerMetrics {
@@ -73,11 +73,12 @@
 		loads:       newHistogram("ledger_load_seconds", "Time from an order to the end of its load, by outcome.", "outcome"),
 		records:     newHistogram("ledger_record_seconds", "Time to commit results, by outcome.", "outcome"),
 		run:         newHistogram("ledger_run_seconds", "Time of a run on an engine."),
+		steps:       newHistogram("ledger_step_seconds", "Time from taking a step in to the whole groups that its trainer waits for."),
 	}
 }
 
 func (m ledgerMetrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.runs, m.samples, m.orders, m.checkpoints, m.loads, m.records, m.run}
+	return []prometheus.Collector{m.runs, m.samples, m.orders, m.checkpoints, m.loads, m.records, m.run, m.steps}
 }
 
 // directoryMetrics count what a replica of the directory is asked.
--- a/server/run.go
+++ b/server/run.go
@@ -113,10 +113,22 @@
 func (t *tenure) finish(task *scheduler.Task, result ledger.Result, why string) {
 	t.cancel(task)
 	delete(t.checkpointed, task)
-	t.scheduler.Finish(task)
+	if t.scheduler.Finish(task) {
+		t.noteWhole(task)
+	}
 	t.metrics.samples.WithLabelValues(strconv.Itoa(int(result.State))).Inc()
 	t.results = append(t.results, pendingResult{task: task, result: result})
 	if result.State == ledger.Dead {
 		event.SampleDead.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).Str("reason", why).Send()
 	}
 }
+
+// noteWhole says that the trainer has what it waits for of a step, and which
+// sample came last.
+func (t *tenure) noteWhole(last *scheduler.Task) {
+	took := nowMillis() - last.Step.SubmittedAt
+	t.metrics.steps.WithLabelValues().Observe(float64(took) / 1000)
+	event.StepWhole.On(t.logger).Str("step", last.Step.ID).Uint("number", uint64(last.Step.Number)).Int("ms", took).
+		Str("sample", last.Sample.ID).Str("engine", last.Engine).Uint("events", last.Text.Last).
+		Uint("predicted", uint64(last.Sample.Predicted)).Uint("attempts", uint64(last.Attempts)).Send()
+}
