Scheduler: texts of groups that became whole too late are kept

Change: the groups that the trainer has are those whole by the time it had enough of them; texts of all others are kept. Ruled out: the trainer's position, which the ledger does not learn.

--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -11,6 +11,9 @@
 	again map[string]bool
 	// missing is the number of groups that must become whole still.
 	missing int
+	// taken holds the groups that were whole by the time the trainer had what it
+	// waits for. All others may come again in a later step.
+	taken map[string]bool
 	// reported is set once the trainer has what it waits for.
 	reported bool
 }
@@ -21,13 +24,14 @@
 	if wanted <= 0 || wanted > len(groups) {
 		wanted = len(groups)
 	}
-	p := &progress{open: map[string]int{}, again: map[string]bool{}, missing: wanted}
+	p := &progress{open: map[string]int{}, again: map[string]bool{}, taken: map[string]bool{}, missing: wanted}
 	for _, task := range tasks {
 		p.open[task.Sample.Group]++
 	}
 	for _, group := range groups {
 		if p.open[group] == 0 {
 			p.missing--
+			p.taken[group] = true
 		} else if again[group] {
 			p.again[group] = true
 		}
@@ -56,9 +60,13 @@
 	if p.open[group] > 0 {
 		return false
 	}
+	if p.reported {
+		return false
+	}
 	p.missing--
+	p.taken[group] = true
 	delete(p.again, group)
-	if p.reported || p.missing > 0 || len(p.again) > 0 {
+	if p.missing > 0 || len(p.again) > 0 {
 		return false
 	}
 	p.reported = true
--- a/scheduler/progress_test.go
+++ b/scheduler/progress_test.go
@@ -68,3 +68,22 @@
 	}
 	require.True(t, whole)
 }
+
+// TestTextsOfGroupsThatCameTooLateAreKept: a group that became whole after the
+// trainer had what it waits for may come again.
+func TestTextsOfGroupsThatCameTooLateAreKept(t *testing.T) {
+	s := New()
+	step := entry("x", "m", 1, 8)
+	step.Step.Wanted = 1
+	s.AddStep(step)
+	for _, task := range s.steps["x"].tasks {
+		task.Text = Text{Events: []string{"data"}, Last: 1, Versions: []uint64{1}, Whole: true}
+	}
+	require.True(t, finishGroup(s, "x", 0))
+	finishGroup(s, "x", 1)
+	s.EndStep("x")
+	again := entry("y", "m", 1, 0)
+	again.Step.Samples = step.Step.Samples[4:]
+	require.Len(t, s.AddStep(again), 4)
+	require.Len(t, s.kept.texts["m"], 4, "texts of the group that the trainer has are dropped")
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -172,11 +172,10 @@
 		return nil
 	}
 	delete(s.steps, id)
-	unfinished := state.unfinishedGroups()
 	for _, task := range state.tasks {
 		s.leave(task)
 		task.State = Finished
-		if unfinished[task.Sample.Group] {
+		if !state.progress.taken[task.Sample.Group] {
 			s.kept.keep(task.Step, task.Sample, task.Text)
 		}
 		task.Text = Text{}
@@ -184,18 +183,6 @@
 	return state.tasks
 }
 
-// unfinishedGroups returns the groups that are not whole: only those may come
-// again in a later step.
-func (state *stepState) unfinishedGroups() map[string]bool {
-	groups := map[string]bool{}
-	for _, task := range state.tasks {
-		if task.State != Finished {
-			groups[task.Sample.Group] = true
-		}
-	}
-	return groups
-}
-
 // Keep takes in how far a run had come whose step has ended meanwhile: the
 // sample may come again in a later step.
 func (s *Scheduler) Keep(task *Task, text Text) { s.kept.keep(task.Step, task.Sample, text) }
