Scheduler: predictions in events; placement by the time a sample will take

Hypothesis: predicted tokens were compared with events, of which each holds several tokens (52 on the further customer), so that what runs was never seen to come to its end.

--- a/ledger/command.go
+++ b/ledger/command.go
@@ -54,6 +54,8 @@
 	Reward *Reward `cbor:"6,keyasint"`
 	// Predicted is the expected number of tokens that come out, 0 if unknown.
 	Predicted int `cbor:"7,keyasint"`
+	// MostTokens is the most tokens that come out, 0 if unknown.
+	MostTokens int `cbor:"8,keyasint,omitempty"`
 }
 
 // Step is what a trainer hands in at once.
@@ -77,6 +79,9 @@
 	Samples     []Sample `cbor:"12,keyasint"`
 	// Priority ranks the step among others; 0 is the most urgent.
 	Priority int `cbor:"13,keyasint"`
+	// EventTokens is the number of tokens that one event of a text holds, 0 if
+	// unknown.
+	EventTokens int `cbor:"14,keyasint,omitempty"`
 }
 
 // State says how a sample ended.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -74,6 +74,9 @@
 	// Models are the models that the service's engines hold; none for a
 	// service that is not one of engines.
 	Models []string `cbor:"3,keyasint"`
+	// EventTokens is the number of tokens that one event of an engine's stream
+	// holds, 0 if unknown.
+	EventTokens int `cbor:"4,keyasint,omitempty"`
 }
 
 // Limits bound what a caller may send and how long it may be idle.
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -1,14 +1,15 @@
 package scheduler
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
 
-// groupWork is a group with the tokens that are expected of it.
+// groupWork is a group with the events that are expected of it.
 type groupWork struct {
 	name string
-	work int
+	work float64
 	// again is set on groups that an earlier step had.
 	again bool
 }
@@ -30,26 +31,48 @@
 			}
 			return 1
 		}
-		return b.remaining() - a.remaining()
+		return cmp.Compare(b.remaining(b.Text.Last), a.remaining(a.Text.Last))
 	})
 	return queue
 }
 
-// remaining returns the expected number of tokens that are still to come. What
-// has run for longer than predicted will run for some time more.
-func (task *Task) remaining() int {
-	return max(task.Sample.Predicted-int(task.Text.Last), 1)
+// overrunShare is the part of a prediction that is expected to come still of a
+// text that is about as long as predicted, or longer. Predictions are right in
+// the median and off by a factor that varies widely (log-normal, about 0.5), of
+// which this is the median of what is left.
+const overrunShare = 0.4
+
+// predicted returns the expected number of events of the whole text.
+func (task *Task) predicted() float64 {
+	tokens := float64(max(task.Sample.Predicted, 1))
+	if most := task.Sample.MostTokens; most > 0 {
+		tokens = min(tokens, float64(most))
+	}
+	return max(tokens/task.eventTokens(), 1)
+}
+
+func (task *Task) eventTokens() float64 { return float64(max(task.Step.EventTokens, 1)) }
+
+// remaining returns the expected number of events that are still to come after
+// the given number.
+func (task *Task) remaining(after uint64) float64 {
+	predicted := task.predicted()
+	left := max(predicted-float64(after), overrunShare*predicted)
+	if most := task.Sample.MostTokens; most > 0 {
+		left = min(left, float64(most)/task.eventTokens()-float64(after))
+	}
+	return max(left, 1)
 }
 
 // neededGroups returns the groups that make up the number that the trainer
 // waits for: those that come again, then those with the least work.
 func (s *Scheduler) neededGroups(state *stepState) map[string]bool {
-	work := map[string]int{}
+	work := map[string]float64{}
 	for position := range state.step.Samples {
 		work[state.step.Samples[position].Group] += 0
 	}
 	for _, task := range state.tasks {
-		work[task.Sample.Group] += task.remaining()
+		work[task.Sample.Group] += task.remaining(task.Text.Last)
 	}
 	groups := make([]groupWork, 0, len(work))
 	for _, name := range slices.Sorted(maps.Keys(work)) {
@@ -64,7 +87,7 @@
 			}
 			return 1
 		}
-		return a.work - b.work
+		return cmp.Compare(a.work, b.work)
 	})
 	wanted := state.step.Wanted
 	if wanted <= 0 || wanted > len(groups) {
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -7,37 +7,52 @@
 	// its samples moved, and usualRatio the most of one that takes them.
 	slowRatio  = 2.0
 	usualRatio = 1.4
-	// minObserveMillis is how long a run must last to tell its engine's pace.
+	// minObserveMillis is the time of runs that must be observed to tell an
+	// engine's pace, and how long a run must last before it is moved.
 	minObserveMillis = 300
 	// maxMoves bounds how often a sample is moved for its engine's pace.
 	maxMoves = 3
-	// enginePaceSmoothing is the weight of the newest observation of an engine.
-	enginePaceSmoothing = 0.5
+	// paceMemory is the weight of what was observed before, at each update.
+	paceMemory = 0.7
 )
 
+// paceWindow is the time of an engine's runs and the events they have had in it,
+// of which the newest weigh the most.
+type paceWindow struct {
+	millis, events float64
+}
+
 // Observe takes in how many events a running task has had since its run began.
+// The time in which its engine loads weights tells nothing of the pace.
 func (s *Scheduler) Observe(now int64, task *Task, events int) {
 	known := s.engines[task.Engine]
-	lasted := now - task.startedAt
-	if task.State != Running || known == nil || lasted < minObserveMillis {
+	if task.State != Running || known == nil {
+		return
+	}
+	since, before := task.observedAt, task.observedEvents
+	if since == 0 {
+		since = task.startedAt
+	}
+	task.observedAt, task.observedEvents = now, events
+	if s.Loading(task.Engine, task.Step.Model) {
 		return
 	}
-	known.observed += float64(lasted)
-	known.observedEvents += float64(max(events, 1))
+	known.observed.millis += float64(now - since)
+	known.observed.events += float64(events - before)
 }
 
 // UpdatePaces makes the engines' paces out of what was observed since the last call.
 func (s *Scheduler) UpdatePaces() {
 	for _, known := range s.engines {
-		if known.observedEvents == 0 {
+		if known.observed.millis == 0 {
 			continue
 		}
-		pace := known.observed / known.observedEvents
-		if known.pace == 0 {
-			known.pace = pace
+		known.recent.millis = paceMemory*known.recent.millis + known.observed.millis
+		known.recent.events = paceMemory*known.recent.events + known.observed.events
+		known.observed = paceWindow{}
+		if known.recent.millis >= minObserveMillis {
+			known.pace = known.recent.millis / max(known.recent.events, 1)
 		}
-		known.pace += enginePaceSmoothing * (pace - known.pace)
-		known.observed, known.observedEvents = 0, 0
 	}
 	s.middlePace = s.medianPace()
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -83,28 +83,30 @@
 		return directory.Backend{}, false
 	}
 	var least, mate *engine
-	leastCost := 0.0
+	leastCost, mateCost := 0.0, 0.0
 	for _, id := range s.order {
 		known := s.engines[id]
 		if !s.mayRun(now, known, task, services) {
 			continue
 		}
-		if cost := s.placeCost(known, task); least == nil || cost < leastCost {
+		cost := s.placeCost(known, task)
+		if least == nil || cost < leastCost {
 			least, leastCost = known, cost
 		}
-		if known.runsGroup(task) && (mate == nil || len(known.running) < len(mate.running)) {
-			mate = known
+		if known.runsGroup(task) && (mate == nil || cost < mateCost) {
+			mate, mateCost = known, cost
 		}
 	}
 	if least == nil {
 		return directory.Backend{}, false
 	}
-	if mate != nil && len(mate.running) <= len(least.running)+groupSlack {
+	if mate != nil && mateCost <= leastCost+groupSlack {
 		least = mate
 	}
 	least.running[task] = true
 	task.State, task.Engine = Running, least.backend.ID
 	task.startedAt, task.from, task.moving = now, task.Text.Last, false
+	task.observedAt, task.observedEvents = 0, 0
 	return least.backend, true
 }
 
@@ -119,11 +121,16 @@
 	// slowCost is added for each time that an engine is slower than the middle
 	// one, beyond what is usual: how many samples run there matters far less.
 	slowCost = 20
+	// runMillis is how much longer than on the engine of middle pace a sample may
+	// take, in milliseconds, to weigh as much as one more run on the engine: long
+	// samples go to the fastest engines, and short ones to the emptiest.
+	runMillis = 50
 )
 
 // placeCost rates an engine that may run the task; the lowest is chosen.
 func (s *Scheduler) placeCost(known *engine, task *Task) float64 {
 	cost := float64(len(known.running)) + slowCost*max(s.ratio(known)-usualRatio, 0)
+	cost += task.remaining(task.Text.Last) * (s.ratio(known) - 1) * s.middlePace / runMillis
 	if task.Attempts > 0 && known.backend.ID == task.Engine {
 		cost += failedCost
 	}
--- a/scheduler/progress_test.go
+++ b/scheduler/progress_test.go
@@ -87,3 +87,17 @@
 	require.Len(t, s.AddStep(again), 4)
 	require.Len(t, s.kept.texts["m"], 4, "texts of the group that the trainer has are dropped")
 }
+
+// TestRemainingCountsEvents: predictions are in tokens, of which an event holds
+// several; what outlives its prediction is expected to go on for a while, and
+// nothing becomes longer than it may.
+func TestRemainingCountsEvents(t *testing.T) {
+	task := &Task{Step: &ledger.Step{EventTokens: 50}, Sample: &ledger.Sample{Predicted: 5000, MostTokens: 6000}}
+	for after, expected := range map[uint64]float64{0: 100, 10: 90, 70: 40, 100: 20, 119: 1} {
+		require.InDelta(t, expected, task.remaining(after), 0.01, "after %d events", after)
+	}
+	longer := &Task{Step: &ledger.Step{EventTokens: 50}, Sample: &ledger.Sample{Predicted: 50000, MostTokens: 6000}}
+	require.InDelta(t, 120, longer.remaining(0), 0.01)
+	unknown := &Task{Step: &ledger.Step{}, Sample: &ledger.Sample{}}
+	require.InDelta(t, 1, unknown.remaining(0), 0.01)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -18,8 +18,8 @@
 	maxAvoidMillis = 3000
 	// fullMillis is how long an engine that refused for lack of room is avoided.
 	fullMillis = 100
-	// groupSlack is how many more runs an engine may have than the least loaded
-	// one to be preferred for holding the group's prompt.
+	// groupSlack is how much more than the cheapest engine, in runs, one may cost
+	// to be preferred for holding the group's prompt.
 	groupSlack = 2
 	// paceSmoothing is the weight of the newest run in the usual pace.
 	paceSmoothing = 0.02
@@ -36,8 +36,9 @@
 	failures     int
 	// pace is the time between events of a run, in milliseconds, 0 if unknown.
 	pace float64
-	// observed and observedEvents are times and events of runs since pace was made.
-	observed, observedEvents float64
+	// observed is what runs have shown since pace was made, and recent what it was
+	// made of.
+	observed, recent paceWindow
 }
 
 // Scheduler decides for the steps of one group. Its methods must not be called
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -62,4 +62,8 @@
 	// startedAt is when the current run began, and from the event it began after.
 	startedAt int64
 	from      uint64
+	// observedAt is when the current run was last observed, 0 if never, and
+	// observedEvents the number of its events by then.
+	observedAt     int64
+	observedEvents int
 }
--- a/server/ledger_call.go
+++ b/server/ledger_call.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/ledger"
 )
@@ -85,6 +87,7 @@
 	if step.GiveUpAt > 0 {
 		step.GiveUpAt += now
 	}
+	step.EventTokens = eventTokens(l.watcher.Catalog(), step)
 	known := false
 	l.replica.Do(func() { known = l.machine.Step(step.ID) != nil })
 	if known {
@@ -102,6 +105,20 @@
 	return ledgerAnswer{Found: true}
 }
 
+// eventTokens returns the number of tokens that an event of the step's texts
+// holds, by the service that its first sample's route leads to; 0 if unknown.
+func eventTokens(catalog *directory.Catalog, step *ledger.Step) int {
+	if len(step.Samples) == 0 {
+		return 0
+	}
+	path, _, _ := strings.Cut(step.Samples[0].Path, "?")
+	route, ok := catalog.Table.Match(step.Host, path)
+	if !ok {
+		return 0
+	}
+	return catalog.Services[route.Shares[0].Service].EventTokens
+}
+
 // results answers with the results after a position, as soon as there are some.
 func (l *Ledger) results(ctx context.Context, call resultsCall) ledgerAnswer {
 	timeout := time.NewTimer(min(call.Wait, maxResultWait))
--- a/server/run.go
+++ b/server/run.go
@@ -130,5 +130,5 @@
 	t.metrics.steps.WithLabelValues().Observe(float64(took) / 1000)
 	event.StepWhole.On(t.logger).Str("step", last.Step.ID).Uint("number", uint64(last.Step.Number)).Int("ms", took).
 		Str("sample", last.Sample.ID).Str("engine", last.Engine).Uint("events", last.Text.Last).
-		Uint("predicted", uint64(last.Sample.Predicted)).Uint("attempts", uint64(last.Attempts)).Send()
+		Uint("predicted_tokens", uint64(last.Sample.Predicted)).Uint("attempts", uint64(last.Attempts)).Send()
 }
