Logs: no write is larger than 8 KiB

Cause: at a step's begin hundreds of samples start at once, and the lines that waited were joined to writes of up to 32 KiB, of which the users' machines keep the first 8 KiB: of 103 starts 43 stood in the log, and one line was cut midway. Ruled out: the buffer and the budget of lines (4002 did not come). Mended by smaller writes; TestWritesFitACollector failed before (33,006 bytes).

--- a/command/logger.go
+++ b/command/logger.go
@@ -118,8 +118,9 @@
 	}
 }
 
-// maxGathered bounds the bytes of one write.
-const maxGathered = 32 << 10
+// maxGathered is the size from which a write takes no more lines. Of a larger
+// write than 8 KiB, collectors were seen to keep only that much.
+const maxGathered = 7 << 10
 
 // gather joins the lines that wait, so that they cost one write.
 func (w *lineWriter) gather(line []byte) []byte {
--- a/command/logger_test.go
+++ b/command/logger_test.go
@@ -84,3 +84,30 @@
 	require.Equal(t, 1, strings.Count(written.String(), event.StepTaken.Text))
 	require.Equal(t, 1, strings.Count(written.String(), event.LinesDropped.Text))
 }
+
+// largestWriter notes the size of its largest write.
+type largestWriter struct {
+	release chan struct{}
+	largest int
+}
+
+func (w *largestWriter) Write(data []byte) (int, error) {
+	<-w.release
+	w.largest = max(w.largest, len(data))
+	return len(data), nil
+}
+
+// TestWritesFitACollector: lines that wait are joined, but never into a write of
+// more than 8 KiB, of which a collector may keep the beginning only.
+func TestWritesFitACollector(t *testing.T) {
+	out := &largestWriter{release: make(chan struct{})}
+	logger, closeLog := NewProcessLogger("info", out)
+	routine := routineEvents()
+	for number := range logLines / 2 {
+		routine[number%len(routine)].On(logger).Str("sample", strings.Repeat("x", 200)).Send()
+	}
+	close(out.release)
+	closeLog()
+	require.LessOrEqual(t, out.largest, 8<<10)
+	require.Greater(t, out.largest, 4<<10, "lines are joined")
+}
