Scheduler: a sample moves where it gains time

Hypothesis: samples left an engine only when that was twice as slow as the middle one, whatever they had still to come, and a load holds up what runs.

--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -42,6 +42,10 @@
 // which this is the median of what is left.
 const overrunShare = 0.4
 
+// overdueShare is the part of what is there of a text that is expected to come
+// still, however far it is beyond its prediction.
+const overdueShare = 0.15
+
 // predicted returns the expected number of events of the whole text.
 func (task *Task) predicted() float64 {
 	tokens := float64(max(task.Sample.Predicted, 1))
@@ -57,7 +61,7 @@
 // the given number.
 func (task *Task) remaining(after uint64) float64 {
 	predicted := task.predicted()
-	left := max(predicted-float64(after), overrunShare*predicted)
+	left := max(predicted-float64(after), overrunShare*predicted, overdueShare*float64(after))
 	if most := task.Sample.MostTokens; most > 0 {
 		left = min(left, float64(most)/task.eventTokens()-float64(after))
 	}
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -1,11 +1,13 @@
 package scheduler
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 const (
-	// slowRatio is how much slower than the middle one an engine must be to have
-	// its samples moved, and usualRatio the most of one that takes them.
-	slowRatio  = 2.0
+	// usualRatio is how much slower than the middle one an engine may be to count
+	// as usual.
 	usualRatio = 1.4
 	// minObserveMillis is the time of runs that must be observed to tell an
 	// engine's pace, and how long a run must last before it is moved.
@@ -79,44 +81,88 @@
 	return known.pace / s.middlePace
 }
 
-// Move returns tasks that run on engines much slower than the others, and for
-// which another engine has room. The caller ends their runs; they go on
-// elsewhere after what they have.
+// expectedMillis returns how long the task is expected to take still on the
+// engine after the given event.
+func (s *Scheduler) expectedMillis(known *engine, task *Task, after uint64) float64 {
+	return task.remaining(after) * s.ratio(known) * s.middlePace
+}
+
+const (
+	// moveMillis is what a move costs a sample: another engine must read what there
+	// is of it.
+	moveMillis = 150
+	// minGainMillis is what a move must gain beyond that.
+	minGainMillis = 300
+)
+
+// move is a task that would be done earlier on another engine.
+type move struct {
+	task *Task
+	gain float64
+}
+
+// Move returns tasks that would be done much earlier on another engine that has
+// room, since theirs is slow. The caller ends their runs; they go on elsewhere after
+// what they have.
 func (s *Scheduler) Move(now int64, serviceOf ServiceOf) []*Task {
-	var moves []*Task
 	taken := map[*engine]int{}
-	for _, id := range s.order {
-		slow := s.engines[id]
-		if s.ratio(slow) < slowRatio {
+	var moves []*Task
+	for _, wanted := range s.wantedMoves(now) {
+		task := wanted.task
+		to := s.betterEngine(now, task, serviceOf, taken)
+		if to == nil {
 			continue
 		}
-		for task := range slow.running {
-			if task.moves >= maxMoves || now-task.startedAt < minObserveMillis || task.moving {
+		taken[to]++
+		task.moves++
+		task.moving = true
+		moves = append(moves, task)
+	}
+	return moves
+}
+
+// wantedMoves returns the tasks that could gain by a move, the longest first.
+func (s *Scheduler) wantedMoves(now int64) []move {
+	var wanted []move
+	for _, id := range s.order {
+		known := s.engines[id]
+		for task := range known.running {
+			if task.moves >= maxMoves || task.moving || now-task.startedAt < minObserveMillis {
 				continue
 			}
-			if to := s.roomFor(now, task, serviceOf, taken); to != nil {
-				taken[to]++
-				task.moves++
-				task.moving = true
-				moves = append(moves, task)
+			after := task.seen()
+			expected := s.expectedMillis(known, task, after)
+			gain := expected - task.remaining(after)*s.middlePace
+			if gain >= moveMillis+minGainMillis {
+				wanted = append(wanted, move{task: task, gain: expected})
 			}
 		}
 	}
-	return moves
+	slices.SortStableFunc(wanted, func(a, b move) int {
+		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.task.Sample.ID, b.task.Sample.ID))
+	})
+	return wanted
 }
 
-// roomFor returns an engine of usual pace that could take the task.
-func (s *Scheduler) roomFor(now int64, task *Task, serviceOf ServiceOf, taken map[*engine]int) *engine {
+// betterEngine returns the engine on which the task would be done the earliest,
+// if that is much earlier than where it runs.
+func (s *Scheduler) betterEngine(now int64, task *Task, serviceOf ServiceOf, taken map[*engine]int) *engine {
 	services, ok := serviceOf(task)
 	if !ok {
 		return nil
 	}
+	after := task.seen()
+	least := s.expectedMillis(s.engines[task.Engine], task, after) - moveMillis - minGainMillis
+	var best *engine
 	for _, id := range s.order {
 		known := s.engines[id]
-		hasRoom := len(known.running)+taken[known] < known.backend.Slots
-		if hasRoom && s.ratio(known) <= usualRatio && s.mayRun(now, known, task, services) {
-			return known
+		if id == task.Engine || known.backend.Silent || len(known.running)+taken[known] >= known.backend.Slots ||
+			!s.mayRun(now, known, task, services) {
+			continue
+		}
+		if expected := s.expectedMillis(known, task, after); expected < least {
+			best, least = known, expected
 		}
 	}
-	return nil
+	return best
 }
--- /dev/null
+++ b/scheduler/pace_test.go
@@ -0,0 +1,87 @@
+package scheduler
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dillchute/dillchute/ledger"
+)
+
+// running puts a sample of the predicted number of events on the engine.
+func running(s *Scheduler, id, engine string, predicted int) *Task {
+	task := &Task{
+		Step: &ledger.Step{ID: "x", Model: "m"}, Sample: &ledger.Sample{ID: id, Predicted: predicted},
+		State: Running, Engine: engine,
+	}
+	s.engines[engine].running[task] = true
+	return task
+}
+
+// TestMovesGainTime: of two samples on an engine that is slower by half, only the
+// one leaves that has long to go; nothing goes to an engine without room.
+func TestMovesGainTime(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(3, 2, "m"), nil)
+	s.engines["e00"].pace, s.engines["e01"].pace, s.engines["e02"].pace = 60, 40, 40
+	s.middlePace = 40
+	long := running(s, "long", "e00", 100)
+	running(s, "short", "e00", 10)
+	require.Equal(t, []*Task{long}, s.Move(minObserveMillis, anywhere))
+	require.Empty(t, s.Move(minObserveMillis, anywhere), "a move is asked for once")
+
+	other := running(s, "other", "e00", 100)
+	for _, full := range []string{"e01", "e02"} {
+		running(s, "a", full, 10)
+		running(s, "b", full, 10)
+	}
+	require.Empty(t, s.Move(minObserveMillis, anywhere))
+	require.False(t, other.moving)
+}
+
+// TestPaceFollowsTheLastMoments: an engine that has become slow is known as such
+// within some observations, though its runs began long ago, and the time in
+// which it loads weights does not count.
+func TestPaceFollowsTheLastMoments(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(1, 2, "m"), nil)
+	task := running(s, "x", "e00", 500)
+	now, events := int64(0), 0
+	observe := func(ticks, each int) {
+		for range ticks {
+			now += 100
+			events += each
+			s.Observe(now, task, events)
+			s.UpdatePaces()
+		}
+	}
+	observe(50, 4)
+	require.InDelta(t, 25, s.engines["e00"].pace, 1)
+	observe(5, 1)
+	require.Greater(t, s.engines["e00"].pace, 50.0)
+	observe(20, 4)
+	require.InDelta(t, 25, s.engines["e00"].pace, 2)
+	s.engines["e00"].loading = &Order{Model: "m"}
+	observe(10, 0)
+	require.InDelta(t, 25, s.engines["e00"].pace, 2)
+}
+
+// TestLongSamplesGoToFastEngines: and short ones to the emptiest.
+func TestLongSamplesGoToFastEngines(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(2, 8, "m"), nil)
+	fast, slow := s.engines["e00"], s.engines["e01"]
+	fast.pace, slow.pace, s.middlePace = 36, 47, 36
+	for _, id := range []string{"a", "b", "c"} {
+		running(s, id, "e00", 10)
+	}
+	step := entry("y", "m", 1, 2)
+	step.Step.Samples[0].Predicted, step.Step.Samples[1].Predicted = 150, 5
+	step.Step.Samples[0].Group = "long"
+	s.AddStep(step)
+	placed := map[string]string{}
+	for _, assignment := range s.Assign(0, anywhere) {
+		placed[assignment.Task.Sample.ID] = assignment.Backend.ID
+	}
+	require.Equal(t, map[string]string{"y-0": "e00", "y-1": "e01"}, placed)
+}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -240,6 +240,7 @@
 	step := entry("x", "a", 1, 3)
 	for position := range step.Step.Samples {
 		step.Step.Samples[position].Group = fmt.Sprint(position)
+		step.Step.Samples[position].Predicted = 100
 	}
 	s.AddStep(step)
 	running := s.Assign(0, anywhere)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -36,6 +36,10 @@
 	Finished
 )
 
+// seen returns the number of events of the text, with those of the current run
+// as far as they were observed.
+func (task *Task) seen() uint64 { return task.Text.Last + uint64(task.observedEvents) }
+
 // Task is one sample on its way.
 type Task struct {
 	Step   *ledger.Step
