Consensus: a ledger's last leader leads again after all processes were away

Change: replicas that have not voted for themselves in the newest term they know wait four ticks longer with their first pre-vote; the ledger's group only. Where the last leader stays away the first election is that much later.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -47,6 +47,24 @@
 	return r.config.FirstElectionTicks > 0 && !r.heardLeader
 }
 
+// foundingIndex is the index of the snapshot that a group begins with. Whoever
+// leads adds an entry to it.
+const foundingIndex = 1
+
+// firstElectionDelay returns the ticks by which the first pre-vote after a start
+// comes later than that of the replica which has led in the newest term. A
+// leader has voted for itself in its term.
+func (r *Raft) firstElectionDelay() int {
+	switch {
+	case r.config.LastLeaderTicks == 0 || r.log.lastIndex() <= foundingIndex:
+		return r.rank()
+	case r.vote == r.config.ID:
+		return 0
+	default:
+		return r.config.LastLeaderTicks + r.rank()
+	}
+}
+
 // rank returns the number of voters with a lower identity.
 func (r *Raft) rank() int {
 	lower := 0
--- a/consensus/first_election_test.go
+++ b/consensus/first_election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -84,3 +85,38 @@
 		})
 	}
 }
+
+// TestLeaderThatComesBackLeadsAgain: after all replicas were away the one that
+// led last leads again, also if it starts some ticks after the others; where it
+// stays away another one leads soon.
+func TestLeaderThatComesBackLeadsAgain(t *testing.T) {
+	const late = 3
+	for seed := range uint64(50) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			g := startTogether(t, 3, seed)
+			g.lastLeaderTicks = late + 1
+			last := g.order[seed%3]
+			others := slices.DeleteFunc(slices.Clone(g.order), func(id ReplicaID) bool { return id == last })
+			g.replicas[last].raft.campaign(Candidate, false)
+			g.pump(g.replicas[last], 0)
+			g.tickTogether(g.order)
+			require.Equal(t, Leader, g.replicas[last].raft.Role())
+			for _, id := range g.order {
+				g.restart(g.replicas[id])
+			}
+			for range late {
+				g.tickTogether(others)
+			}
+			require.False(t, g.hasLeader())
+			if seed%2 == 0 {
+				g.tickTogether(g.order)
+				require.Equal(t, Leader, g.replicas[last].raft.Role())
+				return
+			}
+			for range 2*len(g.order) + 1 {
+				g.tickTogether(others)
+			}
+			require.True(t, g.hasLeader())
+		})
+	}
+}
--- a/consensus/raft.go
+++ b/consensus/raft.go
@@ -34,6 +34,10 @@
 	// ticks, each further one a tick later, and again until a leader is heard.
 	// Where there is a leader, its followers refuse the pre-vote.
 	FirstElectionTicks int
+	// LastLeaderTicks is how much longer replicas that have just started wait with
+	// their first pre-vote if they have not led in the newest term they know: where
+	// the one that has comes back with them, it leads again.
+	LastLeaderTicks int
 	// HeartbeatTicks is the number of ticks between a leader's heartbeats.
 	HeartbeatTicks int
 	// MaxAppendBytes bounds the entries' data in one message, though one
@@ -130,7 +134,7 @@
 	r.log.committed = max(r.log.committed, min(config.HardState.Commit, r.log.lastIndex()))
 	r.resetElectionTimeout()
 	if r.awaitsFirstLeader() {
-		r.electionTimeout = config.FirstElectionTicks + r.rank()
+		r.electionTimeout = config.FirstElectionTicks + r.firstElectionDelay()
 	}
 	return r
 }
--- a/consensus/raft_test.go
+++ b/consensus/raft_test.go
@@ -40,7 +40,7 @@
 	nextRead  uint64
 	proposals int
 	// electionTicks and firstElectionTicks are the replicas' settings.
-	electionTicks, firstElectionTicks int
+	electionTicks, firstElectionTicks, lastLeaderTicks int
 }
 
 func newTestGroup(t require.TestingT, size int, seed uint64) *testGroup {
@@ -68,7 +68,7 @@
 
 func (g *testGroup) restart(replica *testReplica) {
 	replica.raft = New(Config{
-		ID: replica.id, ElectionTicks: g.electionTicks, FirstElectionTicks: g.firstElectionTicks, HeartbeatTicks: 1, MaxAppendBytes: 64, Seed: g.random.Uint64(),
+		ID: replica.id, ElectionTicks: g.electionTicks, FirstElectionTicks: g.firstElectionTicks, LastLeaderTicks: g.lastLeaderTicks, HeartbeatTicks: 1, MaxAppendBytes: 64, Seed: g.random.Uint64(),
 		HardState: replica.hard, Snapshot: replica.snapshot, Entries: append([]Entry(nil), replica.entries...),
 	})
 	replica.applied = replica.snapshot.Index
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -26,7 +26,10 @@
 	electionTicks = 8
 	// firstElectionTicks leaves processes that start together time to listen.
 	firstElectionTicks = 1
-	heartbeatTicks     = 2
+	// lastLeaderTicks leaves a leader whose process starts a little later than the
+	// others' time to lead again, where the group is to keep its leader.
+	lastLeaderTicks = 4
+	heartbeatTicks  = 2
 	// silentTicks is how long a voter is silent before a learner replaces it.
 	silentTicks    = 30
 	maxAppendBytes = 1 << 20
@@ -62,6 +65,10 @@
 	Voters int
 	// Standby bounds the learners, as in CoreConfig.
 	Standby int
+	// KeepLeader has the group elect the same leader again after all processes
+	// were away, where it comes back with them. An election without it takes
+	// lastLeaderTicks longer.
+	KeepLeader bool
 	// Founders are the first members, if this process is one of them and the
 	// folder is empty; otherwise a replica without data joins the group.
 	Founders consensus.Membership
@@ -123,10 +130,14 @@
 		store.Close()
 		return nil, err
 	}
+	returning := 0
+	if settings.KeepLeader {
+		returning = lastLeaderTicks
+	}
 	core, err := NewCore(CoreConfig{
 		Consensus: consensus.Config{
 			ID: contents.Identity.Replica, ElectionTicks: electionTicks, FirstElectionTicks: firstElectionTicks, HeartbeatTicks: heartbeatTicks,
-			MaxAppendBytes: maxAppendBytes, Seed: rand.Uint64(),
+			LastLeaderTicks: returning, MaxAppendBytes: maxAppendBytes, Seed: rand.Uint64(),
 			HardState: contents.HardState, Snapshot: contents.Snapshot, Entries: contents.Entries,
 		},
 		Address: settings.Address, Voters: settings.Voters, Standby: settings.Standby, SilentTicks: silentTicks,
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -103,6 +103,8 @@
 		Cluster: l.cluster(), Address: l.settings.InternalAddress, DataFolder: l.settings.DataFolder,
 		Voters: config.Voters(l.settings.ToleratedLosses), Standby: max(l.settings.ToleratedLosses, 1),
 		Replica: l.identity, Contacts: l.contacts,
+		// Engines that another leader has given orders to are left alone for a while.
+		KeepLeader: true,
 	}
 	if !held {
 		group, ok := l.awaitGroup(ctx)
