Packed commands and calls; what is known of samples that come again

Lengths: a sample that comes again has the length that it had, or more than was seen. Bytes: commands of the ledger and calls between own processes are deflated at the fastest level (internal/pack), since bytes between zones are the dearest price. Log entries of earlier versions, which are not packed, are read as before (TestLargeCommandsArePacked).

--- a/ledger/command.go
+++ b/ledger/command.go
@@ -5,6 +5,8 @@
 
 import (
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dillchute/dillchute/internal/pack"
 )
 
 // Command is one entry of the replicated log. Exactly one pointer is set.
@@ -146,11 +148,25 @@
 	return mode
 }()
 
-// Encode returns the command as bytes for the log.
+// maxCommandBytes bounds a command that was packed.
+const maxCommandBytes = 256 << 20
+
+// Encode returns the command as bytes for the log, packed.
 func (c Command) Encode() []byte {
 	data, err := encoder.Marshal(c)
 	if err != nil {
 		panic("ledger: a command must encode: " + err.Error())
 	}
-	return data
+	return pack.Pack(data)
+}
+
+// decodeCommand reads what Encode returned. It fails with a pack.ErrDamaged error
+// or one of the decoder's.
+func decodeCommand(data []byte) (Command, error) {
+	var command Command
+	unpacked, err := pack.Unpack(data, maxCommandBytes)
+	if err == nil {
+		err = cbor.Unmarshal(unpacked, &command)
+	}
+	return command, err
 }
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -135,8 +135,8 @@
 // be repeated, and its effect is read from the state. An entry that cannot be
 // decoded has no effect.
 func (m *Machine) Apply(data []byte) []byte {
-	var command Command
-	if cbor.Unmarshal(data, &command) != nil {
+	command, err := decodeCommand(data)
+	if err != nil {
 		return nil
 	}
 	if command.Order != nil {
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -121,3 +122,20 @@
 	save(0, []uint64{3}, "late")
 	require.Empty(t, m.Step("a").Partials)
 }
+
+// TestLargeCommandsArePacked: and entries of an earlier version, which are not,
+// are still read.
+func TestLargeCommandsArePacked(t *testing.T) {
+	record := Command{Record: &Record{Step: "a", Results: []Result{
+		{Sample: "a-0", State: Succeeded, Text: strings.Repeat("a text of many words ", 1000)},
+	}}}
+	plain, err := encoder.Marshal(record)
+	require.NoError(t, err)
+	require.Less(t, len(record.Encode()), len(plain)/2)
+	for _, data := range [][]byte{plain, record.Encode()} {
+		m := NewMachine()
+		m.Apply(Command{Submit: step("a", 1)}.Encode())
+		m.Apply(data)
+		require.Equal(t, record.Record.Results, m.Step("a").Results)
+	}
+}
--- a/scheduler/kept.go
+++ b/scheduler/kept.go
@@ -50,6 +50,13 @@
 	return known.text, true
 }
 
+// length returns how many events a sample's text had in an earlier step, and
+// whether that was all of it; 0 if nothing is known.
+func (k *keptTexts) length(step *ledger.Step, sample *ledger.Sample) (events uint64, whole bool) {
+	known := k.texts[step.Model][sample.ID].text
+	return known.Last, known.Whole
+}
+
 // cameBefore tells whether an earlier step had the group. The trainer waits for
 // such groups whichever others are whole.
 func (k *keptTexts) cameBefore(step *ledger.Step, group string) bool {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -46,13 +46,17 @@
 // still, however far it is beyond its prediction.
 const overdueShare = 0.15
 
-// predicted returns the expected number of events of the whole text.
+// predicted returns the expected number of events of the whole text. A sample
+// that comes again has the length that it had, or more than was seen of it.
 func (task *Task) predicted() float64 {
+	if task.lengthKnown {
+		return float64(task.seenBefore)
+	}
 	tokens := float64(max(task.Sample.Predicted, 1))
 	if most := task.Sample.MostTokens; most > 0 {
 		tokens = min(tokens, float64(most))
 	}
-	return max(tokens/task.eventTokens(), 1)
+	return max(tokens/task.eventTokens(), float64(task.seenBefore), 1)
 }
 
 func (task *Task) eventTokens() float64 { return float64(max(task.Step.EventTokens, 1)) }
@@ -61,6 +65,9 @@
 // the given number.
 func (task *Task) remaining(after uint64) float64 {
 	predicted := task.predicted()
+	if task.lengthKnown {
+		return max(predicted-float64(after), 1)
+	}
 	left := max(predicted-float64(after), overrunShare*predicted, overdueShare*float64(after))
 	if most := task.Sample.MostTokens; most > 0 {
 		left = min(left, float64(most)/task.eventTokens()-float64(after))
--- a/scheduler/progress_test.go
+++ b/scheduler/progress_test.go
@@ -101,3 +101,44 @@
 	unknown := &Task{Step: &ledger.Step{}, Sample: &ledger.Sample{}}
 	require.InDelta(t, 1, unknown.remaining(0), 0.01)
 }
+
+// TestGroupsComeAgainUnderTheNextLeader: a leader that has not seen the earlier
+// step itself waits for the groups that it had as well.
+func TestGroupsComeAgainUnderTheNextLeader(t *testing.T) {
+	s := New()
+	earlier, step := entry("x", "m", 1, 4), entry("y", "m", 1, 12)
+	step.Step.Number, step.Step.Wanted = 1, 1
+	for position := range step.Step.Samples {
+		if position < 8 {
+			step.Step.Samples[position].Group = "new" + step.Step.Samples[position].Group
+		} else {
+			step.Step.Samples[position].Group = "g0"
+		}
+	}
+	s.NoteEnded(earlier.Step)
+	s.AddStep(step)
+	require.False(t, finishGroup(s, "y", 0))
+	require.True(t, finishGroup(s, "y", 2))
+}
+
+// TestSamplesThatComeAgainHaveAKnownLength: also where their texts cannot be used.
+func TestSamplesThatComeAgainHaveAKnownLength(t *testing.T) {
+	s := New()
+	first := entry("x", "m", 1, 4)
+	s.AddStep(first)
+	for number, task := range s.steps["x"].tasks[:2] {
+		task.Text = Text{Events: make([]string, 30), Last: 30, Versions: []uint64{1}, Whole: number == 0}
+	}
+	s.EndStep("x")
+	step := entry("y", "m", 2, 0)
+	step.Step.Number, step.Step.Samples = 1, first.Step.Samples
+	s.AddStep(step)
+	var expected []float64
+	for _, task := range s.steps["y"].tasks {
+		require.Zero(t, task.Text.Last)
+		expected = append(expected, task.remaining(0))
+	}
+	require.Equal(t, []float64{30, 30, 3, 4}, expected)
+	require.InDelta(t, 1, s.steps["y"].tasks[0].remaining(30), 0.01)
+	require.Greater(t, s.steps["y"].tasks[1].remaining(30), 4.0)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -128,6 +128,7 @@
 			continue
 		}
 		task := &Task{Step: step, Sample: sample, Text: s.firstText(entry, sample)}
+		task.seenBefore, task.lengthKnown = s.kept.length(step, sample)
 		state.tasks = append(state.tasks, task)
 		if task.Text.Whole {
 			task.State = Scoring
@@ -142,6 +143,10 @@
 	return whole
 }
 
+// NoteEnded takes in a step that had ended before this scheduler began: groups of
+// it that were not whole by then may come again.
+func (s *Scheduler) NoteEnded(step *ledger.Step) { s.kept.note(step) }
+
 // firstText returns what there is of a sample's text: what an earlier step has
 // left, or what an earlier leader has kept of its run.
 func (s *Scheduler) firstText(entry *ledger.Entry, sample *ledger.Sample) Text {
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -63,6 +63,10 @@
 	needed bool
 	// counted is set once the progress of the step has taken the task in as finished.
 	counted bool
+	// seenBefore is the number of events that the text had in an earlier step, and
+	// lengthKnown is set if that was all of it.
+	seenBefore  uint64
+	lengthKnown bool
 	// startedAt is when the current run began, and from the event it began after.
 	startedAt int64
 	from      uint64
--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/replica"
@@ -83,15 +81,11 @@
 // callDirectory sends the call to the replica at the address.
 func callDirectory(ctx context.Context, client *http.Client, address string, call directoryCall) (directoryAnswer, error) {
 	var answer directoryAnswer
-	body, err := cbor.Marshal(call)
-	if err != nil {
-		panic("server: a call must encode: " + err.Error())
-	}
-	data, err := replica.PostInternal(ctx, client, "http://"+address+directoryCallPath, body)
+	data, err := replica.PostInternal(ctx, client, "http://"+address+directoryCallPath, encodeInternal(call))
 	if err != nil {
 		return answer, err
 	}
-	return answer, cbor.Unmarshal(data, &answer)
+	return answer, decodeInternal(data, &answer)
 }
 
 func (d *Directory) serveCall(response http.ResponseWriter, request *http.Request) {
--- a/server/executor.go
+++ b/server/executor.go
@@ -79,6 +79,7 @@
 		checkpointed: map[*scheduler.Task]uint64{},
 	}
 	t.deferOrders()
+	t.noteEnded()
 	go t.follow(stop)
 	t.loop.Run(leadership, executorTick, t.tick, t.flush)
 }
@@ -118,6 +119,17 @@
 	}
 }
 
+// noteEnded tells the scheduler of the steps that an earlier leader has seen end.
+func (t *tenure) noteEnded() {
+	t.replica.Do(func() {
+		for _, entry := range t.machine.Steps() {
+			if entry.Ended {
+				t.scheduler.NoteEnded(entry.Step)
+			}
+		}
+	})
+}
+
 // follow wakes the loop when the ledger or the directory has changed.
 func (t *tenure) follow(stop context.CancelFunc) {
 	for {
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/dillchute/dillchute/config"
@@ -263,10 +262,7 @@
 // callLedger asks the members of the group until the leader has answered. It
 // tells whether a leader may have carried the call out, also when it fails.
 func (g *Gateway) callLedger(ctx context.Context, call ledgerCall, wait time.Duration) (answer ledgerAnswer, reached bool, err error) {
-	body, marshalErr := cbor.Marshal(call)
-	if marshalErr != nil {
-		panic("server: a call must encode: " + marshalErr.Error())
-	}
+	body := encodeInternal(call)
 	ctx, cancel := context.WithTimeout(ctx, ledgerCallTimeout+wait)
 	defer cancel()
 	err = replica.ErrUnavailable.New("no member of the ledger's group is known")
@@ -330,5 +326,5 @@
 	if err != nil {
 		return answer, err
 	}
-	return answer, cbor.Unmarshal(data, &answer)
+	return answer, decodeInternal(data, &answer)
 }
--- a/server/watch.go
+++ b/server/watch.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/dillchute/dillchute/directory"
@@ -127,7 +126,7 @@
 		return replica.ErrUnavailable.New("%s answered %d", address, response.StatusCode)
 	}
 	var delta directory.Delta
-	if err := cbor.Unmarshal(body, &delta); err != nil {
+	if err := decodeInternal(body, &delta); err != nil {
 		return err
 	}
 	w.take(catalog, delta)
