Results from the own zone; runs outlive their engine and their leader better

Change: what is there already is read from the ledger's replica in the gateway's zone, if it has any of it: a result that it has applied is committed and final. All else comes from the leader. Calls of the ledger moved out of server/gateway.go.

--- a/ledger/command.go
+++ b/ledger/command.go
@@ -18,6 +18,13 @@
 	Order  *Order  `cbor:"5,keyasint,omitempty"`
 	// Checkpoint keeps what long runs have produced so far.
 	Checkpoint *Checkpoint `cbor:"6,keyasint,omitempty"`
+	Paces      *Paces      `cbor:"7,keyasint,omitempty"`
+}
+
+// Paces is what the leader has observed of the engines, for the next leader.
+type Paces struct {
+	// Millis is the time between two events of a run, by the engines' IDs.
+	Millis map[string]float64 `cbor:"1,keyasint"`
 }
 
 // Order says that a leader is about to give an order to an engine, so that the
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -45,6 +45,7 @@
 	steps map[string]*Entry
 	// orders holds the newest order to each engine.
 	orders map[string]Order
+	paces  map[string]float64
 	// Generation grows with each change.
 	Generation uint64
 }
@@ -56,14 +57,15 @@
 
 // snapshotHeader comes before the entries in a snapshot.
 type snapshotHeader struct {
-	Orders map[string]Order `cbor:"1,keyasint"`
+	Orders map[string]Order   `cbor:"1,keyasint"`
+	Paces  map[string]float64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Snapshot returns a function that writes the state as it is now, one entry after
 // the other. Steps and partial texts are never changed and results only appended,
 // so copies of the entries do.
 func (m *Machine) Snapshot() func(io.Writer) error {
-	header := snapshotHeader{Orders: maps.Clone(m.orders)}
+	header := snapshotHeader{Orders: maps.Clone(m.orders), Paces: m.paces}
 	entries := make([]*Entry, 0, len(m.steps))
 	for _, entry := range m.Steps() {
 		entries = append(entries, &Entry{
@@ -92,6 +94,7 @@
 	if header.Orders != nil {
 		m.orders = header.Orders
 	}
+	m.paces = header.Paces
 	for err == nil {
 		entry := &Entry{}
 		if err = pieces.Decode(entry); err == nil {
@@ -143,6 +146,10 @@
 		m.order(*command.Order)
 		return nil
 	}
+	if command.Paces != nil {
+		m.paces = command.Paces.Millis
+		return nil
+	}
 	if command.Checkpoint != nil {
 		m.checkpoint(command.Checkpoint)
 		return nil
@@ -231,5 +238,9 @@
 	}
 }
 
+// Paces returns what the newest leader has observed of the engines' paces, in
+// milliseconds between events. It must not be changed.
+func (m *Machine) Paces() map[string]float64 { return m.paces }
+
 // Orders returns the newest order to each engine. It must not be changed.
 func (m *Machine) Orders() map[string]Order { return m.orders }
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -139,3 +139,17 @@
 		require.Equal(t, record.Record.Results, m.Step("a").Results)
 	}
 }
+
+// TestPacesAreKept: also over a snapshot, and the newest replace the others.
+func TestPacesAreKept(t *testing.T) {
+	m := NewMachine()
+	generation := m.Generation
+	m.Apply(Command{Paces: &Paces{Millis: map[string]float64{"e0": 40, "e1": 50}}}.Encode())
+	m.Apply(Command{Paces: &Paces{Millis: map[string]float64{"e0": 41}}}.Encode())
+	require.Equal(t, generation, m.Generation, "no result has changed")
+	var written bytes.Buffer
+	require.NoError(t, m.Snapshot()(&written))
+	restored := NewMachine()
+	require.NoError(t, restored.Restore(&written))
+	require.Equal(t, map[string]float64{"e0": 41}, restored.Paces())
+}
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -59,6 +59,24 @@
 	s.middlePace = s.medianPace()
 }
 
+// Paces returns the paces that are known, in milliseconds between events, by the
+// engines' IDs.
+func (s *Scheduler) Paces() map[string]float64 {
+	paces := map[string]float64{}
+	for id, known := range s.engines {
+		if known.pace > 0 {
+			paces[id] = known.pace
+		}
+	}
+	return paces
+}
+
+// TakePaces takes in the paces that an earlier leader has observed. They hold
+// until the engines' runs show others.
+func (s *Scheduler) TakePaces(paces map[string]float64) {
+	s.earlierPaces = paces
+}
+
 func (s *Scheduler) medianPace() float64 {
 	var paces []float64
 	for _, known := range s.engines {
@@ -81,10 +99,22 @@
 	return known.pace / s.middlePace
 }
 
+const (
+	// leavingMillis is how much longer samples may take on an engine that leaves to
+	// be left there, and leavingCost what is added for the others: their runs will
+	// be cut.
+	leavingMillis = 1000
+	leavingCost   = 3000
+)
+
 // expectedMillis returns how long the task is expected to take still on the
 // engine after the given event.
 func (s *Scheduler) expectedMillis(known *engine, task *Task, after uint64) float64 {
-	return task.remaining(after) * s.ratio(known) * s.middlePace
+	expected := task.remaining(after) * s.ratio(known) * s.middlePace
+	if known.backend.Draining && expected > leavingMillis {
+		expected += leavingCost
+	}
+	return expected
 }
 
 const (
@@ -102,8 +132,8 @@
 }
 
 // Move returns tasks that would be done much earlier on another engine that has
-// room, since theirs is slow. The caller ends their runs; they go on elsewhere after
-// what they have.
+// room, since theirs is slow or leaves. The caller ends their runs; they go on
+// elsewhere after what they have.
 func (s *Scheduler) Move(now int64, serviceOf ServiceOf) []*Task {
 	taken := map[*engine]int{}
 	var moves []*Task
--- a/scheduler/pace_test.go
+++ b/scheduler/pace_test.go
@@ -85,3 +85,34 @@
 	}
 	require.Equal(t, map[string]string{"y-0": "e00", "y-1": "e01"}, placed)
 }
+
+// TestLongSamplesLeaveAnEngineThatLeaves: what is nearly over stays.
+func TestLongSamplesLeaveAnEngineThatLeaves(t *testing.T) {
+	s := New()
+	backends := engines(2, 4, "m")
+	s.SyncEngines(0, backends, nil)
+	s.engines["e00"].pace, s.engines["e01"].pace, s.middlePace = 40, 40, 40
+	long := running(s, "long", "e00", 100)
+	running(s, "short", "e00", 10)
+	require.Empty(t, s.Move(minObserveMillis, anywhere))
+	backends[0].Draining = true
+	s.SyncEngines(0, backends, nil)
+	require.Equal(t, []*Task{long}, s.Move(minObserveMillis, anywhere))
+}
+
+// TestPacesOutliveALeader: the next one begins with them, and an engine's runs
+// show others soon.
+func TestPacesOutliveALeader(t *testing.T) {
+	earlier, s := New(), New()
+	earlier.SyncEngines(0, engines(3, 4, "m"), nil)
+	earlier.engines["e00"].pace, earlier.engines["e01"].pace = 60, 40
+	s.TakePaces(earlier.Paces())
+	s.SyncEngines(0, engines(3, 4, "m"), nil)
+	require.InDelta(t, 60, s.engines["e00"].pace, 0)
+	require.InDelta(t, 40, s.middlePace, 0)
+	require.Zero(t, s.engines["e02"].pace)
+	task := running(s, "x", "e00", 100)
+	s.Observe(400, task, 20)
+	s.UpdatePaces()
+	require.InDelta(t, 20, s.engines["e00"].pace, 1)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,6 +55,8 @@
 	// loadMillis is the usual time that a load takes, shortestLoad the shortest
 	// lately, and tokenMillis the time of a predicted token in one slot.
 	loadMillis, shortestLoad, tokenMillis float64
+	// earlierPaces are those that an earlier leader has observed.
+	earlierPaces map[string]float64
 	// middlePace is the median of the engines' paces.
 	middlePace float64
 }
@@ -84,7 +86,7 @@
 		present[backend.ID] = true
 		known := s.engines[backend.ID]
 		if known == nil {
-			known = &engine{versions: map[string]uint64{}, running: map[*Task]bool{}}
+			known = &engine{versions: map[string]uint64{}, running: map[*Task]bool{}, pace: s.earlierPaces[backend.ID]}
 			s.engines[backend.ID] = known
 		}
 		known.backend = backend
@@ -110,6 +112,7 @@
 		s.order = append(s.order, id)
 	}
 	slices.Sort(s.order)
+	s.middlePace = s.medianPace()
 	return stopped
 }
 
--- a/server/executor.go
+++ b/server/executor.go
@@ -79,7 +79,7 @@
 		checkpointed: map[*scheduler.Task]uint64{},
 	}
 	t.deferOrders()
-	t.noteEnded()
+	t.takeOver()
 	go t.follow(stop)
 	t.loop.Run(leadership, executorTick, t.tick, t.flush)
 }
@@ -107,6 +107,10 @@
 	// recordAfter is when results that could not be recorded are tried again.
 	recordAfter time.Time
 	prunedAt    time.Time
+	// recordedPaces are those that the ledger holds, and pacesAt is when they were
+	// last looked at.
+	recordedPaces map[string]float64
+	pacesAt       time.Time
 }
 
 // deferOrders leaves engines alone that an earlier leader has given orders to,
@@ -119,9 +123,11 @@
 	}
 }
 
-// noteEnded tells the scheduler of the steps that an earlier leader has seen end.
-func (t *tenure) noteEnded() {
+// takeOver tells the scheduler of the steps that an earlier leader has seen end,
+// and of the engines' paces that it has observed.
+func (t *tenure) takeOver() {
 	t.replica.Do(func() {
+		t.scheduler.TakePaces(t.machine.Paces())
 		for _, entry := range t.machine.Steps() {
 			if entry.Ended {
 				t.scheduler.NoteEnded(entry.Step)
@@ -155,6 +161,7 @@
 	}
 	t.moveSlow()
 	t.checkpoint()
+	t.recordPaces()
 	if time.Since(t.prunedAt) > pruneInterval {
 		t.prunedAt = time.Now()
 		t.prune()
@@ -184,6 +191,7 @@
 		t.forwarder.Forget(catalog)
 		for _, task := range t.scheduler.SyncEngines(nowMillis(), engineBackends(catalog), catalog.Models) {
 			t.cancel(task)
+			t.takeText(task)
 			t.scheduler.Requeue(task)
 		}
 	}
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
-	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,13 +19,6 @@
 )
 
 const (
-	// ledgerAttemptTimeout is how long one replica is waited for, beyond the
-	// time for which a call may be held.
-	ledgerAttemptTimeout = 900 * time.Millisecond
-	ledgerPause          = 60 * time.Millisecond
-	// ledgerCallTimeout is how long the group's leader is looked for, after which
-	// the caller gets its final answer.
-	ledgerCallTimeout = 2500 * time.Millisecond
 	// RetryAfter is when a caller whose request has not run should come back,
 	// and StartRetryAfter that while the gateway knows no configuration yet.
 	RetryAfter      = 100 * time.Millisecond
@@ -51,7 +42,7 @@
 	logger    *zerolog.Logger
 	watcher   *Watcher
 	forwarder *forward.Forwarder
-	client    *http.Client
+	ledger    *ledgerClient
 	metrics   gatewayMetrics
 
 	// startedAt is when the gateway began to follow the directory.
@@ -60,18 +51,15 @@
 	inFlight  atomic.Int64
 	// bodyBytes are the bytes of bodies in memory.
 	bodyBytes atomic.Int64
-
-	mutex  sync.Mutex
-	leader string
 }
 
 // NewGateway returns a gateway that reaches backends through the client.
 func NewGateway(settings config.Gateway, seeds *Seeds, backends forward.Client, logger *zerolog.Logger) *Gateway {
+	watcher := NewWatcher(seeds, spread(settings.Name), logger)
 	return &Gateway{
-		settings: settings, logger: logger,
-		watcher:   NewWatcher(seeds, spread(settings.Name), logger),
-		forwarder: forward.New(backends, settings.Zone), client: replica.NewInternalClient(), metrics: newGatewayMetrics(),
-		startedAt: time.Now(),
+		settings: settings, logger: logger, watcher: watcher,
+		forwarder: forward.New(backends, settings.Zone), ledger: newLedgerClient(watcher, settings.Zone),
+		metrics: newGatewayMetrics(), startedAt: time.Now(),
 	}
 }
 
@@ -218,7 +206,7 @@
 // Submit hands a step to the ledger. Its due and give-up times are given
 // relative to now.
 func (g *Gateway) Submit(ctx context.Context, step *ledger.Step) SubmitOutcome {
-	answer, reached, err := g.callLedger(ctx, ledgerCall{Submit: step}, 0)
+	answer, reached, err := g.ledger.call(ctx, ledgerCall{Submit: step}, 0)
 	outcome := SubmitTaken
 	switch {
 	case err != nil && !reached:
@@ -234,7 +222,7 @@
 // Results returns a step's number of samples and its results from the position
 // on; it waits for one that long.
 func (g *Gateway) Results(ctx context.Context, step string, after int, wait time.Duration) (int, []ledger.Result, error) {
-	answer, _, err := g.callLedger(ctx, ledgerCall{Results: &resultsCall{Step: step, After: after, Wait: wait}}, wait)
+	answer, _, err := g.ledger.results(ctx, resultsCall{Step: step, After: after, Wait: wait})
 	if err == nil && !answer.Found {
 		err = ErrNotFound.New("no step %q", step)
 	}
@@ -243,7 +231,7 @@
 
 // SampleBody returns the body of a sample.
 func (g *Gateway) SampleBody(ctx context.Context, step, sample string) ([]byte, error) {
-	answer, _, err := g.callLedger(ctx, ledgerCall{Sample: &sampleCall{Step: step, ID: sample}}, 0)
+	answer, _, err := g.ledger.call(ctx, ledgerCall{Sample: &sampleCall{Step: step, ID: sample}}, 0)
 	if err == nil && !answer.Found {
 		err = ErrNotFound.New("no sample %q of step %q", sample, step)
 	}
@@ -252,79 +240,9 @@
 
 // End closes a step.
 func (g *Gateway) End(ctx context.Context, step string) error {
-	answer, _, err := g.callLedger(ctx, ledgerCall{End: &ledger.End{Step: step}}, 0)
+	answer, _, err := g.ledger.call(ctx, ledgerCall{End: &ledger.End{Step: step}}, 0)
 	if err == nil && !answer.Found {
 		err = ErrNotFound.New("no step %q", step)
 	}
 	return err
 }
-
-// callLedger asks the members of the group until the leader has answered. It
-// tells whether a leader may have carried the call out, also when it fails.
-func (g *Gateway) callLedger(ctx context.Context, call ledgerCall, wait time.Duration) (answer ledgerAnswer, reached bool, err error) {
-	body := encodeInternal(call)
-	ctx, cancel := context.WithTimeout(ctx, ledgerCallTimeout+wait)
-	defer cancel()
-	err = replica.ErrUnavailable.New("no member of the ledger's group is known")
-	for round := 0; ctx.Err() == nil; round++ {
-		for _, address := range g.ledgerAddresses() {
-			answer, err = g.askLedger(ctx, address, body, wait)
-			if err == nil && !answer.NotLeader {
-				reached = true
-			}
-			if err != nil && !isDialError(err) {
-				reached = true
-			}
-			if err == nil && !answer.NotLeader && !answer.Unknown {
-				g.setLeader(address)
-				return answer, true, nil
-			}
-			if err == nil && answer.NotLeader && answer.Leader != "" && answer.Leader != address {
-				g.setLeader(answer.Leader)
-				break
-			}
-			if ctx.Err() != nil {
-				break
-			}
-		}
-		sleep(ctx, ledgerPause)
-	}
-	if err == nil {
-		err = replica.ErrUnavailable.New("the ledger has no leader")
-	}
-	return answer, reached, err
-}
-
-func (g *Gateway) setLeader(address string) {
-	g.mutex.Lock()
-	g.leader = address
-	g.mutex.Unlock()
-}
-
-// ledgerAddresses returns the group's members, the one that led last first.
-func (g *Gateway) ledgerAddresses() []string {
-	g.mutex.Lock()
-	leader := g.leader
-	g.mutex.Unlock()
-	var addresses []string
-	if leader != "" {
-		addresses = append(addresses, leader)
-	}
-	for _, member := range g.watcher.Catalog().Group.Members {
-		if member.Address != leader {
-			addresses = append(addresses, member.Address)
-		}
-	}
-	return addresses
-}
-
-func (g *Gateway) askLedger(ctx context.Context, address string, body []byte, wait time.Duration) (ledgerAnswer, error) {
-	limited, cancel := context.WithTimeout(ctx, wait+ledgerAttemptTimeout)
-	defer cancel()
-	var answer ledgerAnswer
-	data, err := replica.PostInternal(limited, g.client, "http://"+address+ledgerCallPath, body)
-	if err != nil {
-		return answer, err
-	}
-	return answer, decodeInternal(data, &answer)
-}
--- a/server/ledger_call.go
+++ b/server/ledger_call.go
@@ -32,6 +32,8 @@
 	Step  string        `cbor:"1,keyasint"`
 	After int           `cbor:"2,keyasint"`
 	Wait  time.Duration `cbor:"3,keyasint"`
+	// Near asks for what the replica has applied itself, whoever leads.
+	Near bool `cbor:"4,keyasint,omitempty"`
 }
 
 type sampleCall struct {
@@ -61,6 +63,9 @@
 }
 
 func (l *Ledger) handle(ctx context.Context, call ledgerCall) ledgerAnswer {
+	if call.Results != nil && call.Results.Near {
+		return l.resultsNow(*call.Results)
+	}
 	status := l.replica.Status()
 	if !status.Serving {
 		return ledgerAnswer{NotLeader: true, Leader: status.Leader}
--- a/server/run.go
+++ b/server/run.go
@@ -34,6 +34,14 @@
 	}
 }
 
+// takeText has the task hold what its run has produced so far, since the run's
+// end will not be waited for.
+func (t *tenure) takeText(task *scheduler.Task) {
+	if progress := t.progress[task]; progress != nil {
+		task.Text, _ = progress.read()
+	}
+}
+
 // start runs a task on its engine.
 func (t *tenure) start(assignment scheduler.Assignment) {
 	task := assignment.Task
