--- a/bench/command/command.go
+++ b/bench/command/command.go
@@ -6,6 +6,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -29,7 +30,6 @@
 	Fleet       fleetCommand       `cmd:"" help:"Run a whole deployment on this machine and report on it."`
 	Simulate    simulateCommand    `cmd:"" help:"Run deployments in virtual time under faults."`
 	Experiment  experimentCommand  `cmd:"" help:"Compare variants of a deployment in virtual time."`
-	Hollow      hollowCommand      `cmd:"" help:"Measure what control costs, with hollow nodes and engines."`
 }
 
 // Main runs the command line and returns the exit code.
@@ -116,3 +116,15 @@
 	}
 	return err
 }
+
+// productBeside returns the path, or that of the product beside this program.
+func productBeside(path string) (string, error) {
+	if path != "" {
+		return path, nil
+	}
+	own, err := os.Executable()
+	if err != nil {
+		return "", command.ErrFailed.Wrap(err, "find this program")
+	}
+	return filepath.Join(filepath.Dir(own), "dillchute"), nil
+}
