Scheduler: loads that were held already tell nothing

The directory trails by a heartbeat, so a new leader orders what engines hold already; that was counted as a load of 10 ms, which made the shortest load so short that no load counted as under way from then on. Besides, the fifth of the engines that may load was rounded up (12 engines: 3, where 2 share the weights' rate), and a load that took longer than usual made room for another one. Change: only loads that took place are observed; overdue ones count again; the fifth is rounded to the nearest.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -48,7 +48,7 @@
 	for _, assignment := range s.Assign(0, anywhere) {
 		require.Equal(t, "b", assignment.Task.Step.Model)
 	}
-	s.LoadEnded(0, "e00", "a", 2)
+	s.LoadEnded(0, "e00", "a", 2, true)
 	require.Len(t, s.Assign(0, anywhere), 2)
 }
 
@@ -76,7 +76,7 @@
 			}
 		}
 		for _, order := range underWay[now] {
-			s.LoadEnded(now, order.Backend.ID, order.Model, order.Version)
+			s.LoadEnded(now, order.Backend.ID, order.Model, order.Version, true)
 		}
 		underWay[now+loadMillis] = append(underWay[now+loadMillis], s.Orders(now)...)
 		require.LessOrEqual(t, s.loadsUnderWay(now), 2)
@@ -99,8 +99,8 @@
 	s := New()
 	backends := engines(4, 8, "a", "b")
 	s.SyncEngines(0, backends, map[string]uint64{"a": 1, "b": 3})
-	s.LoadEnded(0, "e00", "b", 3)
-	s.LoadEnded(0, "e01", "b", 3)
+	s.LoadEnded(0, "e00", "b", 3, true)
+	s.LoadEnded(0, "e01", "b", 3, true)
 	s.AddStep(entry("x", "b", 3, 300))
 	s.Assign(0, anywhere)
 	orders := s.Orders(0)
@@ -147,7 +147,7 @@
 	orders := s.Orders(999)
 	require.Len(t, orders, 1)
 	require.Equal(t, "e01", orders[0].Backend.ID)
-	s.LoadEnded(999, "e01", "a", 2)
+	s.LoadEnded(999, "e01", "a", 2, true)
 	orders = s.Orders(1000)
 	require.Len(t, orders, 1)
 	require.Equal(t, "e00", orders[0].Backend.ID)
@@ -158,8 +158,8 @@
 func TestLoadsSpread(t *testing.T) {
 	s := New()
 	s.SyncEngines(0, engines(4, 8, "a", "b"), map[string]uint64{"a": 2, "b": 2})
-	s.LoadEnded(0, "e00", "a", 2)
-	s.LoadEnded(0, "e01", "a", 2)
+	s.LoadEnded(0, "e00", "a", 2, true)
+	s.LoadEnded(0, "e01", "a", 2, true)
 	order := s.Orders(0)[0]
 	require.Equal(t, "b", order.Model)
 	require.Equal(t, "e02", order.Backend.ID)
@@ -204,7 +204,7 @@
 func TestPlacementLeavesRoomForOthers(t *testing.T) {
 	s := New()
 	s.SyncEngines(0, engines(2, 1, "a", "b"), map[string]uint64{"b": 2})
-	s.LoadEnded(0, "e00", "b", 2)
+	s.LoadEnded(0, "e00", "b", 2, true)
 	s.AddStep(entry("of-a", "a", 1, 1))
 	s.AddStep(entry("of-b", "b", 2, 1))
 	placed := map[string]string{}
@@ -360,3 +360,25 @@
 	}
 	require.ElementsMatch(t, []string{"a-4", "a-5", "a-6", "a-7"}, kept)
 }
+
+// TestLoadsStayBounded: an engine that held the version already, as a new leader
+// may find, tells nothing of how long loads take; and loads that take longer than
+// usual leave no room for more of them.
+func TestLoadsStayBounded(t *testing.T) {
+	const most = 2
+	s := New()
+	s.SyncEngines(0, engines(12, 8, "m"), map[string]uint64{"m": 2})
+	s.AddStep(entry("x", "m", 2, 400))
+	underWay := s.Orders(0)
+	require.Len(t, underWay, most)
+	for _, order := range underWay {
+		s.LoadEnded(10, order.Backend.ID, order.Model, order.Version, false)
+	}
+	underWay = s.Orders(20)
+	require.Len(t, underWay, most)
+	require.Empty(t, s.Orders(40))
+	for now := int64(40); now < 5000; now += 20 {
+		underWay = append(underWay, s.Orders(now)...)
+		require.LessOrEqual(t, len(underWay), 2*most, "none of them has ended")
+	}
+}
--- a/scheduler/weights.go
+++ b/scheduler/weights.go
@@ -15,6 +15,8 @@
 	// loadShare is the part of the time that is planned for loads; the rest
 	// serves samples that wait, and makes up for failures.
 	loadShare = 0.8
+	// noticeMillis is how long after its end a load is known to have ended.
+	noticeMillis = 300
 	// waitShare of a load's time is how long samples must wait for engines to
 	// be worth a load.
 	waitShare = 0.5
@@ -102,7 +104,7 @@
 // they help most: first on models whose samples wait for engines, then on
 // models that too few engines could serve after the next publication.
 func (s *Scheduler) Orders(now int64) []Order {
-	most := max((len(s.engines)+loadDivisor/2+1)/loadDivisor, 1)
+	most := max((len(s.engines)+loadDivisor/2)/loadDivisor, 1)
 	var orders []Order
 	for s.loadsUnderWay(now) < most {
 		known, model := s.nextLoad(now, most)
@@ -118,12 +120,17 @@
 	return orders
 }
 
-// loadsUnderWay counts the engines that load. One whose usual time is over
-// counts no more: that it has ended is only known some time later.
+// loadsUnderWay counts the engines that load. One whose usual time is just over
+// does not count: that it has ended is only known some time later. One that is
+// not known to have ended then is slow, and counts.
 func (s *Scheduler) loadsUnderWay(now int64) int {
 	count := 0
 	for _, known := range s.engines {
-		if known.loading != nil && float64(now-known.loading.SentAt) < s.shortestLoad {
+		if known.loading == nil {
+			continue
+		}
+		overdue := float64(now-known.loading.SentAt) - s.shortestLoad
+		if overdue < 0 || overdue > noticeMillis {
 			count++
 		}
 	}
@@ -269,18 +276,22 @@
 	return true
 }
 
-// LoadEnded takes in that the engine holds the version now.
-func (s *Scheduler) LoadEnded(now int64, id, model string, version uint64) {
+// LoadEnded takes in that the engine holds the version now. Only a load that took
+// place tells how long loads take: the engine may have held the version before.
+func (s *Scheduler) LoadEnded(now int64, id, model string, version uint64, tookPlace bool) {
 	known := s.engines[id]
 	if known == nil {
 		return
 	}
 	known.versions[model] = max(known.versions[model], version)
-	if known.loading != nil && known.loading.Model == model && version >= known.loading.Version {
+	if known.loading == nil || known.loading.Model != model || version < known.loading.Version {
+		return
+	}
+	if tookPlace {
 		s.observeLoad(float64(now - known.loading.SentAt))
-		known.loading = nil
-		known.recover()
 	}
+	known.loading = nil
+	known.recover()
 }
 
 // observeLoad takes in how long a load took. The shortest one is remembered, and
--- a/server/load.go
+++ b/server/load.go
@@ -31,7 +31,7 @@
 	limited, cancel := context.WithTimeout(t.context, loadLimit)
 	defer cancel()
 	began := time.Now()
-	held := t.loadUntilHeld(limited, order)
+	held, tookPlace := t.loadUntilHeld(limited, order)
 	outcome := "done"
 	if held < order.Version {
 		outcome = "failed"
@@ -42,43 +42,44 @@
 			Uint("version", order.Version).Uint("held", held)
 		line.Send()
 		if held >= order.Version {
-			t.scheduler.LoadEnded(nowMillis(), order.Backend.ID, order.Model, held)
+			t.scheduler.LoadEnded(nowMillis(), order.Backend.ID, order.Model, held, tookPlace)
 			return
 		}
 		t.scheduler.LoadFailed(nowMillis(), order.Backend.ID)
 	})
 }
 
-func (t *tenure) loadUntilHeld(ctx context.Context, order scheduler.Order) uint64 {
+// loadUntilHeld returns the version that the engine holds in the end, 0 if none is
+// known, and whether it loaded it by this order.
+func (t *tenure) loadUntilHeld(ctx context.Context, order scheduler.Order) (held uint64, tookPlace bool) {
 	for ctx.Err() == nil {
 		report, err := t.report(ctx, order.Backend)
 		if err != nil {
-			return 0
+			return 0, false
 		}
 		if held := report.version(order.Model); held >= order.Version {
-			return held
+			return held, false
 		}
 		if report.Busy {
 			sleep(ctx, loadPoll)
 			continue
 		}
 		request := LoadRequest{Order: order, Holder: t.settings.Name, Fence: t.term, Sequence: report.Sequence}
-		answer := t.sendOrder(ctx, request)
-		switch answer {
+		switch t.sendOrder(ctx, request) {
 		case LoadHeld:
-			return order.Version
+			return order.Version, false
 		case LoadRefused:
-			return 0
+			return 0, false
 		case LoadConflict, LoadUnanswered:
 			sleep(ctx, conflictPause)
 		case LoadStarted:
 			sleep(ctx, loadTime)
 			if held := t.awaitLoad(ctx, order); held >= order.Version {
-				return held
+				return held, true
 			}
 		}
 	}
-	return 0
+	return 0, false
 }
 
 // sendOrder gives an order, which is recorded first: the next leader must know
