A new leader asks the engines what they hold and whether they load

Change: a leader that begins asks each engine once; one that loads is left alone until it has ended.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -178,7 +178,7 @@
 		return false
 	case known.backend.Draining || now < known.avoidedUntil:
 		return false
-	case known.loading != nil && known.loading.Model == task.Step.Model:
+	case known.loads(task.Step.Model):
 		return false
 	case len(known.running) >= max(known.backend.Slots, 1):
 		return false
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -55,7 +55,7 @@
 	case Impossible:
 		task.State = Finished
 	case Rejected:
-		known.avoid(now, fullMillis)
+		known.reject(now)
 	case Broken, Unreachable, Elsewhere:
 		if !task.moving {
 			known.fail(now)
@@ -152,6 +152,16 @@
 	}
 }
 
+// reject takes in that the engine refused a run for lack of room. One that goes on
+// refusing is asked less and less often: it may load by an order that was late.
+func (e *engine) reject(now int64) {
+	if e == nil {
+		return
+	}
+	e.avoid(now, min(int64(fullMillis)<<min(e.rejections, 8), maxFullMillis))
+	e.rejections++
+}
+
 func (e *engine) fail(now int64) {
 	if e == nil {
 		return
@@ -162,6 +172,6 @@
 
 func (e *engine) recover() {
 	if e != nil {
-		e.failures = 0
+		e.failures, e.rejections = 0, 0
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -16,8 +16,10 @@
 	// each further failure in a row up to maxAvoidMillis.
 	avoidMillis    = 300
 	maxAvoidMillis = 3000
-	// fullMillis is how long an engine that refused for lack of room is avoided.
-	fullMillis = 100
+	// fullMillis is how long an engine that refused for lack of room is avoided,
+	// doubled with each further refusal in a row up to maxFullMillis.
+	fullMillis    = 100
+	maxFullMillis = 800
 	// groupSlack is how much more than the cheapest engine, in runs, one may cost
 	// to be preferred for holding the group's prompt.
 	groupSlack = 2
@@ -34,6 +36,7 @@
 	loading      *Order
 	avoidedUntil int64
 	failures     int
+	rejections   int
 	// pace is the time between events of a run, in milliseconds, 0 if unknown.
 	pace float64
 	// observed is what runs have shown since pace was made, and recent what it was
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -382,3 +382,38 @@
 		require.LessOrEqual(t, len(underWay), 2*most, "none of them has ended")
 	}
 }
+
+// TestEngineThatLoadsForAnotherLeaderIsLeftAlone: until it is idle, for all models.
+func TestEngineThatLoadsForAnotherLeaderIsLeftAlone(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(1, 8, "m"), map[string]uint64{"m": 2})
+	s.AddStep(entry("x", "m", 1, 1))
+	s.NoteBusy(0, "e00")
+	require.Empty(t, s.Assign(0, anywhere))
+	require.Empty(t, s.Orders(0))
+	s.NoteIdle("e00")
+	require.Len(t, s.Assign(0, anywhere), 1)
+	require.Len(t, s.Orders(0), 1)
+	s.NoteIdle("e00")
+	require.True(t, s.Loading("e00", "m"), "an order of its own goes on")
+}
+
+// TestEngineThatGoesOnRefusingIsAskedLess: up to a bound, and a run that ends well
+// clears it.
+func TestEngineThatGoesOnRefusingIsAskedLess(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(1, 8, "m"), nil)
+	s.AddStep(entry("x", "m", 1, 1))
+	now := int64(0)
+	for _, pause := range []int64{100, 200, 400, 800, 800} {
+		assignments := s.Assign(now, anywhere)
+		require.Len(t, assignments, 1)
+		s.RunEnded(now, assignments[0].Task, assignments[0].Run, Rejected)
+		require.Empty(t, s.Assign(now+pause-1, anywhere))
+		now += pause
+	}
+	assignments := s.Assign(now, anywhere)
+	assignments[0].Task.Text = Text{Events: []string{"x"}, Last: 1, Versions: []uint64{1}}
+	s.RunEnded(now, assignments[0].Task, assignments[0].Run, Complete)
+	require.Zero(t, s.engines["e00"].rejections)
+}
--- a/scheduler/weights.go
+++ b/scheduler/weights.go
@@ -301,6 +301,28 @@
 	s.shortestLoad = min(s.shortestLoad*shortestGrowth, millis)
 }
 
+// anyModel stands for the model of a load that another leader has ordered.
+const anyModel = ""
+
+// loads tells whether the engine loads weights of the model, as far as is known.
+func (e *engine) loads(model string) bool {
+	return e.loading != nil && (e.loading.Model == model || e.loading.Model == anyModel)
+}
+
+// NoteBusy takes in that the engine loads by an order of another leader.
+func (s *Scheduler) NoteBusy(now int64, id string) {
+	if known := s.engines[id]; known != nil && known.loading == nil {
+		known.loading = &Order{Backend: known.backend, Model: anyModel, SentAt: now}
+	}
+}
+
+// NoteIdle takes in that the engine loads no more by an order of another leader.
+func (s *Scheduler) NoteIdle(id string) {
+	if known := s.engines[id]; known != nil && known.loading != nil && known.loading.Model == anyModel {
+		known.loading = nil
+	}
+}
+
 // LoadFailed takes in that the engine does not load; another order may follow
 // after a while.
 func (s *Scheduler) LoadFailed(now int64, id string) {
@@ -322,5 +344,5 @@
 // Loading tells whether the engine loads the model's weights.
 func (s *Scheduler) Loading(id, model string) bool {
 	known := s.engines[id]
-	return known != nil && known.loading != nil && known.loading.Model == model
+	return known != nil && known.loads(model)
 }
--- a/server/executor.go
+++ b/server/executor.go
@@ -188,9 +188,14 @@
 // syncState takes in what has changed in the directory and the ledger.
 func (t *tenure) syncState() {
 	if catalog := t.watcher.Catalog(); catalog != t.catalog {
+		first := t.catalog == nil
 		t.catalog = catalog
 		t.forwarder.Forget(catalog)
-		for _, task := range t.scheduler.SyncEngines(nowMillis(), engineBackends(catalog), catalog.Models) {
+		backends := engineBackends(catalog)
+		if first {
+			t.inspect(backends)
+		}
+		for _, task := range t.scheduler.SyncEngines(nowMillis(), backends, catalog.Models) {
 			t.cancel(task)
 			t.takeText(task)
 			t.scheduler.Requeue(task)
