Scheduler: groups may come again more than once

A group was known as one of an earlier step by the first step that had it, and forgotten two steps on, also if it had come again meanwhile; at its next return it counted as a new one, which may be left out. Now the last step with a group counts.

--- a/scheduler/ahead.go
+++ b/scheduler/ahead.go
@@ -24,6 +24,14 @@
 	returnSmoothing = 0.2
 )
 
+// noteReturns takes in the step's groups that come again, with the numbers of the
+// last steps that had them.
+func (m *modelState) noteReturns(step *ledger.Step, again map[string]int) {
+	for _, group := range slices.Sorted(maps.Keys(again)) {
+		m.noteReturn(step.Number - again[group])
+	}
+}
+
 // noteReturn takes in after how many steps a group has come again.
 func (m *modelState) noteReturn(steps int) {
 	if m.returnSteps == 0 {
--- a/scheduler/kept.go
+++ b/scheduler/kept.go
@@ -59,23 +59,17 @@
 	return known.Last, known.Whole
 }
 
-// cameBefore tells whether an earlier step had the group. The trainer waits for
-// such groups whichever others are whole.
-func (k *keptTexts) cameBefore(step *ledger.Step, group string) bool {
-	number, ok := k.groups[step.Model][group]
-	return ok && number < step.Number
-}
-
-// noteReturns takes in after how many steps groups have come again.
-func (s *Scheduler) noteReturns(step *ledger.Step) {
-	noted := map[string]bool{}
+// comingAgain returns the step's groups that an earlier step had, with the number
+// of the last one. The trainer waits for such groups whichever others are whole.
+func (k *keptTexts) comingAgain(step *ledger.Step) map[string]int {
+	again := map[string]int{}
 	for position := range step.Samples {
 		group := step.Samples[position].Group
-		if s.kept.cameBefore(step, group) && !noted[group] {
-			noted[group] = true
-			s.model(step.Model).noteReturn(step.Number - s.kept.groups[step.Model][group])
+		if number, ok := k.groups[step.Model][group]; ok && number < step.Number {
+			again[group] = number
 		}
 	}
+	return again
 }
 
 // note takes in a step's groups, and forgets what is too old to come again.
@@ -97,8 +91,6 @@
 	}
 	for position := range step.Samples {
 		group := step.Samples[position].Group
-		if _, ok := groups[group]; !ok {
-			groups[group] = step.Number
-		}
+		groups[group] = max(groups[group], step.Number)
 	}
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -18,8 +18,8 @@
 // trainer waits for some of the groups only: those with the least work that
 // make up the number are needed, and the rest is started last. Among needed
 // tasks the longest come first, since the tail decides when a step is whole.
-func (s *Scheduler) queueOf(state *stepState) []*Task {
-	needed := s.neededGroups(state)
+func queueOf(state *stepState) []*Task {
+	needed := neededGroups(state)
 	queue := slices.Clone(state.tasks)
 	for _, task := range queue {
 		task.needed = needed[task.Sample.Group]
@@ -77,7 +77,7 @@
 
 // neededGroups returns the groups that make up the number that the trainer
 // waits for: those that come again, then those with the least work.
-func (s *Scheduler) neededGroups(state *stepState) map[string]bool {
+func neededGroups(state *stepState) map[string]bool {
 	work := map[string]float64{}
 	for position := range state.step.Samples {
 		work[state.step.Samples[position].Group] += 0
@@ -87,9 +87,8 @@
 	}
 	groups := make([]groupWork, 0, len(work))
 	for _, name := range slices.Sorted(maps.Keys(work)) {
-		groups = append(groups, groupWork{
-			name: name, work: work[name], again: s.kept.cameBefore(state.step, name),
-		})
+		_, again := state.again[name]
+		groups = append(groups, groupWork{name: name, work: work[name], again: again})
 	}
 	slices.SortStableFunc(groups, func(a, b groupWork) int {
 		if a.again != b.again {
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -1,7 +1,5 @@
 package scheduler
 
-import "slices"
-
 // progress follows how much of a step is done. The trainer waits for a number
 // of whole groups, among which must be those that an earlier step had.
 type progress struct {
@@ -20,7 +18,7 @@
 
 // newProgress returns the progress of a step whose groups, among them those that
 // come again, have the given unfinished tasks.
-func newProgress(wanted int, groups []string, again map[string]bool, tasks []*Task) *progress {
+func newProgress(wanted int, groups map[string]bool, again map[string]int, tasks []*Task) *progress {
 	if wanted <= 0 || wanted > len(groups) {
 		wanted = len(groups)
 	}
@@ -28,11 +26,11 @@
 	for _, task := range tasks {
 		p.open[task.Sample.Group]++
 	}
-	for _, group := range groups {
+	for group := range groups {
 		if p.open[group] == 0 {
 			p.missing--
 			p.taken[group] = true
-		} else if again[group] {
+		} else if _, ok := again[group]; ok {
 			p.again[group] = true
 		}
 	}
@@ -40,17 +38,12 @@
 }
 
 // progressOf returns the progress of a step that is taken in.
-func (s *Scheduler) progressOf(state *stepState) *progress {
-	var groups []string
-	again := map[string]bool{}
+func progressOf(state *stepState) *progress {
+	groups := map[string]bool{}
 	for position := range state.step.Samples {
-		group := state.step.Samples[position].Group
-		if !slices.Contains(groups, group) {
-			groups = append(groups, group)
-		}
-		again[group] = s.kept.cameBefore(state.step, group)
+		groups[state.step.Samples[position].Group] = true
 	}
-	return newProgress(state.step.Wanted, groups, again, state.tasks)
+	return newProgress(state.step.Wanted, groups, state.again, state.tasks)
 }
 
 // finish takes in that a task of the group is finished, and tells whether the
--- a/scheduler/progress_test.go
+++ b/scheduler/progress_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -142,3 +143,24 @@
 	require.InDelta(t, 1, s.steps["y"].tasks[0].remaining(30), 0.01)
 	require.Greater(t, s.steps["y"].tasks[1].remaining(30), 4.0)
 }
+
+// TestGroupsComeAgainMoreThanOnce: also long after the first step that had them.
+func TestGroupsComeAgainMoreThanOnce(t *testing.T) {
+	s := New()
+	for number := range 8 {
+		step := entry(fmt.Sprint(number), "m", 1, 12)
+		step.Step.Number, step.Step.Wanted = number, 1
+		for position := range step.Step.Samples {
+			if position >= 4 || number%2 == 1 {
+				step.Step.Samples[position].Group = fmt.Sprintf("%d-%s", number, step.Step.Samples[position].Group)
+			}
+		}
+		s.AddStep(step)
+		if number%2 == 0 && number > 0 {
+			require.False(t, finishGroup(s, step.Step.ID, 1), "step %d waits for the group that comes again", number)
+			require.True(t, finishGroup(s, step.Step.ID, 0))
+			require.InDelta(t, 2, s.model("m").returnSteps, 0.01)
+		}
+		s.EndStep(step.Step.ID)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -71,6 +71,8 @@
 	tasks []*Task
 	// queue holds the tasks in the order in which they are started.
 	queue []*Task
+	// again holds the groups that an earlier step had, with the number of the last one.
+	again map[string]int
 	// progress follows what the trainer waits for.
 	progress *progress
 }
@@ -146,10 +148,11 @@
 			whole = append(whole, task)
 		}
 	}
-	s.noteReturns(step)
+	state.again = s.kept.comingAgain(step)
+	s.model(step.Model).noteReturns(step, state.again)
 	s.kept.note(step)
-	state.queue = s.queueOf(state)
-	state.progress = s.progressOf(state)
+	state.queue = queueOf(state)
+	state.progress = progressOf(state)
 	s.steps[step.ID] = state
 	s.model(step.Model).noteStep(step)
 	return whole
