--- a/event/event.go
+++ b/event/event.go
@@ -79,12 +79,19 @@
 	TextsCheckpointed = Event{6012, zerolog.InfoLevel, "the texts of long runs were kept"}
 	StepWhole         = Event{6013, zerolog.InfoLevel, "the groups that the trainer waits for are whole"}
 
-	RequestEnded    = Event{7001, zerolog.InfoLevel, "a request has ended"}
-	GatewayStarted  = Event{7002, zerolog.InfoLevel, "gateway started"}
-	GatewayStopping = Event{7003, zerolog.InfoLevel, "gateway is stopping"}
-	GatewayStopped  = Event{7004, zerolog.InfoLevel, "gateway stopped"}
-	StepForwarded   = Event{7005, zerolog.InfoLevel, "a step was passed to the ledger"}
-	AttemptEnded    = Event{7006, zerolog.InfoLevel, "an attempt brought no answer to its request"}
+	SampleTakenOver   = Event{6014, zerolog.InfoLevel, "a step has taken over a run ahead of it"}
+	RunAheadEnded     = Event{6015, zerolog.InfoLevel, "a run ahead that no step has asked for has ended"}
+	EngineInspected   = Event{6016, zerolog.InfoLevel, "a new leader has asked an engine what it holds"}
+	ResultsIncomplete = Event{6017, zerolog.WarnLevel, "results did not go on from the texts that are kept"}
+	PacesRecorded     = Event{6018, zerolog.InfoLevel, "the engines' paces were recorded"}
+
+	RequestEnded     = Event{7001, zerolog.InfoLevel, "a request has ended"}
+	GatewayStarted   = Event{7002, zerolog.InfoLevel, "gateway started"}
+	GatewayStopping  = Event{7003, zerolog.InfoLevel, "gateway is stopping"}
+	GatewayStopped   = Event{7004, zerolog.InfoLevel, "gateway stopped"}
+	StepForwarded    = Event{7005, zerolog.InfoLevel, "a step was passed to the ledger"}
+	AttemptEnded     = Event{7006, zerolog.InfoLevel, "an attempt brought no answer to its request"}
+	NearStoreAvoided = Event{7007, zerolog.WarnLevel, "the ledger's replica in the own zone does not answer"}
 )
 
 // All lists the events in the order of their numbers.
@@ -95,8 +102,8 @@
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
 	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed,
-	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole,
-	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded,
+	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded,
+	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, NearStoreAvoided,
 }
 
 // On returns a log line for the event, to which fields can be added; Send ends it.
--- a/scheduler/ahead.go
+++ b/scheduler/ahead.go
@@ -131,7 +131,7 @@
 	s.ahead[task.Sample.ID] = second
 	second.Run, second.Attempts = 1, 1
 	s.occupy(now, best, second)
-	return Assignment{Task: second, Backend: best.backend, Run: second.Run}, true
+	return s.assignment(second, best.backend), true
 }
 
 // spareEngine returns the best engine with room to spare, or nil.
@@ -151,6 +151,21 @@
 	return best
 }
 
+// TakenOver returns the tasks of a step that were runs ahead of it.
+func (s *Scheduler) TakenOver(step string) []*Task {
+	var taken []*Task
+	state := s.steps[step]
+	if state == nil {
+		return nil
+	}
+	for _, task := range state.tasks {
+		if task.takenOver {
+			taken = append(taken, task)
+		}
+	}
+	return taken
+}
+
 // IsAhead tells whether the task runs ahead of the step that will ask for it.
 func (task *Task) IsAhead() bool { return task.ahead }
 
@@ -163,7 +178,7 @@
 		return nil
 	}
 	delete(s.ahead, sample.ID)
-	task.Step, task.Sample, task.ahead = step, sample, false
+	task.Step, task.Sample, task.ahead, task.takenOver = step, sample, false, true
 	return task
 }
 
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -125,18 +125,30 @@
 	minGainMillis = 300
 )
 
-// move is a task that would be done earlier on another engine.
-type move struct {
-	task *Task
-	gain float64
+// Move is a task that is to go on on another engine.
+type Move struct {
+	Task *Task
+	// From is its engine and To the best other one now; FromPace and ToPace are their
+	// times between events in milliseconds, 0 if unknown.
+	From, To         string
+	FromPace, ToPace float64
+	// Expected is the number of events that are expected to come.
+	Expected float64
+}
+
+// wantedMove is a task that could gain by a move, with the time that it is
+// expected to take where it runs.
+type wantedMove struct {
+	task   *Task
+	millis float64
 }
 
 // Move returns tasks that would be done much earlier on another engine that has
 // room, since theirs is slow or leaves. The caller ends their runs; they go on
 // elsewhere after what they have.
-func (s *Scheduler) Move(now int64, serviceOf ServiceOf) []*Task {
+func (s *Scheduler) Move(now int64, serviceOf ServiceOf) []Move {
 	taken := map[*engine]int{}
-	var moves []*Task
+	var moves []Move
 	for _, wanted := range s.wantedMoves(now) {
 		task := wanted.task
 		to := s.betterEngine(now, task, serviceOf, taken)
@@ -146,14 +158,17 @@
 		taken[to]++
 		task.moves++
 		task.moving = true
-		moves = append(moves, task)
+		moves = append(moves, Move{
+			Task: task, From: task.Engine, To: to.backend.ID, FromPace: s.engines[task.Engine].pace, ToPace: to.pace,
+			Expected: task.remaining(task.seen()),
+		})
 	}
 	return moves
 }
 
 // wantedMoves returns the tasks that could gain by a move, the longest first.
-func (s *Scheduler) wantedMoves(now int64) []move {
-	var wanted []move
+func (s *Scheduler) wantedMoves(now int64) []wantedMove {
+	var wanted []wantedMove
 	for _, id := range s.order {
 		known := s.engines[id]
 		for task := range known.running {
@@ -164,12 +179,12 @@
 			expected := s.expectedMillis(known, task, after)
 			gain := expected - task.remaining(after)*s.middlePace
 			if gain >= moveMillis+minGainMillis {
-				wanted = append(wanted, move{task: task, gain: expected})
+				wanted = append(wanted, wantedMove{task: task, millis: expected})
 			}
 		}
 	}
-	slices.SortStableFunc(wanted, func(a, b move) int {
-		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.task.Sample.ID, b.task.Sample.ID))
+	slices.SortStableFunc(wanted, func(a, b wantedMove) int {
+		return cmp.Or(cmp.Compare(b.millis, a.millis), cmp.Compare(a.task.Sample.ID, b.task.Sample.ID))
 	})
 	return wanted
 }
--- a/scheduler/pace_test.go
+++ b/scheduler/pace_test.go
@@ -18,6 +18,15 @@
 	return task
 }
 
+// moved returns the tasks that are to move.
+func moved(s *Scheduler) []*Task {
+	var tasks []*Task
+	for _, move := range s.Move(minObserveMillis, anywhere) {
+		tasks = append(tasks, move.Task)
+	}
+	return tasks
+}
+
 // TestMovesGainTime: of two samples on an engine that is slower by half, only the
 // one leaves that has long to go; nothing goes to an engine without room.
 func TestMovesGainTime(t *testing.T) {
@@ -27,7 +36,7 @@
 	s.middlePace = 40
 	long := running(s, "long", "e00", 100)
 	running(s, "short", "e00", 10)
-	require.Equal(t, []*Task{long}, s.Move(minObserveMillis, anywhere))
+	require.Equal(t, []*Task{long}, moved(s))
 	require.Empty(t, s.Move(minObserveMillis, anywhere), "a move is asked for once")
 
 	other := running(s, "other", "e00", 100)
@@ -97,7 +106,7 @@
 	require.Empty(t, s.Move(minObserveMillis, anywhere))
 	backends[0].Draining = true
 	s.SyncEngines(0, backends, nil)
-	require.Equal(t, []*Task{long}, s.Move(minObserveMillis, anywhere))
+	require.Equal(t, []*Task{long}, moved(s))
 }
 
 // TestPacesOutliveALeader: the next one begins with them, and an engine's runs
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -11,6 +11,9 @@
 	Task    *Task
 	Backend directory.Backend
 	Run     uint64
+	// Expected is the number of events that are expected to come, and Pace the
+	// engine's time between events in milliseconds, 0 if unknown.
+	Expected, Pace float64
 }
 
 // ServiceOf tells the services that may run a sample, and whether a route leads there.
@@ -50,12 +53,20 @@
 		}
 		task.Run++
 		task.Attempts++
-		assignments = append(assignments, Assignment{Task: task, Backend: backend, Run: task.Run})
+		assignments = append(assignments, s.assignment(task, backend))
 	}
 	state.queue = kept
 	return assignments
 }
 
+// assignment returns the task's current run with what it was decided by.
+func (s *Scheduler) assignment(task *Task, backend directory.Backend) Assignment {
+	return Assignment{
+		Task: task, Backend: backend, Run: task.Run,
+		Expected: task.remaining(task.Text.Last), Pace: s.engines[backend.ID].pace,
+	}
+}
+
 func (s *Scheduler) stepsInOrder() []*stepState {
 	states := make([]*stepState, 0, len(s.steps))
 	for _, state := range s.steps {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -255,7 +255,7 @@
 	s.UpdatePaces()
 	moves := s.Move(1000, anywhere)
 	require.Len(t, moves, 1)
-	task := moves[0]
+	task := moves[0].Task
 	require.Equal(t, "e00", task.Engine)
 	require.Empty(t, s.Move(1000, anywhere), "a move is asked for once")
 	task.Text = Text{Events: []string{"x"}, Last: 1, Versions: []uint64{1}}
--- a/server/executor.go
+++ b/server/executor.go
@@ -76,7 +76,7 @@
 		Executor: x, context: leadership, replica: opened, machine: machine, term: term,
 		loop: eventloop.New(), scheduler: scheduler.New(),
 		cancels: map[*scheduler.Task]context.CancelFunc{}, progress: map[*scheduler.Task]*runProgress{},
-		checkpointed: map[*scheduler.Task]uint64{},
+		checkpointed: map[*scheduler.Task]uint64{}, known: map[string]bool{},
 	}
 	t.deferOrders()
 	t.takeOver()
@@ -107,6 +107,10 @@
 	// recordAfter is when results that could not be recorded are tried again.
 	recordAfter time.Time
 	prunedAt    time.Time
+	// aheadAt is when runs ahead were last looked for.
+	aheadAt time.Time
+	// known holds the open steps that the scheduler has taken in.
+	known map[string]bool
 	// recordedPaces are those that the ledger holds, and pacesAt is when they were
 	// last looked at.
 	recordedPaces map[string]float64
@@ -219,6 +223,7 @@
 	})
 	if !unchanged {
 		t.endClosed(open)
+		t.noteTakenOver(open)
 	}
 	for _, task := range whole {
 		event.SampleKept.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).Uint("events", task.Text.Last).Send()
@@ -226,6 +231,20 @@
 	}
 }
 
+// noteTakenOver says which runs ahead the newest of the open steps have taken over.
+func (t *tenure) noteTakenOver(open []*ledger.Entry) {
+	for _, entry := range open {
+		if t.known[entry.Step.ID] {
+			continue
+		}
+		t.known[entry.Step.ID] = true
+		for _, task := range t.scheduler.TakenOver(entry.Step.ID) {
+			event.SampleTakenOver.On(t.logger).Str("sample", task.Sample.ID).Str("step", entry.Step.ID).
+				Str("engine", task.Engine).Uint("after", t.eventsOf(task)).Send()
+		}
+	}
+}
+
 func engineBackends(catalog *directory.Catalog) []directory.Backend {
 	var backends []directory.Backend
 	for name, service := range catalog.Services {
@@ -246,6 +265,7 @@
 		if isOpen[id] {
 			continue
 		}
+		delete(t.known, id)
 		for _, task := range t.scheduler.EndStep(id) {
 			t.cancel(task)
 			delete(t.checkpointed, task)
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -58,7 +58,7 @@
 	watcher := NewWatcher(seeds, spread(settings.Name), logger)
 	return &Gateway{
 		settings: settings, logger: logger, watcher: watcher,
-		forwarder: forward.New(backends, settings.Zone), ledger: newLedgerClient(watcher, settings.Zone),
+		forwarder: forward.New(backends, settings.Zone), ledger: newLedgerClient(watcher, settings.Zone, logger),
 		metrics: newGatewayMetrics(), startedAt: time.Now(),
 	}
 }
--- a/server/inspect.go
+++ b/server/inspect.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/event"
 )
 
 // inspect asks the engines what they hold and whether they load by an order of an
@@ -19,6 +20,8 @@
 	limited, cancel := context.WithTimeout(t.context, loadLimit)
 	defer cancel()
 	report, err := t.report(limited, backend)
+	event.EngineInspected.On(t.logger).Str("engine", backend.ID).Uint("busy", boolToUint(report.Busy)).
+		Uint("failed", boolToUint(err != nil)).Send()
 	if err == nil && report.Busy {
 		t.loop.Call(func() { t.scheduler.NoteBusy(nowMillis(), backend.ID) })
 		defer t.loop.Call(func() { t.scheduler.NoteIdle(backend.ID) })
--- a/server/ledger_client.go
+++ b/server/ledger_client.go
@@ -6,7 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/replica"
 )
 
@@ -29,6 +32,7 @@
 	watcher *Watcher
 	client  *http.Client
 	zone    string
+	logger  *zerolog.Logger
 
 	mutex sync.Mutex
 	// leader is the address of the member that led last.
@@ -37,8 +41,8 @@
 	nearAfter time.Time
 }
 
-func newLedgerClient(watcher *Watcher, zone string) *ledgerClient {
-	return &ledgerClient{watcher: watcher, client: replica.NewInternalClient(), zone: zone}
+func newLedgerClient(watcher *Watcher, zone string, logger *zerolog.Logger) *ledgerClient {
+	return &ledgerClient{watcher: watcher, client: replica.NewInternalClient(), zone: zone, logger: logger}
 }
 
 // results asks for results. What is there already may come from the replica in
@@ -68,6 +72,7 @@
 		c.mutex.Lock()
 		c.nearAfter = time.Now().Add(nearPause)
 		c.mutex.Unlock()
+		event.NearStoreAvoided.On(c.logger).Str("replica", address).Err(err).Send()
 	}
 	return answer, err == nil && len(answer.Results) > 0
 }
--- a/server/ledger_client_test.go
+++ b/server/ledger_client_test.go
@@ -71,7 +71,7 @@
 	seeds := NewSeeds(config.Process{}, func() (config.Process, error) { return config.Process{}, nil }, &logger)
 	watcher := NewWatcher(seeds, 0, &logger)
 	watcher.take(watcher.Catalog(), machine.DeltaSince(0))
-	return newLedgerClient(watcher, "near"), near, far
+	return newLedgerClient(watcher, "near", &logger), near, far
 }
 
 func readResults(t *testing.T, client *ledgerClient, after int, wait time.Duration) int {
--- a/server/paces.go
+++ b/server/paces.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/ledger"
 )
 
@@ -26,6 +27,7 @@
 		return
 	}
 	t.recordedPaces = paces
+	event.PacesRecorded.On(t.logger).Uint("engines", uint64(len(paces))).Send()
 	go t.replica.Execute(t.context, ledger.Command{Paces: &ledger.Paces{Millis: paces}}.Encode())
 }
 
--- a/server/record.go
+++ b/server/record.go
@@ -106,5 +106,8 @@
 			}
 		}
 	})
+	if len(missing) > 0 {
+		event.ResultsIncomplete.On(t.logger).Str("step", step).Uint("results", uint64(len(missing))).Send()
+	}
 	return missing
 }
--- a/server/run.go
+++ b/server/run.go
@@ -21,19 +21,29 @@
 		t.scheduler.Observe(now, task, events)
 	}
 	t.scheduler.UpdatePaces()
-	for _, task := range t.scheduler.Move(now, t.servicesOf) {
-		event.SampleMoved.On(t.logger).Str("sample", task.Sample.ID).Str("engine", task.Engine).Send()
-		t.cancel(task)
+	for _, move := range t.scheduler.Move(now, t.servicesOf) {
+		event.SampleMoved.On(t.logger).Str("sample", move.Task.Sample.ID).Str("engine", move.From).Str("to", move.To).
+			Uint("pace", micros(move.FromPace)).Uint("to_pace", micros(move.ToPace)).Uint("expected", uint64(move.Expected)).Send()
+		t.cancel(move.Task)
 	}
 }
 
+// micros returns milliseconds in microseconds, as logs have them.
+func micros(millis float64) uint64 { return uint64(millis * 1000) }
+
+// aheadInterval is the time between two looks for runs to begin ahead, which go
+// through all samples of the open steps.
+const aheadInterval = 200 * time.Millisecond
+
 // runAhead starts second runs of samples that will probably come again, and ends
 // those that no step has asked for.
 func (t *tenure) runAhead() {
-	if t.catalog == nil {
+	if t.catalog == nil || time.Since(t.aheadAt) < aheadInterval {
 		return
 	}
+	t.aheadAt = time.Now()
 	for _, task := range t.scheduler.UnwantedAhead() {
+		event.RunAheadEnded.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).Send()
 		t.cancel(task)
 	}
 	for _, assignment := range t.scheduler.Ahead(nowMillis(), t.servicesOf) {
@@ -48,6 +58,15 @@
 	}
 }
 
+// eventsOf returns the number of events of the task's text so far.
+func (t *tenure) eventsOf(task *scheduler.Task) uint64 {
+	if progress := t.progress[task]; progress != nil {
+		text, _ := progress.read()
+		return text.Last
+	}
+	return task.Text.Last
+}
+
 // takeText has the task hold what its run has produced so far, since the run's
 // end will not be waited for.
 func (t *tenure) takeText(task *scheduler.Task) {
@@ -62,7 +81,8 @@
 	runContext, cancel := context.WithCancel(t.context)
 	t.cancels[task] = cancel
 	event.SampleStarted.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).
-		Str("engine", assignment.Backend.ID).Uint("attempt", uint64(task.Attempts)).Uint("after", task.Text.Last).Send()
+		Str("engine", assignment.Backend.ID).Uint("attempt", uint64(task.Attempts)).Uint("after", task.Text.Last).
+		Uint("expected", uint64(assignment.Expected)).Uint("pace", micros(assignment.Pace)).Uint("ahead", boolToUint(task.IsAhead())).Send()
 	request := RunRequest{Backend: assignment.Backend, Host: task.Step.Host, Sample: task.Sample, After: task.Text.Last}
 	progress := newRunProgress(task.Text)
 	t.progress[task] = progress
