Scheduler: a run ahead that its step cannot use is ended at once

Found by reading: a step that allows no version as old, or only a single one, began the sample anew beside the run ahead, which went on until two steps later. It is ended now, and nothing runs ahead of steps that allow a single version.

--- a/scheduler/ahead.go
+++ b/scheduler/ahead.go
@@ -54,7 +54,7 @@
 	var assignments []Assignment
 	for _, state := range s.stepsInOrder() {
 		oldest, known := s.oldestOnReturn(state.step)
-		if !known || state.progress.reported || s.model(state.step.Model).newest < oldest {
+		if !known || state.step.SingleVersion || state.progress.reported || s.model(state.step.Model).newest < oldest {
 			continue
 		}
 		for _, task := range s.returning(state) {
@@ -173,8 +173,11 @@
 // the sample again, or nil if there is none that it can use.
 func (s *Scheduler) adopt(step *ledger.Step, sample *ledger.Sample) *Task {
 	task := s.ahead[sample.ID]
-	if task == nil || task.Step.Model != step.Model || task.Step.Number >= step.Number ||
-		task.Step.OldestVersion < step.OldestVersion || step.SingleVersion {
+	if task == nil {
+		return nil
+	}
+	if task.Step.Model != step.Model || task.Step.OldestVersion < step.OldestVersion || step.SingleVersion {
+		task.superseded = true
 		return nil
 	}
 	delete(s.ahead, sample.ID)
@@ -193,14 +196,14 @@
 	task.Text = Text{}
 }
 
-// UnwantedAhead returns the runs ahead that no step has asked for in time. The
-// caller ends them.
+// UnwantedAhead returns the runs ahead that no step has asked for in time, or that
+// the step which has cannot use. The caller ends them.
 func (s *Scheduler) UnwantedAhead() []*Task {
 	var unwanted []*Task
 	for _, id := range slices.Sorted(maps.Keys(s.ahead)) {
 		task := s.ahead[id]
 		model := s.model(task.Step.Model)
-		if model.number > task.Step.Number+int(model.returnSteps+0.5) {
+		if task.superseded || model.number > task.Step.Number+int(model.returnSteps+0.5) {
 			s.endAhead(task, Broken)
 			unwanted = append(unwanted, task)
 		}
--- a/scheduler/ahead_test.go
+++ b/scheduler/ahead_test.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// TestRunAheadThatNobodyAsksForEnds: once the step that would have is past, or
-// its engine is gone.
+// TestRunAheadThatNobodyAsksForEnds: once the step that would have is past or
+// cannot use it, or its engine is gone.
 func TestRunAheadThatNobodyAsksForEnds(t *testing.T) {
 	s, first := returningStep(t)
 	ahead := runAhead(t, s, first)
@@ -94,6 +94,11 @@
 	require.Equal(t, []*Task{ahead}, s.UnwantedAhead())
 	require.Empty(t, s.ahead)
 
+	s, first = returningStep(t)
+	ahead = runAhead(t, s, first)
+	comesAgain(s, first, 4)
+	require.Equal(t, []*Task{ahead}, s.UnwantedAhead(), "the step allows no version as old")
+
 	s, first = returningStep(t)
 	ahead = runAhead(t, s, first)
 	s.Requeue(ahead)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -77,6 +77,8 @@
 	lengthKnown bool
 	// ahead is set on a run that no step has asked for yet; see Scheduler.Ahead.
 	ahead bool
+	// superseded is set on a run ahead that its step cannot use.
+	superseded bool
 	// takenOver is set on a task that was a run ahead of its step.
 	takenOver bool
 	// startedAt is when the current run began, and from the event it began after.
