--- a/scheduler/ahead.go
+++ b/scheduler/ahead.go
@@ -42,8 +42,8 @@
 }
 
 // oldestOnReturn returns the oldest version that a step will allow in which
-// groups of this one come again, and whether that is known. Each step allows one
-// version less than the one before it.
+// groups of this one come again, and whether that is known. The oldest version
+// that a step allows is one above that of the step before it.
 func (s *Scheduler) oldestOnReturn(step *ledger.Step) (uint64, bool) {
 	steps := s.model(step.Model).returnSteps
 	return step.OldestVersion + uint64(steps+0.5), steps > 0
