Tests: handlers read a request's body before they wait for its caller to leave

Its handler waited for the end of the request's context without reading the body. net/http watches a connection for its close only once the body was read, so a cancel that came after the request had arrived, which is rare, left the handler waiting, and httptest.Server.Close with it.

Shown: with the handler known to have begun (TestCancelReachesTheEngine, new) the old way of waiting hangs each time (timed out after 60 s), the new one passes; 30 runs of both tests pass. Ruled out: a fault of engineClient, which had given its message each time (trace on a scratch copy), and load alone: 40 runs of the old test beside 12 busy processes passed.

--- a/server/engines_test.go
+++ b/server/engines_test.go
@@ -46,18 +46,49 @@
 	}
 }
 
+func cancelAttempt(client *engineClient, address string) {
+	client.send(node.EngineOutgoing{Engine: "e", Address: address, Message: protocol.EngineMessage{Cancel: &protocol.EngineCancel{Attempt: "a"}}})
+}
+
+// waitForClose keeps a request open until its caller has closed the connection. The
+// server notices that only once the request's body has been read.
+func waitForClose(request *http.Request) {
+	_, _ = io.Copy(io.Discard, request.Body)
+	<-request.Context().Done()
+}
+
 // TestCancelRightAfterStart: a cancel that follows its start at once ends the
 // stream, also if the start has not been carried out yet.
 func TestCancelRightAfterStart(t *testing.T) {
 	for range 200 {
-		client, address, received := engineServed(t, func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() })
+		client, address, received := engineServed(t, func(_ http.ResponseWriter, request *http.Request) { waitForClose(request) })
 		startAttempt(client, address)
-		client.send(node.EngineOutgoing{Engine: "e", Address: address, Message: protocol.EngineMessage{Cancel: &protocol.EngineCancel{Attempt: "a"}}})
+		cancelAttempt(client, address)
 		message := next(t, received)
 		require.True(t, message.Lost != nil || message.Refused != nil)
 	}
 }
 
+// TestCancelReachesTheEngine: the engine sees the end of an attempt that it had
+// begun to work on when it was cancelled.
+func TestCancelReachesTheEngine(t *testing.T) {
+	begun, ended := make(chan struct{}), make(chan struct{})
+	client, address, received := engineServed(t, func(_ http.ResponseWriter, request *http.Request) {
+		close(begun)
+		waitForClose(request)
+		close(ended)
+	})
+	startAttempt(client, address)
+	<-begun
+	cancelAttempt(client, address)
+	require.NotNil(t, next(t, received).Lost)
+	select {
+	case <-ended:
+	case <-time.After(testPatience):
+		t.Fatal("the engine goes on with an attempt that was cancelled")
+	}
+}
+
 // TestEngineAnswersAreNotTrusted: what is no whole, well-formed answer of the
 // attempt counts as a lost one, and only the engine's own word as a refusal.
 func TestEngineAnswersAreNotTrusted(t *testing.T) {
