--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -14,28 +14,6 @@
 	again bool
 }
 
-// queueOf returns the step's tasks in the order in which they are started. The
-// trainer waits for some of the groups only: those with the least work that
-// make up the number are needed, and the rest is started last. Among needed
-// tasks the longest come first, since the tail decides when a step is whole.
-func queueOf(state *stepState) []*Task {
-	needed := neededGroups(state)
-	queue := slices.Clone(state.tasks)
-	for _, task := range queue {
-		task.needed = needed[task.Sample.Group]
-	}
-	slices.SortStableFunc(queue, func(a, b *Task) int {
-		if a.needed != b.needed {
-			if a.needed {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(b.remaining(b.Text.Last), a.remaining(a.Text.Last))
-	})
-	return queue
-}
-
 // overrunShare is the part of a prediction that is expected to come still of a
 // text that is about as long as predicted, or longer. Predictions are right in
 // the median and off by a factor that varies widely (log-normal, about 0.5), of
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -19,46 +19,44 @@
 // ServiceOf tells the services that may run a sample, and whether a route leads there.
 type ServiceOf func(task *Task) (services []string, ok bool)
 
-// Assign starts as many waiting tasks as there is room for: first those that
-// the trainers wait for. More urgent and then earlier steps come first, and in a
-// step the order of its queue.
+// Assign starts as many waiting tasks as there is room for, the most urgent first.
 func (s *Scheduler) Assign(now int64, serviceOf ServiceOf) []Assignment {
 	s.noteWaiting()
-	steps := s.stepsInOrder()
+	room := s.room(now)
+	if room == 0 {
+		return nil
+	}
+	s.waiting.sort(s.paceOrDefault())
 	var assignments []Assignment
-	for _, needed := range []bool{true, false} {
-		for _, state := range steps {
-			assignments = append(assignments, s.assignStep(now, state, needed, serviceOf)...)
+	s.waiting.take(func(task *Task) bool {
+		if len(assignments) == room {
+			return false
 		}
-	}
+		backend, ok := s.place(now, task, serviceOf)
+		if ok {
+			task.Run++
+			task.Attempts++
+			assignments = append(assignments, s.assignment(task, backend))
+		}
+		return ok
+	})
 	return assignments
 }
 
-// assignStep starts the step's tasks that are needed, or those that are not.
-func (s *Scheduler) assignStep(now int64, state *stepState, needed bool, serviceOf ServiceOf) []Assignment {
-	var assignments []Assignment
-	kept := state.queue[:0]
-	for _, task := range state.queue {
-		if task.State != Waiting {
-			continue
+// room returns the number of slots in which runs could begin.
+func (s *Scheduler) room(now int64) int {
+	room := 0
+	for _, known := range s.engines {
+		if !known.backend.Draining && now >= known.avoidedUntil {
+			room += max(known.freeSlots(), 0)
 		}
-		if task.needed != needed {
-			kept = append(kept, task)
-			continue
-		}
-		backend, ok := s.place(now, task, serviceOf)
-		if !ok {
-			kept = append(kept, task)
-			continue
-		}
-		task.Run++
-		task.Attempts++
-		assignments = append(assignments, s.assignment(task, backend))
 	}
-	state.queue = kept
-	return assignments
+	return room
 }
 
+// freeSlots returns the number of further runs that the engine has room for.
+func (e *engine) freeSlots() int { return max(e.backend.Slots, 1) - len(e.running) }
+
 // assignment returns the task's current run with what it was decided by.
 func (s *Scheduler) assignment(task *Task, backend directory.Backend) Assignment {
 	return Assignment{
@@ -166,9 +164,9 @@
 	for _, model := range s.models {
 		model.waiting = false
 	}
-	for _, state := range s.steps {
-		if len(state.queue) > 0 {
-			s.model(state.step.Model).waiting = true
+	for _, task := range s.waiting.tasks {
+		if task.State == Waiting {
+			s.model(task.Step.Model).waiting = true
 		}
 	}
 }
@@ -191,7 +189,7 @@
 		return false
 	case known.loads(task.Step.Model):
 		return false
-	case len(known.running) >= max(known.backend.Slots, 1):
+	case known.freeSlots() <= 0:
 		return false
 	case version < task.Step.OldestVersion:
 		return false
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -110,11 +110,10 @@
 	task.State = Waiting
 }
 
-// requeue puts the task at the front of its step's queue: it has been waited
-// for the longest.
+// requeue has the task wait for another run.
 func (s *Scheduler) requeue(task *Task) {
-	if state := s.steps[task.Step.ID]; state != nil {
-		state.queue = slices.Insert(state.queue, 0, task)
+	if s.steps[task.Step.ID] != nil {
+		s.waiting.add(task)
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -49,9 +49,11 @@
 type Scheduler struct {
 	engines map[string]*engine
 	// order lists the engines' IDs, sorted.
-	order  []string
-	steps  map[string]*stepState
-	models map[string]*modelState
+	order []string
+	steps map[string]*stepState
+	// waiting holds the tasks that wait for an engine.
+	waiting queue
+	models  map[string]*modelState
 	// orderAfter is the time before which an engine gets no orders.
 	orderAfter map[string]int64
 	kept       *keptTexts
@@ -69,8 +71,6 @@
 type stepState struct {
 	step  *ledger.Step
 	tasks []*Task
-	// queue holds the tasks in the order in which they are started.
-	queue []*Task
 	// again holds the groups that an earlier step had, with the number of the last one.
 	again map[string]int
 	// progress follows what the trainer waits for.
@@ -151,7 +151,13 @@
 	state.again = s.kept.comingAgain(step)
 	s.model(step.Model).noteReturns(step, state.again)
 	s.kept.note(step)
-	state.queue = queueOf(state)
+	needed := neededGroups(state)
+	for _, task := range state.tasks {
+		task.needed = needed[task.Sample.Group]
+		if task.State == Waiting {
+			s.waiting.add(task)
+		}
+	}
 	state.progress = progressOf(state)
 	s.steps[step.ID] = state
 	s.model(step.Model).noteStep(step)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -417,3 +417,20 @@
 	s.RunEnded(now, assignments[0].Task, assignments[0].Run, Complete)
 	require.Zero(t, s.engines["e00"].rejections)
 }
+
+// TestWhatIsLeftOfAnEarlierStepGoesFirst: a long sample of a step that is due soon
+// starts before short ones of a later step, also where its own trainer probably does
+// not wait for it. Found on a day on which a new leader started it 1.8 s late.
+func TestWhatIsLeftOfAnEarlierStepGoesFirst(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(1, 1, "a"), nil)
+	earlier, later := entry("earlier", "a", 1, 5), entry("later", "a", 1, 8)
+	earlier.Step.Wanted, earlier.Step.DueAt = 1, 3000
+	earlier.Step.Samples[4].Predicted = 100
+	later.Step.Wanted, later.Step.DueAt = 1, 7000
+	s.AddStep(earlier)
+	s.AddStep(later)
+	first := s.Assign(0, anywhere)[0].Task
+	require.Equal(t, "earlier-4", first.Sample.ID)
+	require.False(t, first.needed)
+}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -67,6 +67,9 @@
 	moves  int
 	// fruitless counts the runs in a row that added nothing to a kept text.
 	fruitless int
+	// latestStart is when the task should start at the latest, as of the last time
+	// that the waiting tasks were put in order; see queue.
+	latestStart float64
 	// needed is set on tasks of groups that the trainer waits for.
 	needed bool
 	// counted is set once the progress of the step has taken the task in as finished.
--- a/scheduler/weights.go
+++ b/scheduler/weights.go
@@ -186,11 +186,8 @@
 // waiting samples.
 func (s *Scheduler) waitingMillis(model *modelState) float64 {
 	tokens := 0
-	for _, state := range s.steps {
-		if state.step.Model != model.name {
-			continue
-		}
-		for _, task := range state.queue {
+	for _, task := range s.waiting.tasks {
+		if task.State == Waiting && task.Step.Model == model.name {
 			tokens += max(task.Sample.Predicted, 1)
 		}
 	}
