--- a/replica/replica.go
+++ b/replica/replica.go
@@ -130,14 +130,14 @@
 		store.Close()
 		return nil, err
 	}
-	returning := 0
+	lastLeaderWait := 0
 	if settings.KeepLeader {
-		returning = lastLeaderTicks
+		lastLeaderWait = lastLeaderTicks
 	}
 	core, err := NewCore(CoreConfig{
 		Consensus: consensus.Config{
 			ID: contents.Identity.Replica, ElectionTicks: electionTicks, FirstElectionTicks: firstElectionTicks, HeartbeatTicks: heartbeatTicks,
-			LastLeaderTicks: returning, MaxAppendBytes: maxAppendBytes, Seed: rand.Uint64(),
+			LastLeaderTicks: lastLeaderWait, MaxAppendBytes: maxAppendBytes, Seed: rand.Uint64(),
 			HardState: contents.HardState, Snapshot: contents.Snapshot, Entries: contents.Entries,
 		},
 		Address: settings.Address, Voters: settings.Voters, Standby: settings.Standby, SilentTicks: silentTicks,
--- a/scheduler/progress_test.go
+++ b/scheduler/progress_test.go
@@ -32,20 +32,27 @@
 	require.False(t, finishGroup(s, "x", 1))
 }
 
+// laterStep returns a second step of three groups, of which its trainer waits for one.
+// The group at the given place is one that the first step had, "g0".
+func laterStep(again int) *ledger.Entry {
+	step := entry("y", "m", 1, 12)
+	step.Step.Number, step.Step.Wanted = 1, 1
+	for position := range step.Step.Samples {
+		step.Step.Samples[position].Group = fmt.Sprintf("new%d", position/4)
+		if position/4 == again {
+			step.Step.Samples[position].Group = "g0"
+		}
+	}
+	return step
+}
+
 // TestStepWaitsForGroupsThatComeAgain: whichever others are whole.
 func TestStepWaitsForGroupsThatComeAgain(t *testing.T) {
 	s := New()
 	first := entry("x", "m", 1, 12)
 	s.AddStep(first)
 	s.EndStep("x")
-	step := entry("y", "m", 1, 12)
-	step.Step.Number, step.Step.Wanted = 1, 1
-	for position := range step.Step.Samples {
-		if position >= 4 {
-			step.Step.Samples[position].Group = "new" + step.Step.Samples[position].Group
-		}
-	}
-	s.AddStep(step)
+	s.AddStep(laterStep(0))
 	require.False(t, finishGroup(s, "y", 1))
 	require.True(t, finishGroup(s, "y", 0))
 }
@@ -107,17 +114,8 @@
 // step itself waits for the groups that it had as well.
 func TestGroupsComeAgainUnderTheNextLeader(t *testing.T) {
 	s := New()
-	earlier, step := entry("x", "m", 1, 4), entry("y", "m", 1, 12)
-	step.Step.Number, step.Step.Wanted = 1, 1
-	for position := range step.Step.Samples {
-		if position < 8 {
-			step.Step.Samples[position].Group = "new" + step.Step.Samples[position].Group
-		} else {
-			step.Step.Samples[position].Group = "g0"
-		}
-	}
-	s.NoteEnded(earlier.Step)
-	s.AddStep(step)
+	s.NoteEnded(entry("x", "m", 1, 4).Step)
+	s.AddStep(laterStep(2))
 	require.False(t, finishGroup(s, "y", 0))
 	require.True(t, finishGroup(s, "y", 2))
 }
--- a/server/executor.go
+++ b/server/executor.go
@@ -79,7 +79,7 @@
 		checkpointed: map[*scheduler.Task]uint64{}, known: map[string]bool{},
 	}
 	t.deferOrders()
-	t.takeOver()
+	t.loadHistory()
 	go t.follow(stop)
 	t.loop.Run(leadership, executorTick, t.tick, t.flush)
 }
@@ -127,9 +127,9 @@
 	}
 }
 
-// takeOver tells the scheduler of the steps that an earlier leader has seen end,
+// loadHistory tells the scheduler of the steps that an earlier leader has seen end,
 // and of the engines' paces that it has observed.
-func (t *tenure) takeOver() {
+func (t *tenure) loadHistory() {
 	t.replica.Do(func() {
 		t.scheduler.TakePaces(t.machine.Paces())
 		for _, entry := range t.machine.Steps() {
@@ -223,7 +223,7 @@
 	})
 	if !unchanged {
 		t.endClosed(open)
-		t.noteTakenOver(open)
+		t.logTakenOver(open)
 	}
 	for _, task := range whole {
 		event.SampleKept.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).Uint("events", task.Text.Last).Send()
@@ -231,8 +231,8 @@
 	}
 }
 
-// noteTakenOver says which runs ahead the newest of the open steps have taken over.
-func (t *tenure) noteTakenOver(open []*ledger.Entry) {
+// logTakenOver says which runs ahead the newest of the open steps have taken over.
+func (t *tenure) logTakenOver(open []*ledger.Entry) {
 	for _, entry := range open {
 		if t.known[entry.Step.ID] {
 			continue
