--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -14,6 +14,9 @@
 	// Expected is the number of events that are expected to come, and Pace the
 	// engine's time between events in milliseconds, 0 if unknown.
 	Expected, Pace float64
+	// Spare is how much later the run could have begun, in milliseconds, for its step
+	// to be whole when due, by which waiting tasks are ordered; negative if it is late.
+	Spare int64
 }
 
 // ServiceOf tells the services that may run a sample, and whether a route leads there.
@@ -36,7 +39,9 @@
 		if ok {
 			task.Run++
 			task.Attempts++
-			assignments = append(assignments, s.assignment(task, backend))
+			assignment := s.assignment(task, backend)
+			assignment.Spare = int64(task.latestStart) - now
+			assignments = append(assignments, assignment)
 		}
 		return ok
 	})
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -8,9 +8,9 @@
 const (
 	// defaultPace is the time between events in milliseconds until one is observed.
 	defaultPace = 40
-	// spareMillis is added to the latest start of a task that the trainer probably
+	// unneededMillis is added to the latest start of a task that the trainer probably
 	// does not wait for, and priorityMillis for each rank of the step's priority.
-	spareMillis    = 1500
+	unneededMillis = 1500
 	priorityMillis = 10000
 )
 
@@ -50,7 +50,7 @@
 func (task *Task) latestStartAt(pace float64) float64 {
 	latest := float64(task.Step.DueAt) - task.remaining(task.Text.Last)*pace
 	if !task.needed {
-		latest += spareMillis
+		latest += unneededMillis
 	}
 	return latest + float64(task.Step.Priority)*priorityMillis
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -430,7 +430,8 @@
 	later.Step.Wanted, later.Step.DueAt = 1, 7000
 	s.AddStep(earlier)
 	s.AddStep(later)
-	first := s.Assign(0, anywhere)[0].Task
-	require.Equal(t, "earlier-4", first.Sample.ID)
-	require.False(t, first.needed)
+	first := s.Assign(0, anywhere)[0]
+	require.Equal(t, "earlier-4", first.Task.Sample.ID)
+	require.False(t, first.Task.needed)
+	require.Equal(t, int64(3000-100*defaultPace+unneededMillis), first.Spare)
 }
--- a/server/run.go
+++ b/server/run.go
@@ -82,7 +82,8 @@
 	t.cancels[task] = cancel
 	event.SampleStarted.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).
 		Str("engine", assignment.Backend.ID).Uint("attempt", uint64(task.Attempts)).Uint("after", task.Text.Last).
-		Uint("expected", uint64(assignment.Expected)).Uint("pace", micros(assignment.Pace)).Uint("ahead", boolToUint(task.IsAhead())).Send()
+		Uint("expected", uint64(assignment.Expected)).Uint("pace", micros(assignment.Pace)).Uint("ahead", boolToUint(task.IsAhead())).
+		Int("spare_ms", assignment.Spare).Send()
 	request := RunRequest{Backend: assignment.Backend, Host: task.Step.Host, Sample: task.Sample, After: task.Text.Last}
 	progress := newRunProgress(task.Text)
 	t.progress[task] = progress
