A reward call that is cancelled tells nothing of its sample; ended contexts propose nothing

The end of the leadership cancels reward calls, and callReward took that for a call that had failed as often as its route allows. The results were not recorded there, since the context had ended and another replica led; but Replica.ask proposed for an ended context as well, so that a replica that leads again at once could have committed samples as dead that were sound.

Change: callReward tells scored, failed and cancelled apart, and the last is dropped; ask starts nothing for a context that has ended.

Tests: TestNothingIsProposedForAnEndedContext failed before (7, 8, 9 committed instead of 7, 9). TestCancelledRewardCallTellsNothing was written with the mend; the function it calls told "failed" in its place before. What TestReplicaOutlivesFullDisk checks is unchanged; its set-up is shared now.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -356,8 +356,13 @@
 	r.loop.Call(func() { r.core.SetRetiring(retiring) })
 }
 
-// ask starts a request under an ID in the loop and waits for its reply.
+// ask starts a request under an ID in the loop and waits for its reply. Nothing is
+// started for a context that has ended: its owner may have lost the leadership that
+// it acts under, while this replica leads again.
 func (r *Replica) ask(ctx context.Context, start func(id uint64)) Reply {
+	if ctx.Err() != nil {
+		return Reply{Outcome: NotLeader}
+	}
 	answered := make(chan Reply, 1)
 	var id uint64
 	queued := r.loop.Call(func() {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -47,9 +48,8 @@
 func (s *refusingStore) DropLog(uint64) error                                       { return nil }
 func (s *refusingStore) Close() error                                               { return nil }
 
-// TestReplicaOutlivesFullDisk: a disk that refuses writes for a while does not
-// end the process, and a command is acknowledged once it is written.
-func TestReplicaOutlivesFullDisk(t *testing.T) {
+// runAlone runs a replica that is its group's only member until the test ends.
+func runAlone(t *testing.T, store *refusingStore) (*Replica, *numbers) {
 	logger := zerolog.Nop()
 	member := consensus.Member{ID: 1, Address: "127.0.0.1:1", Voter: true}
 	machine := &numbers{}
@@ -62,20 +62,54 @@
 		Address: member.Address, Voters: 1, SilentTicks: silentTicks, SnapshotBytes: snapshotBytes,
 	}, machine, strings.NewReader(""))
 	require.NoError(t, err)
-	store := &refusingStore{refusals: 3}
 	r := newReplica(Settings{Address: member.Address, Contacts: func() []string { return nil }}, store, core, &logger)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- r.Run(ctx) }()
-	command := binary.BigEndian.AppendUint64(nil, 7)
+	t.Cleanup(func() {
+		stop()
+		require.NoError(t, <-ended)
+	})
+	return r, machine
+}
+
+// executeSoon repeats the command until it is acknowledged.
+func executeSoon(t *testing.T, r *Replica, number uint64) {
 	require.Eventually(t, func() bool {
-		_, err := r.Execute(ctx, command)
+		_, err := r.Execute(context.Background(), binary.BigEndian.AppendUint64(nil, number))
 		return err == nil
 	}, eventually, TickInterval)
-	require.NoError(t, r.Confirm(ctx))
-	r.Do(func() { require.Equal(t, []uint64{7}, machine.list) })
-	stop()
-	require.NoError(t, <-ended)
+}
+
+func listOf(r *Replica, machine *numbers) []uint64 {
+	var list []uint64
+	r.Do(func() { list = slices.Clone(machine.list) })
+	return list
+}
+
+// TestReplicaOutlivesFullDisk: a disk that refuses writes for a while does not
+// end the process, and a command is acknowledged once it is written.
+func TestReplicaOutlivesFullDisk(t *testing.T) {
+	store := &refusingStore{refusals: 3}
+	r, machine := runAlone(t, store)
+	executeSoon(t, r, 7)
+	require.NoError(t, r.Confirm(context.Background()))
+	require.Equal(t, []uint64{7}, listOf(r, machine))
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
 	require.Zero(t, store.refusals)
 	require.Positive(t, store.saved)
 }
+
+// TestNothingIsProposedForAnEndedContext: what a leader decided before it lost its
+// leadership is not committed by the same replica under its next one.
+func TestNothingIsProposedForAnEndedContext(t *testing.T) {
+	r, machine := runAlone(t, &refusingStore{})
+	executeSoon(t, r, 7)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := r.Execute(ended, binary.BigEndian.AppendUint64(nil, 8))
+	require.Error(t, err)
+	executeSoon(t, r, 9)
+	require.Equal(t, []uint64{7, 9}, listOf(r, machine))
+}
--- a/server/score.go
+++ b/server/score.go
@@ -23,17 +23,31 @@
 	t.cancels[task] = cancel
 	go func() {
 		defer cancel()
-		score, failed := t.callReward(scoreContext, task)
-		t.loop.Call(func() { t.scored(task, score, failed) })
+		score, end := t.callReward(scoreContext, task)
+		if end != rewardCancelled {
+			t.loop.Call(func() { t.scored(task, score, end) })
+		}
 	}()
 }
 
-func (t *tenure) scored(task *scheduler.Task, score string, failed bool) {
+// rewardEnd is how a reward call ended.
+type rewardEnd uint8
+
+const (
+	rewardScored rewardEnd = iota + 1
+	// rewardFailed: the call was answered with a failure as often as its route allows.
+	rewardFailed
+	// rewardCancelled: it is not wanted any more, or the leadership has ended. That
+	// tells nothing of the sample.
+	rewardCancelled
+)
+
+func (t *tenure) scored(task *scheduler.Task, score string, end rewardEnd) {
 	if task.State != scheduler.Scoring {
 		return
 	}
 	delete(t.cancels, task)
-	if failed {
+	if end == rewardFailed {
 		t.finish(task, ledger.Result{Sample: task.Sample.ID, State: ledger.Dead}, "no score")
 		return
 	}
@@ -48,8 +62,8 @@
 }
 
 // callReward repeats the reward call until it is answered with a success, or
-// has failed as often as its route allows. It tells whether it has failed.
-func (t *tenure) callReward(ctx context.Context, task *scheduler.Task) (score string, failed bool) {
+// has failed as often as its route allows.
+func (t *tenure) callReward(ctx context.Context, task *scheduler.Task) (score string, end rewardEnd) {
 	reward := task.Sample.Reward
 	failures := 0
 	for ctx.Err() == nil {
@@ -59,11 +73,11 @@
 		if ok {
 			result := t.sendReward(ctx, catalog, route, reward)
 			if result.Response != nil && result.Response.Status/100 == 2 {
-				return result.Response.Signature, false
+				return result.Response.Signature, rewardScored
 			}
 			failures += result.Failures
 			if failures >= max(route.Attempts, 1) {
-				return "", true
+				return "", rewardFailed
 			}
 		}
 		select {
@@ -71,7 +85,7 @@
 		case <-time.After(rewardBackoff):
 		}
 	}
-	return "", true
+	return "", rewardCancelled
 }
 
 func (t *tenure) sendReward(ctx context.Context, catalog *directory.Catalog, route routing.Route, reward *ledger.Reward) forward.Result {
