Runners: other stores hold the streams of runs for the ledger's leader

Change: package runner. The leader still decides which engine runs what; a store of the engine's zone holds the stream and reports events each 100 ms, many runs in one message, and ends of runs after 10 ms. A link that is silent ends with its runs, which go on elsewhere after what they have. A start that a runner takes in late (it stood still) is not begun. From 200 slots on (runners_from_slots); below that nothing changes.

Tests: package runner over loopback (whole run, gap, cancel, lost runner, lost leader, late start, choice); platform: streams held by others, a run that goes on when its runner is lost.

Also: frames of the transport and packed CBOR stand once (transport.WriteFrame, pack.Encode).

--- a/event/event.go
+++ b/event/event.go
@@ -84,6 +84,10 @@
 	EngineInspected   = Event{6016, zerolog.InfoLevel, "a new leader has asked an engine what it holds"}
 	ResultsIncomplete = Event{6017, zerolog.WarnLevel, "results did not go on from the texts that are kept"}
 	PacesRecorded     = Event{6018, zerolog.InfoLevel, "the engines' paces were recorded"}
+	RunnerLinkOpened  = Event{6019, zerolog.InfoLevel, "this store holds streams of runs for a leader"}
+	RunnerLinkEnded   = Event{6020, zerolog.InfoLevel, "this store holds streams for the leader no more"}
+	RunnerFound       = Event{6021, zerolog.InfoLevel, "a store can hold streams of runs"}
+	RunnerLost        = Event{6022, zerolog.WarnLevel, "a store that held streams of runs was lost"}
 
 	RequestEnded     = Event{7001, zerolog.InfoLevel, "a request has ended"}
 	GatewayStarted   = Event{7002, zerolog.InfoLevel, "gateway started"}
@@ -102,7 +106,7 @@
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
 	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed,
-	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded,
+	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkEnded, RunnerFound, RunnerLost,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, NearStoreAvoided,
 }
 
--- a/internal/pack/pack.go
+++ b/internal/pack/pack.go
@@ -9,6 +9,7 @@
 	"io"
 	"sync"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 )
 
@@ -69,3 +70,21 @@
 	}
 	return message, nil
 }
+
+// Encode returns the value in CBOR, packed. The value must encode to a map.
+func Encode(value any) []byte {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		panic("pack: an internal message must encode: " + err.Error())
+	}
+	return Pack(data)
+}
+
+// Decode reads what Encode returned, of the most bytes unpacked.
+func Decode(data []byte, most int, into any) error {
+	unpacked, err := Unpack(data, most)
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(unpacked, into)
+}
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -176,9 +176,6 @@
 // or one of the decoder's.
 func decodeCommand(data []byte) (Command, error) {
 	var command Command
-	unpacked, err := pack.Unpack(data, maxCommandBytes)
-	if err == nil {
-		err = cbor.Unmarshal(unpacked, &command)
-	}
+	err := pack.Decode(data, maxCommandBytes, &command)
 	return command, err
 }
--- /dev/null
+++ b/runner/link.go
@@ -0,0 +1,238 @@
+package runner
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/scheduler"
+)
+
+const (
+	// minBackoff and maxBackoff are the times between two attempts to open a link.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 2 * time.Second
+)
+
+var errRefused = errorx.NewNamespace("runner").NewType("link_refused")
+
+// link is a link as the leader sees it. It is opened again whenever it has ended.
+type link struct {
+	pool    *Pool
+	address string
+	// store belongs to the pool's mutex.
+	store   Store
+	name    string
+	context context.Context
+	cancel  context.CancelFunc
+	up      atomic.Bool
+	// changed tells that there are commands to send.
+	changed chan struct{}
+
+	mutex   sync.Mutex
+	runs    map[uint64]*linkRun
+	nextRun uint64
+	pending commands
+}
+
+// linkRun is a run that the link's runner holds.
+type linkRun struct {
+	each  func(Batch)
+	ended chan scheduler.RunEnd
+}
+
+func newLink(pool *Pool, store Store) *link {
+	ctx, cancel := context.WithCancel(pool.context)
+	opened := &link{
+		pool: pool, address: store.Address, store: store, name: store.Name, context: ctx, cancel: cancel,
+		changed: make(chan struct{}, 1), runs: map[uint64]*linkRun{},
+	}
+	go opened.keepOpen()
+	return opened
+}
+
+// Name implements Runs.
+func (l *link) Name() string { return l.name }
+
+// Run implements Runs.
+func (l *link) Run(ctx context.Context, request Request, each func(Batch)) scheduler.RunEnd {
+	run := &linkRun{each: each, ended: make(chan scheduler.RunEnd, 1)}
+	number, ok := l.ask(run, request)
+	if !ok {
+		return scheduler.Interrupted
+	}
+	select {
+	case end := <-run.ended:
+		return end
+	case <-ctx.Done():
+		l.abandon(number)
+		return scheduler.Broken
+	}
+}
+
+// ask queues the start of a run. It fails on a link that has ended.
+func (l *link) ask(run *linkRun, request Request) (number uint64, ok bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.up.Load() {
+		return 0, false
+	}
+	l.nextRun++
+	l.runs[l.nextRun] = run
+	sample := *request.Sample
+	// The leader has samples scored itself.
+	sample.Reward = nil
+	l.pending.Starts = append(l.pending.Starts, start{
+		Run: l.nextRun, Backend: request.Backend, Host: request.Host, Sample: &sample, After: request.After,
+	})
+	wake(l.changed)
+	return l.nextRun, true
+}
+
+// abandon has the runner end a run, whose end is not waited for.
+func (l *link) abandon(number uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.runs[number] == nil {
+		return
+	}
+	delete(l.runs, number)
+	l.pending.Cancels = append(l.pending.Cancels, number)
+	wake(l.changed)
+}
+
+// keepOpen opens the link again and again.
+func (l *link) keepOpen() {
+	backoff := minBackoff
+	for l.context.Err() == nil {
+		opened, err := l.carry()
+		if opened {
+			backoff = minBackoff
+			event.RunnerLost.On(l.pool.logger).Str("runner", l.name).Uint("runs", uint64(l.interruptRuns())).Err(err).Send()
+		}
+		sleep(l.context, backoff)
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// carry opens the link and carries it on until it ends.
+func (l *link) carry() (opened bool, err error) {
+	ctx, cancel := context.WithCancel(l.context)
+	defer cancel()
+	body, commandWriter := io.Pipe()
+	defer body.Close()
+	defer commandWriter.Close()
+	silence := time.AfterFunc(runnerSilence, cancel)
+	defer silence.Stop()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.address+Path, body)
+	if err != nil {
+		return false, err
+	}
+	response, err := l.pool.client.Do(request)
+	if err != nil {
+		return false, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return false, errRefused.New("status %d", response.StatusCode)
+	}
+	var heard atomic.Uint64
+	l.open()
+	event.RunnerFound.On(l.pool.logger).Str("runner", l.name).Int("ms", time.Since(l.pool.begun).Milliseconds()).Send()
+	go func() {
+		defer cancel()
+		l.sendCommands(ctx, commandWriter, &heard)
+	}()
+	return true, l.takeReports(bufio.NewReader(response.Body), silence, &heard)
+}
+
+func (l *link) open() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.pending = commands{}
+	l.up.Store(true)
+}
+
+// interruptRuns ends the runs of a link that has ended, and returns their number.
+func (l *link) interruptRuns() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.up.Store(false)
+	interrupted := len(l.runs)
+	for _, run := range l.runs {
+		run.ended <- scheduler.Interrupted
+	}
+	clear(l.runs)
+	return interrupted
+}
+
+// sendCommands writes the commands that gather, and a message now and then if there
+// are none.
+func (l *link) sendCommands(ctx context.Context, writer io.Writer, heard *atomic.Uint64) {
+	buffered := bufio.NewWriter(writer)
+	keepalive := time.NewTimer(0)
+	defer keepalive.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.changed:
+		case <-keepalive.C:
+		}
+		message := l.takePending()
+		message.Heard = heard.Load()
+		if writeMessage(buffered, message) != nil || buffered.Flush() != nil {
+			return
+		}
+		keepalive.Reset(keepaliveInterval)
+	}
+}
+
+func (l *link) takePending() commands {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	pending := l.pending
+	l.pending = commands{}
+	return pending
+}
+
+// takeReports takes in reports until the link ends.
+func (l *link) takeReports(reader *bufio.Reader, silence *time.Timer, heard *atomic.Uint64) error {
+	for {
+		var message report
+		if err := readMessage(reader, &message); err != nil {
+			return err
+		}
+		silence.Reset(runnerSilence)
+		heard.Store(message.Number)
+		for _, news := range message.Runs {
+			l.takeNews(news)
+		}
+	}
+}
+
+// takeNews hands a run's news on. A run that was abandoned has none.
+func (l *link) takeNews(news runReport) {
+	l.mutex.Lock()
+	run := l.runs[news.Run]
+	if news.End != 0 {
+		delete(l.runs, news.Run)
+	}
+	l.mutex.Unlock()
+	if run == nil {
+		return
+	}
+	if len(news.Batch.Events) > 0 {
+		run.each(news.Batch)
+	}
+	if news.End != 0 {
+		run.ended <- news.End
+	}
+}
--- /dev/null
+++ b/runner/pool.go
@@ -0,0 +1,114 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/transport"
+)
+
+const (
+	// settleTime is how long a new leader waits for links before it has runs begin
+	// by the runners that it has.
+	settleTime = 300 * time.Millisecond
+	// settledShare is the share of the links that it waits for no longer.
+	settledShare = 0.75
+)
+
+// Pool is what the leader has of runners: a link to each. Its methods may be called
+// from several goroutines.
+type Pool struct {
+	context context.Context
+	local   Runs
+	client  *http.Client
+	logger  *zerolog.Logger
+	// begun is when the pool was made.
+	begun time.Time
+
+	mutex sync.Mutex
+	links map[string]*link
+}
+
+// NewPool returns a pool without links. The engine client serves where there is no
+// runner. All links end with the context.
+func NewPool(ctx context.Context, engine Engine, logger *zerolog.Logger) *Pool {
+	return &Pool{
+		context: ctx, local: local{engine: engine}, logger: logger, begun: time.Now(),
+		client: &http.Client{Transport: transport.NewInternalTransport()}, links: map[string]*link{},
+	}
+}
+
+// Follow opens links to stores that are new, and ends those to stores that are gone
+// or have another address.
+func (p *Pool) Follow(stores []Store) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	wanted := make(map[string]bool, len(stores))
+	for _, store := range stores {
+		wanted[store.Name] = true
+		known := p.links[store.Name]
+		if known != nil && known.address == store.Address {
+			known.store = store
+			continue
+		}
+		if known != nil {
+			known.cancel()
+		}
+		p.links[store.Name] = newLink(p, store)
+	}
+	for name, known := range p.links {
+		if !wanted[name] {
+			known.cancel()
+			delete(p.links, name)
+		}
+	}
+}
+
+// For returns who is to hold the streams of the engine's runs.
+func (p *Pool) For(engine directory.Backend) Runs {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var best *link
+	for _, one := range p.links {
+		if one.up.Load() && (best == nil || one.store.preferredTo(best.store, engine.ID, engine.Zone)) {
+			best = one
+		}
+	}
+	if best == nil {
+		return p.local
+	}
+	return best
+}
+
+// Settled tells whether runs may begin: most links are open, or they were waited for
+// long enough.
+func (p *Pool) Settled() bool {
+	if time.Since(p.begun) > settleTime {
+		return true
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return float64(p.open()) >= settledShare*float64(len(p.links))
+}
+
+// Open returns the number of links that are open.
+func (p *Pool) Open() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.open()
+}
+
+func (p *Pool) open() int {
+	open := 0
+	for _, one := range p.links {
+		if one.up.Load() {
+			open++
+		}
+	}
+	return open
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,75 @@
+// Package runner spreads the runs of samples over the stores of a deployment. The
+// leader of the ledger decides which engine runs a sample; another store, the run's
+// runner, holds the stream of the engine and reports what comes to the leader, many
+// events at once. A leader that held hundreds of streams itself would spend its
+// processor on them, and be late with its heartbeats to the other replicas.
+//
+// Pool is the leader's side and Server the runner's. Between them stands a link: one
+// HTTP request, whose body carries commands and whose answer carries reports. Either
+// side ends a link that has been silent for too long, and with it all of its runs.
+package runner
+
+import (
+	"context"
+
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/ledger"
+	"github.com/dillchute/dillchute/scheduler"
+)
+
+// Request is a sample to be run, or continued after an event, on an engine.
+type Request struct {
+	Backend directory.Backend
+	Host    string
+	Sample  *ledger.Sample
+	// After is the ID of the last event that is kept; 0 begins anew.
+	After uint64
+}
+
+// Event is one whole event of an engine's stream.
+type Event struct {
+	ID   uint64
+	Data string
+	// Version of the weights that made it.
+	Version uint64
+}
+
+// Engine speaks to engines.
+type Engine interface {
+	// Run streams the sample's events to the function until the run ends.
+	Run(ctx context.Context, request Request, each func(Event)) scheduler.RunEnd
+}
+
+// Batch is a part of a run's text: events that follow each other.
+type Batch struct {
+	// First is the ID of the first event.
+	First uint64 `cbor:"1,keyasint,omitempty"`
+	// Events holds their data.
+	Events []string `cbor:"2,keyasint,omitempty"`
+	// Versions are those of the weights that made the events, 0 for unknown.
+	Versions []uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Runs carries out runs.
+type Runs interface {
+	// Name is that of the store that holds the streams, or "" for this process.
+	Name() string
+	// Run hands the run's text to the function, part by part and in order, until the
+	// run ends. It is Interrupted if the runner is lost.
+	Run(ctx context.Context, request Request, each func(Batch)) scheduler.RunEnd
+}
+
+// local is the process itself as a runner.
+type local struct {
+	engine Engine
+}
+
+// Name implements Runs.
+func (l local) Name() string { return "" }
+
+// Run implements Runs.
+func (l local) Run(ctx context.Context, request Request, each func(Batch)) scheduler.RunEnd {
+	return l.engine.Run(ctx, request, func(event Event) {
+		each(Batch{First: event.ID, Events: []string{event.Data}, Versions: []uint64{event.Version}})
+	})
+}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -25,6 +25,9 @@
 	Failed
 	// Impossible: the sample can never be done.
 	Impossible
+	// Interrupted: the process that held the stream was lost, which tells nothing of
+	// the engine; what came may be continued.
+	Interrupted
 )
 
 // RunEnded takes in the end of a run. It tells whether the run was the task's
--- a/server/checkpoint.go
+++ b/server/checkpoint.go
@@ -7,6 +7,7 @@
 
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/ledger"
+	"github.com/dillchute/dillchute/runner"
 	"github.com/dillchute/dillchute/scheduler"
 )
 
@@ -20,9 +21,16 @@
 	checkpointBytes = 512 << 10
 )
 
+// reportFreshness is how long the newest part of a run that another store holds tells
+// how far the run is: no news for longer means that its engine stands still.
+const reportFreshness = 250 * time.Millisecond
+
 // runProgress is the text of a run under way. The run's goroutine extends it,
 // and the loop reads it.
 type runProgress struct {
+	// reported is set if another store holds the stream, whose events come by
+	// reports.
+	reported bool
 	// checkpointedAt is when the text was last kept, or when the run began. It
 	// belongs to the loop.
 	checkpointedAt time.Time
@@ -30,28 +38,33 @@
 	mutex  sync.Mutex
 	text   scheduler.Text
 	events int
+	// newest is when the newest part came, in milliseconds.
+	newest int64
 }
 
 // newRunProgress returns the progress of a run that continues the text.
-func newRunProgress(text scheduler.Text) *runProgress {
-	return &runProgress{checkpointedAt: time.Now(), text: scheduler.Text{
+func newRunProgress(text scheduler.Text, reported bool) *runProgress {
+	return &runProgress{checkpointedAt: time.Now(), reported: reported, text: scheduler.Text{
 		// The full slice expressions force copies: an earlier run may still append.
 		Events: text.Events[:len(text.Events):len(text.Events)], Last: text.Last,
 		Versions: text.Versions[:len(text.Versions):len(text.Versions)],
 	}}
 }
 
-// add takes in an event, and tells whether it follows the one before.
-func (p *runProgress) add(event RunEvent) bool {
+// add takes in the next part, and tells whether it follows the one before.
+func (p *runProgress) add(batch runner.Batch) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.events++
-	if event.ID != p.text.Last+1 {
+	p.events += len(batch.Events)
+	p.newest = nowMillis()
+	if batch.First != p.text.Last+1 {
 		return false
 	}
-	p.text.Events = append(p.text.Events, event.Data)
-	p.text.Last = event.ID
-	p.text.AddVersion(event.Version)
+	p.text.Events = append(p.text.Events, batch.Events...)
+	p.text.Last += uint64(len(batch.Events))
+	for _, version := range batch.Versions {
+		p.text.AddVersion(version)
+	}
 	return true
 }
 
@@ -63,6 +76,18 @@
 	return p.text, p.events
 }
 
+// observed returns the number of events since the run began, and as of when. Events
+// that come by reports tell of the time of the newest report, not of now: an engine
+// would look slow just before the next one.
+func (p *runProgress) observed(now int64) (at int64, events int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.reported && now-p.newest < reportFreshness.Milliseconds() {
+		return p.newest, p.events
+	}
+	return now, p.events
+}
+
 // checkpointedText says up to which event a task's text is kept in the ledger, and by
 // which of its runs that was found out.
 type checkpointedText struct {
--- a/server/engine.go
+++ b/server/engine.go
@@ -4,27 +4,10 @@
 	"context"
 
 	"github.com/dillchute/dillchute/directory"
-	"github.com/dillchute/dillchute/ledger"
+	"github.com/dillchute/dillchute/runner"
 	"github.com/dillchute/dillchute/scheduler"
 )
 
-// RunRequest is a sample to be run, or continued after an event, on an engine.
-type RunRequest struct {
-	Backend directory.Backend
-	Host    string
-	Sample  *ledger.Sample
-	// After is the ID of the last event that is kept; 0 begins anew.
-	After uint64
-}
-
-// RunEvent is one whole event of an engine's stream.
-type RunEvent struct {
-	ID   uint64
-	Data string
-	// Version of the weights that made it.
-	Version uint64
-}
-
 // EngineReport is what an engine says it holds, as of some time ago.
 type EngineReport struct {
 	// Sequence counts the orders that the engine has taken.
@@ -62,8 +45,7 @@
 
 // EngineClient speaks to engines.
 type EngineClient interface {
-	// Run streams the sample's events to the function until the run ends.
-	Run(ctx context.Context, request RunRequest, each func(RunEvent)) scheduler.RunEnd
+	runner.Engine
 	Load(ctx context.Context, request LoadRequest) LoadAnswer
 	Report(ctx context.Context, backend directory.Backend) (EngineReport, error)
 }
--- a/server/executor.go
+++ b/server/executor.go
@@ -14,6 +14,7 @@
 	"github.com/dillchute/dillchute/forward"
 	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/replica"
+	"github.com/dillchute/dillchute/runner"
 	"github.com/dillchute/dillchute/scheduler"
 )
 
@@ -74,7 +75,7 @@
 	defer stop()
 	t := &tenure{
 		Executor: x, context: leadership, replica: opened, machine: machine, term: term,
-		loop: eventloop.New(), scheduler: scheduler.New(),
+		loop: eventloop.New(), scheduler: scheduler.New(), runners: runner.NewPool(leadership, x.engines, x.logger),
 		cancels: map[*scheduler.Task]context.CancelFunc{}, progress: map[*scheduler.Task]*runProgress{},
 		checkpointed: map[*scheduler.Task]uint64{}, known: map[string]bool{},
 	}
@@ -93,6 +94,10 @@
 	term      uint64
 	loop      *eventloop.Loop
 	scheduler *scheduler.Scheduler
+	// runners are the stores that hold the streams of runs.
+	runners *runner.Pool
+	// spreads is set once other stores hold them.
+	spreads bool
 
 	catalog    *directory.Catalog
 	generation uint64
@@ -196,6 +201,7 @@
 		t.catalog = catalog
 		t.forwarder.Forget(catalog)
 		backends := engineBackends(catalog)
+		t.followRunners(backends)
 		if first {
 			t.inspect(backends)
 		}
@@ -278,14 +284,17 @@
 	if t.catalog == nil {
 		return nil
 	}
+	t.record()
 	now := nowMillis()
 	for _, order := range t.scheduler.Orders(now) {
 		go t.load(order)
 	}
+	if !t.runners.Settled() {
+		return nil
+	}
 	for _, assignment := range t.scheduler.Assign(now, t.servicesOf) {
 		t.start(assignment)
 	}
-	t.record()
 	return nil
 }
 
--- a/server/internal.go
+++ b/server/internal.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"strconv"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/dillchute/dillchute/internal/pack"
 )
 
@@ -23,22 +21,10 @@
 }
 
 // encodeInternal returns a call or an answer between own processes as bytes.
-func encodeInternal(value any) []byte {
-	data, err := cbor.Marshal(value)
-	if err != nil {
-		panic("server: an internal message must encode: " + err.Error())
-	}
-	return pack.Pack(data)
-}
+func encodeInternal(value any) []byte { return pack.Encode(value) }
 
 // decodeInternal reads what encodeInternal returned.
-func decodeInternal(data []byte, into any) error {
-	unpacked, err := pack.Unpack(data, maxInternalBytes)
-	if err != nil {
-		return err
-	}
-	return cbor.Unmarshal(unpacked, into)
-}
+func decodeInternal(data []byte, into any) error { return pack.Decode(data, maxInternalBytes, into) }
 
 func writeCBOR(response http.ResponseWriter, value any) {
 	data := encodeInternal(value)
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -16,6 +16,7 @@
 	"github.com/dillchute/dillchute/forward"
 	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/replica"
+	"github.com/dillchute/dillchute/runner"
 	"github.com/dillchute/dillchute/storage"
 )
 
@@ -35,7 +36,9 @@
 	machine  *ledger.Machine
 	watcher  *Watcher
 	executor *Executor
-	metrics  ledgerMetrics
+	// runs holds streams for the leader.
+	runs    *runner.Server
+	metrics ledgerMetrics
 	// identity is that of a store without data, and fresh tells that it has never
 	// had any.
 	identity consensus.ReplicaID
@@ -50,7 +53,7 @@
 	l := &Ledger{
 		settings: settings, logger: logger, machine: ledger.NewMachine(),
 		watcher:  NewWatcher(seeds, spread(settings.Name), logger),
-		identity: replica.NewIdentity(),
+		identity: replica.NewIdentity(), runs: runner.NewServer(engines, logger),
 	}
 	l.metrics = newLedgerMetrics()
 	l.executor = newExecutor(settings, l.watcher, engines, forward.New(backends, settings.Zone), l.metrics, logger)
@@ -72,6 +75,7 @@
 	router := mux.NewRouter()
 	opened.Handle(router)
 	router.HandleFunc(ledgerCallPath, l.serveCall).Methods(http.MethodPost)
+	router.Handle(runner.Path, l.runs).Methods(http.MethodPost)
 	httpServer := newHTTPServer(router)
 	serveHTTP(httpServer, internal, l.logger)
 	defer httpServer.Close()
--- a/server/role_metrics.go
+++ b/server/role_metrics.go
@@ -60,13 +60,14 @@
 
 // ledgerMetrics count what a store's executor does.
 type ledgerMetrics struct {
-	runs, samples, orders, checkpoints *prometheus.CounterVec
-	loads, records, run, steps         *prometheus.HistogramVec
+	runs, events, samples, orders, checkpoints *prometheus.CounterVec
+	loads, records, run, steps                 *prometheus.HistogramVec
 }
 
 func newLedgerMetrics() ledgerMetrics {
 	return ledgerMetrics{
 		runs:        newCounter("ledger_runs_total", "Runs of samples on engines, by their end (see event 6005).", "end"),
+		events:      newCounter("ledger_run_events_total", "Events of runs that this leader has taken in."),
 		samples:     newCounter("ledger_samples_total", "Samples with a result, by state.", "state"),
 		orders:      newCounter("ledger_orders_total", "Orders to engines, by answer (see event 6008).", "answer"),
 		checkpoints: newCounter("ledger_checkpoints_total", "Texts of runs under way that were kept."),
@@ -78,7 +79,7 @@
 }
 
 func (m ledgerMetrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.runs, m.samples, m.orders, m.checkpoints, m.loads, m.records, m.run, m.steps}
+	return []prometheus.Collector{m.runs, m.events, m.samples, m.orders, m.checkpoints, m.loads, m.records, m.run, m.steps}
 }
 
 // directoryMetrics count what a replica of the directory is asked.
@@ -130,6 +131,7 @@
 		collectReplica(emit, status)
 		collectTransport(emit, l.replica.Counts())
 	}
+	gauge(emit, "runner_runs", "Runs whose streams this store holds for the leader.", float64(l.runs.Held()))
 }
 
 func (g *Gateway) collect(emit chan<- prometheus.Metric) {
--- a/server/run.go
+++ b/server/run.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/ledger"
+	"github.com/dillchute/dillchute/runner"
 	"github.com/dillchute/dillchute/scheduler"
 )
 
@@ -17,8 +19,8 @@
 	}
 	now := nowMillis()
 	for task, progress := range t.progress {
-		_, events := progress.read()
-		t.scheduler.Observe(now, task, events)
+		at, events := progress.observed(now)
+		t.scheduler.Observe(at, task, events)
 	}
 	t.scheduler.UpdatePaces()
 	for _, move := range t.scheduler.Move(now, t.servicesOf) {
@@ -80,12 +82,13 @@
 	task := assignment.Task
 	runContext, cancel := context.WithCancel(t.context)
 	t.cancels[task] = cancel
+	runs := t.runners.For(assignment.Backend)
 	event.SampleStarted.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).
-		Str("engine", assignment.Backend.ID).Uint("attempt", uint64(task.Attempts)).Uint("after", task.Text.Last).
+		Str("engine", assignment.Backend.ID).Str("runner", runs.Name()).Uint("attempt", uint64(task.Attempts)).Uint("after", task.Text.Last).
 		Uint("expected", uint64(assignment.Expected)).Uint("pace", micros(assignment.Pace)).Uint("ahead", boolToUint(task.IsAhead())).
 		Int("spare_ms", assignment.Spare).Send()
-	request := RunRequest{Backend: assignment.Backend, Host: task.Step.Host, Sample: task.Sample, After: task.Text.Last}
-	progress := newRunProgress(task.Text)
+	request := runner.Request{Backend: assignment.Backend, Host: task.Step.Host, Sample: task.Sample, After: task.Text.Last}
+	progress := newRunProgress(task.Text, runs.Name() != "")
 	t.progress[task] = progress
 	if task.Text.Last == 0 {
 		delete(t.checkpointed, task)
@@ -98,21 +101,22 @@
 	go func() {
 		defer cancel()
 		defer func() { t.metrics.run.WithLabelValues().Observe(time.Since(began).Seconds()) }()
-		end, version := t.runTask(runContext, cancel, request, progress, stall)
+		end, version := t.runTask(runContext, cancel, runs, request, progress, stall)
 		text, _ := progress.read()
 		t.loop.Call(func() { t.runEnded(task, assignment, end, text, version) })
 	}()
 }
 
 // runTask reads a run's stream. It gives up a stream that stands still.
-func (t *tenure) runTask(ctx context.Context, cancel context.CancelFunc, request RunRequest, progress *runProgress, stall time.Duration) (scheduler.RunEnd, uint64) {
+func (t *tenure) runTask(ctx context.Context, cancel context.CancelFunc, runs runner.Runs, request runner.Request, progress *runProgress, stall time.Duration) (scheduler.RunEnd, uint64) {
 	timer := time.AfterFunc(stall, cancel)
 	defer timer.Stop()
 	version, gap := uint64(0), false
-	end := t.engines.Run(ctx, request, func(event RunEvent) {
+	end := runs.Run(ctx, request, func(batch runner.Batch) {
 		timer.Reset(stall)
-		version = max(version, event.Version)
-		if gap = gap || !progress.add(event); gap {
+		t.metrics.events.WithLabelValues().Add(float64(len(batch.Events)))
+		version = max(version, slices.Max(batch.Versions))
+		if gap = gap || !progress.add(batch); gap {
 			cancel()
 		}
 	})
--- /dev/null
+++ b/server/runners.go
@@ -0,0 +1,35 @@
+package server
+
+import (
+	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/runner"
+)
+
+// followRunners has other stores hold the streams of runs where the engines have more
+// slots than this process should hold streams of its own. Once they do they go on
+// for the rest of the leadership: a change of mind would cut every run.
+func (t *tenure) followRunners(engines []directory.Backend) {
+	slots := 0
+	for _, engine := range engines {
+		slots += engine.Slots
+	}
+	t.spreads = t.spreads || slots >= t.settings.RunnersFromSlots
+	if t.spreads {
+		t.runners.Follow(runnersOf(t.catalog, t.settings.Name))
+	}
+}
+
+// runnersOf returns the stores that may hold streams for the leader of the name.
+func runnersOf(catalog *directory.Catalog, leader string) []runner.Store {
+	group := consensus.Membership{Members: catalog.Group.Members}
+	var stores []runner.Store
+	for name, store := range catalog.Stores {
+		if name == leader || store.Retiring || store.Retired {
+			continue
+		}
+		_, member := group.Member(store.Replica)
+		stores = append(stores, runner.Store{Name: name, Address: store.Address, Zone: store.Zone, Member: member})
+	}
+	return stores
+}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -7,7 +7,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/binary"
 	"errors"
 	"io"
 	"net/http"
@@ -31,7 +30,6 @@
 	// leader of control has as many as there are nodes.
 	queueLength     = 4096
 	bufferSize      = 16 << 10
-	lengthSize      = 4
 	maxMessageBytes = 1 << 30
 	minBackoff      = 50 * time.Millisecond
 	maxBackoff      = time.Second
@@ -215,10 +213,7 @@
 	if err != nil {
 		panic("transport: a message must encode: " + err.Error())
 	}
-	if _, err := writer.Write(binary.BigEndian.AppendUint32(nil, uint32(len(data)))); err != nil {
-		return err
-	}
-	if _, err := writer.Write(data); err != nil {
+	if err := WriteFrame(writer, data); err != nil {
 		return err
 	}
 	l.transport.Counts.MessagesSent.Add(1)
@@ -267,18 +262,9 @@
 // bytes that are no message.
 func ReadMessage(reader io.Reader) (protocol.Message, int, error) {
 	var message protocol.Message
-	var prefix [lengthSize]byte
-	if _, err := io.ReadFull(reader, prefix[:]); err != nil {
-		return message, 0, io.EOF
-	}
-	length := binary.BigEndian.Uint32(prefix[:])
-	if length > maxMessageBytes {
-		return message, 0, ErrMalformed.New("a message of %d bytes", length)
-	}
-	// The buffer grows with what arrives, not with what the prefix claims.
-	data, err := io.ReadAll(io.LimitReader(reader, int64(length)))
-	if err != nil || len(data) < int(length) {
-		return message, 0, io.EOF
+	data, err := ReadFrame(reader, maxMessageBytes)
+	if err != nil {
+		return message, 0, err
 	}
 	if err := decoder.Unmarshal(data, &message); err != nil {
 		return message, 0, ErrMalformed.Wrap(err, "decode")
