Scheduler: a demand that no engine meets is looked for once a call

No change of what is decided: where no engine may run one sample, none may run another with the same demand until room is made, and none is made within a call.

--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -28,7 +28,9 @@
 }
 
 // unreachable is the engine client of a leader that must not run anything itself.
-func unreachable(context.Context, Request, func(Event)) scheduler.RunEnd { return scheduler.Unreachable }
+func unreachable(context.Context, Request, func(Event)) scheduler.RunEnd {
+	return scheduler.Unreachable
+}
 
 // linked is a pool with an open link to one runner.
 type linked struct {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/dillchute/dillchute/directory"
 )
@@ -31,11 +32,19 @@
 	}
 	s.waiting.sort(s.paceOrDefault())
 	var assignments []Assignment
+	unplaced := map[demand]bool{}
 	s.waiting.take(func(task *Task) bool {
 		if len(assignments) == room {
 			return false
 		}
-		backend, ok := s.place(now, task, serviceOf)
+		services, ok := serviceOf(task)
+		if !ok || unplaced[demandOf(task, services)] {
+			return false
+		}
+		backend, ok := s.place(now, task, services)
+		if !ok {
+			unplaced[demandOf(task, services)] = true
+		}
 		if ok {
 			task.Run++
 			task.Attempts++
@@ -90,12 +99,26 @@
 	return states
 }
 
-// place chooses an engine for the task and counts it there.
-func (s *Scheduler) place(now int64, task *Task, serviceOf ServiceOf) (directory.Backend, bool) {
-	services, ok := serviceOf(task)
-	if !ok {
-		return directory.Backend{}, false
+// demand is what decides whether an engine may run a task. Where there is none for one
+// task there is none for others with the same demand, until room is made.
+type demand struct {
+	services string
+	model    string
+	// oldest is the oldest version that will do, and only the one that must be held
+	// where a text has begun that allows one alone, or 0.
+	oldest, only uint64
+}
+
+func demandOf(task *Task, services []string) demand {
+	wanted := demand{services: strings.Join(services, " "), model: task.Step.Model, oldest: task.Step.OldestVersion}
+	if task.Step.SingleVersion && len(task.Text.Versions) > 0 {
+		wanted.only = task.Text.Versions[0]
 	}
+	return wanted
+}
+
+// place chooses an engine for the task and counts it there.
+func (s *Scheduler) place(now int64, task *Task, services []string) (directory.Backend, bool) {
 	var least, mate *engine
 	leastCost, mateCost := 0.0, 0.0
 	for _, id := range s.order {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -435,3 +435,37 @@
 	require.False(t, first.Task.needed)
 	require.Equal(t, int64(3000-100*defaultPace+unneededMillis), first.Spare)
 }
+
+// TestSamplesWithoutAnEngineHoldUpNoOthers: samples that no engine may run leave those
+// behind them their room, whatever their demands have in common.
+func TestSamplesWithoutAnEngineHoldUpNoOthers(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(2, 8, "a", "b"), map[string]uint64{"a": 2, "b": 1})
+	s.AddStep(entry("newer", "a", 2, 4))
+	s.AddStep(entry("older", "a", 1, 4))
+	s.AddStep(entry("other", "b", 1, 4))
+	elsewhere := entry("elsewhere", "b", 1, 4)
+	s.AddStep(elsewhere)
+	serviceOf := func(task *Task) ([]string, bool) {
+		if task.Step == elsewhere.Step {
+			return []string{"unknown"}, true
+		}
+		return []string{"engines"}, true
+	}
+	started := map[string]int{}
+	for _, assignment := range s.Assign(0, serviceOf) {
+		started[assignment.Task.Step.ID]++
+	}
+	require.Equal(t, map[string]int{"older": 4, "other": 4}, started)
+}
+
+// BenchmarkAssignWithoutAnEngine is a call while hundreds of samples wait for a version
+// that no engine holds.
+func BenchmarkAssignWithoutAnEngine(b *testing.B) {
+	s := New()
+	s.SyncEngines(0, engines(92, 6, "a"), map[string]uint64{"a": 2})
+	s.AddStep(entry("step", "a", 2, 900))
+	for b.Loop() {
+		require.Empty(b, s.Assign(0, anywhere))
+	}
+}
