--- a/forward/choose.go
+++ b/forward/choose.go
@@ -96,14 +96,26 @@
 	silentCost  = 1e5
 	remoteCost  = 0.3
 	// spreadCost is the random part of a cost, which spreads equal backends.
-	spreadCost    = 0.2
-	unknownMillis = 10.0
+	spreadCost = 0.2
+	// leastMillis is the least latency that is told apart from others.
+	leastMillis = 10.0
+	// firstCost is what a backend costs more that this process has not had an answer
+	// from: a connection must be opened to it, and it is probably like the others. It
+	// is above the usual noise of a known backend's latency and below a slowdown that
+	// callers would notice.
+	firstCost = 0.5
+	// usualSmoothing is the weight of the newest answer in a service's usual latency,
+	// which must lag behind the latency of a backend that turns slow.
+	usualSmoothing = 0.05
 )
 
 // cost rates a backend: the expected wait, with much more for those that fail.
 func (f *Forwarder) cost(backend directory.Backend, now time.Time) float64 {
 	state := f.state(backend.ID)
-	latency := max(float64(state.latency.Milliseconds()), unknownMillis)
+	latency := max(float64(state.latency.Milliseconds()), leastMillis)
+	if state.latency == 0 {
+		latency = max(float64(f.usual[backend.Service].Milliseconds()), leastMillis) * (1 + firstCost)
+	}
 	cost := latency * float64(state.inFlight+1)
 	if backend.Zone != f.zone {
 		cost *= 1 + remoteCost
@@ -128,10 +140,10 @@
 }
 
 // note takes in what an attempt tells of its backend.
-func (f *Forwarder) note(id string, attempt Attempt, took time.Duration, cancelled bool) {
+func (f *Forwarder) note(backend directory.Backend, attempt Attempt, took time.Duration, cancelled bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	state := f.state(id)
+	state := f.state(backend.ID)
 	state.inFlight--
 	f.budget = min(f.budget+budgetShare, budgetBurst)
 	if cancelled && attempt.Outcome != Answered {
@@ -139,12 +151,13 @@
 		if took > slowFactor*state.latency && took > minHedge {
 			state.avoidedUntil = time.Now().Add(slowPenalty)
 		}
-		state.observe(took)
+		state.latency = smoothed(state.latency, took, smoothing)
 		return
 	}
 	switch attempt.Outcome {
 	case Answered:
-		state.observe(took)
+		state.latency = smoothed(state.latency, took, smoothing)
+		f.usual[backend.Service] = smoothed(f.usual[backend.Service], took, usualSmoothing)
 		state.avoidedUntil = time.Time{}
 	case Refused:
 		state.avoidedUntil = time.Now().Add(fullPenalty)
@@ -153,12 +166,13 @@
 	}
 }
 
-func (s *backendState) observe(took time.Duration) {
-	if s.latency == 0 {
-		s.latency = took
-		return
+// smoothed returns the latency with the newest one taken in at the weight; 0 stands for
+// none.
+func smoothed(latency, newest time.Duration, weight float64) time.Duration {
+	if latency == 0 {
+		return newest
 	}
-	s.latency += time.Duration(smoothing * float64(took-s.latency))
+	return latency + time.Duration(weight*float64(newest-latency))
 }
 
 func (f *Forwarder) spend() bool {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -167,6 +167,8 @@
 	// random spreads choices of equal worth.
 	random   *rand.Rand
 	backends map[string]*backendState
+	// usual holds the usual latency of each service's backends.
+	usual map[string]time.Duration
 	// credits holds the smooth weighted round robin of each split route.
 	credits map[string][]float64
 	budget  float64
@@ -175,7 +177,7 @@
 // New returns a forwarder of a process in the zone.
 func New(client Client, zone string) *Forwarder {
 	return &Forwarder{
-		client: client, zone: zone, backends: map[string]*backendState{},
+		client: client, zone: zone, backends: map[string]*backendState{}, usual: map[string]time.Duration{},
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		credits: map[string][]float64{}, budget: budgetBurst,
 	}
@@ -328,7 +330,7 @@
 	go func() {
 		started := time.Now()
 		attempt := r.forwarder.client.Send(ctx, backend, r.request)
-		r.forwarder.note(backend.ID, attempt, time.Since(started), ctx.Err() != nil)
+		r.forwarder.note(backend, attempt, time.Since(started), ctx.Err() != nil)
 		r.attempts <- attempted{attempt: attempt, backend: backend}
 	}()
 	return true
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -197,3 +197,67 @@
 	}
 	require.InDelta(t, 0.1, float64(small)/(processes*requestsEach), 0.02)
 }
+
+// requestsInTurn sends requests one after the other to backends that take as long as
+// the function says, and returns how many each backend got.
+func requestsInTurn(forwarder *Forwarder, catalog *directory.Catalog, count int, took func(id string) time.Duration) map[string]int {
+	sent := map[string]int{}
+	for range count {
+		chosen, _ := forwarder.choose(catalog, []string{"s"}, map[string]bool{})
+		sent[chosen.ID]++
+		forwarder.note(chosen, Attempt{Outcome: Answered}, took(chosen.ID), false)
+	}
+	return sent
+}
+
+// manyBackends returns a forwarder that draws alike in each run, with twenty backends.
+func manyBackends() (*Forwarder, *directory.Catalog) {
+	forwarder := New(nil, "z")
+	forwarder.random = rand.New(rand.NewPCG(1, 2))
+	var backends []directory.Backend
+	for number := range 20 {
+		backends = append(backends, backend(string(rune('a'+number))))
+	}
+	return forwarder, catalogOf(backends...)
+}
+
+// TestRequestsStayWithKnownBackends: a process with few requests does not open a
+// connection to each backend only to learn that it is like the others.
+func TestRequestsStayWithKnownBackends(t *testing.T) {
+	forwarder, catalog := manyBackends()
+	random := rand.New(rand.NewPCG(3, 4))
+	sent := requestsInTurn(forwarder, catalog, 60, func(string) time.Duration {
+		return time.Duration((15 + 20*random.Float64()) * float64(time.Millisecond))
+	})
+	require.LessOrEqual(t, len(sent), 4, sent)
+}
+
+// TestSlowBackendIsLeft: one that turns slow loses its requests within a few of them,
+// also where no other one is known yet.
+func TestSlowBackendIsLeft(t *testing.T) {
+	forwarder, catalog := manyBackends()
+	first := ""
+	requestsInTurn(forwarder, catalog, 10, func(id string) time.Duration {
+		first = id
+		return 25 * time.Millisecond
+	})
+	sent := requestsInTurn(forwarder, catalog, 20, func(id string) time.Duration {
+		if id == first {
+			return 100 * time.Millisecond
+		}
+		return 25 * time.Millisecond
+	})
+	require.LessOrEqual(t, sent[first], 4, sent)
+}
+
+// TestBusyBackendsShareTheLoad: requests at the same time go to different backends.
+func TestBusyBackendsShareTheLoad(t *testing.T) {
+	forwarder, catalog := manyBackends()
+	requestsInTurn(forwarder, catalog, 10, func(string) time.Duration { return 25 * time.Millisecond })
+	busy := map[string]bool{}
+	for range 10 {
+		chosen, _ := forwarder.choose(catalog, []string{"s"}, map[string]bool{})
+		busy[chosen.ID] = true
+	}
+	require.GreaterOrEqual(t, len(busy), 9)
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -106,7 +106,7 @@
 		outcome = s.pass(ctx, cancel, backend, opened)
 	}
 	s.result.recordEnd(backend.ID, outcome, opened.Status)
-	s.forwarder.note(backend.ID, Attempt{Outcome: outcome}, time.Since(started), parent.Err() != nil)
+	s.forwarder.note(backend, Attempt{Outcome: outcome}, time.Since(started), parent.Err() != nil)
 	if outcome == Answered || outcome == Lost {
 		s.result.MayHaveRun = true
 	}
--- a/server/executor.go
+++ b/server/executor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -47,6 +48,8 @@
 	metrics   ledgerMetrics
 	orders    *orderWatch
 	logger    *zerolog.Logger
+	// runnersOpen is the number of the leader's runners, as of its last tick.
+	runnersOpen atomic.Int64
 }
 
 func newExecutor(settings config.Ledger, watcher *Watcher, engines EngineClient, forwarder *forward.Forwarder, metrics ledgerMetrics, logger *zerolog.Logger) *Executor {
@@ -83,6 +86,7 @@
 	t.loadHistory()
 	go t.follow(stop)
 	t.loop.Run(leadership, executorTick, t.tick, t.flush)
+	x.runnersOpen.Store(0)
 }
 
 // tenure is one leadership. Its fields belong to its loop.
@@ -172,6 +176,7 @@
 	t.runAhead()
 	t.checkpoint()
 	t.recordPaces()
+	t.runnersOpen.Store(int64(t.runners.Open()))
 	if time.Since(t.prunedAt) > pruneInterval {
 		t.prunedAt = time.Now()
 		t.prune()
--- a/server/role_metrics.go
+++ b/server/role_metrics.go
@@ -131,6 +131,7 @@
 		collectReplica(emit, status)
 		collectTransport(emit, l.replica.Counts())
 	}
+	gauge(emit, "ledger_runners_open", "On a leader, stores that can hold streams of runs for it.", float64(l.executor.runnersOpen.Load()))
 	gauge(emit, "runner_runs", "Runs whose streams this store holds for the leader.", float64(l.runs.Held()))
 }
 
