Runners keep runs for the next leader

Change: a run outlives its link by 2.5 s. The next link, which names the leader's term, brings all runs back with their texts, also those whose whole texts were told in the last 2 s and may not be recorded; the leader takes over those whose samples wait and whose texts will do (scheduler.Adopt) before it starts anything, and the others are ended. A runner serves the newest term alone. A failure is told once, so that none counts twice. The leader is a runner for lack of others, and so that its own streams of an earlier leader are found. While it was built a test hung for ten minutes: the end of a run that was told to a lost leader was forgotten; so whole texts are kept for 2 s.

--- a/event/event.go
+++ b/event/event.go
@@ -88,6 +88,8 @@
 	RunnerLinkEnded   = Event{6020, zerolog.InfoLevel, "this store holds streams for the leader no more"}
 	RunnerFound       = Event{6021, zerolog.InfoLevel, "a store can hold streams of runs"}
 	RunnerLost        = Event{6022, zerolog.WarnLevel, "a store that held streams of runs was lost"}
+	RunsUnclaimed     = Event{6023, zerolog.WarnLevel, "runs that no leader has claimed are ended"}
+	RunAdopted        = Event{6024, zerolog.InfoLevel, "a run of an earlier leader goes on"}
 
 	RequestEnded     = Event{7001, zerolog.InfoLevel, "a request has ended"}
 	GatewayStarted   = Event{7002, zerolog.InfoLevel, "gateway started"}
@@ -106,7 +108,7 @@
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
 	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed,
-	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkEnded, RunnerFound, RunnerLost,
+	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkEnded, RunnerFound, RunnerLost, RunsUnclaimed, RunAdopted,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, NearStoreAvoided,
 }
 
--- a/runner/choose.go
+++ b/runner/choose.go
@@ -10,8 +10,9 @@
 	Name    string
 	Address string
 	Zone    string
-	// Member is set on stores that keep a replica of the ledger.
-	Member bool
+	// Member is set on stores that keep a replica of the ledger, and Leader on the one
+	// that leads: it holds streams only for lack of others.
+	Member, Leader bool
 }
 
 // preferredTo tells whether the store is a better runner than the other one for an
@@ -19,6 +20,9 @@
 // replicas of the ledger have work of their own; and the rest is left to the names,
 // so that each leader chooses alike and connections to engines are used again.
 func (s Store) preferredTo(other Store, engine, zone string) bool {
+	if s.Leader != other.Leader {
+		return !s.Leader
+	}
 	if near, otherNear := s.Zone == zone, other.Zone == zone; near != otherNear {
 		return near
 	}
--- a/runner/link.go
+++ b/runner/link.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,27 @@
 	ended chan scheduler.RunEnd
 }
 
+// Held is a run that was begun over an earlier link, as a new link brings it back.
+type Held struct {
+	// Step, Sample and Engine are IDs.
+	Step, Sample, Engine string
+	// Text is the sample's text so far.
+	Text   scheduler.Text
+	link   *link
+	number uint64
+	run    *linkRun
+}
+
+// Accept has what follows the text handed to the function. It must be called before the
+// pool's function for runs that are brought back returns.
+func (h *Held) Accept(each func(Batch)) { h.run.each = each }
+
+// Wait waits for the end of a run that was accepted.
+func (h *Held) Wait(ctx context.Context) scheduler.RunEnd { return h.link.wait(ctx, h.number, h.run) }
+
+// Name is that of the store that holds the stream.
+func (h *Held) Name() string { return h.link.name }
+
 func newLink(pool *Pool, store Store) *link {
 	ctx, cancel := context.WithCancel(pool.context)
 	opened := &link{
@@ -68,6 +90,11 @@
 	if !ok {
 		return scheduler.Interrupted
 	}
+	return l.wait(ctx, number, run)
+}
+
+// wait waits for the end of a run, and ends it with the context.
+func (l *link) wait(ctx context.Context, number uint64, run *linkRun) scheduler.RunEnd {
 	select {
 	case end := <-run.ended:
 		return end
@@ -90,7 +117,8 @@
 	// The leader has samples scored itself.
 	sample.Reward = nil
 	l.pending.Starts = append(l.pending.Starts, start{
-		Run: l.nextRun, Backend: request.Backend, Host: request.Host, Sample: &sample, After: request.After,
+		Run: l.nextRun, Backend: request.Backend, Step: request.Step, Host: request.Host, Sample: &sample,
+		Text: Batch{First: 1, Events: request.Text.Events, Versions: request.Text.Versions},
 	})
 	wake(l.changed)
 	return l.nextRun, true
@@ -135,6 +163,7 @@
 	if err != nil {
 		return false, err
 	}
+	request.Header.Set(termHeader, strconv.FormatUint(l.pool.term, 10))
 	response, err := l.pool.client.Do(request)
 	if err != nil {
 		return false, err
@@ -143,21 +172,51 @@
 	if response.StatusCode != http.StatusOK {
 		return false, errRefused.New("status %d", response.StatusCode)
 	}
-	var heard atomic.Uint64
-	l.open()
-	event.RunnerFound.On(l.pool.logger).Str("runner", l.name).Int("ms", time.Since(l.pool.begun).Milliseconds()).Send()
+	reader := bufio.NewReader(response.Body)
+	var first report
+	if err := readMessage(reader, &first); err != nil {
+		return false, err
+	}
+	accepted := l.open(first)
+	event.RunnerFound.On(l.pool.logger).Str("runner", l.name).Int("ms", time.Since(l.pool.begun).Milliseconds()).
+		Uint("held", uint64(len(first.Held))).Uint("accepted", uint64(accepted)).Send()
+	heard := atomic.Uint64{}
+	heard.Store(first.Number)
 	go func() {
 		defer cancel()
 		l.sendCommands(ctx, commandWriter, &heard)
 	}()
-	return true, l.takeReports(bufio.NewReader(response.Body), silence, &heard)
+	return true, l.takeReports(reader, silence, &heard)
 }
 
-func (l *link) open() {
+// open has runs begin on the link, after those that it brings back. It returns how many
+// of them were accepted; the runner ends the others.
+func (l *link) open(first report) (accepted int) {
+	held := make([]*Held, 0, len(first.Held))
+	for _, one := range first.Held {
+		text := scheduler.Text{Events: one.Text.Events, Last: uint64(len(one.Text.Events)), Versions: one.Text.Versions}
+		run := &linkRun{ended: make(chan scheduler.RunEnd, 1)}
+		held = append(held, &Held{Step: one.Step, Sample: one.Sample, Engine: one.Engine, Text: text, link: l, number: one.Run, run: run})
+	}
+	// No run is accepted by a link whose runs an end would not interrupt.
 	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	l.pending = commands{}
+	for _, one := range held {
+		l.runs[one.number] = one.run
+	}
+	l.mutex.Unlock()
+	if len(held) > 0 {
+		l.pool.adopt(held)
+	}
+	for _, one := range held {
+		if one.run.each == nil {
+			l.abandon(one.number)
+		} else {
+			accepted++
+		}
+	}
 	l.up.Store(true)
+	return accepted
 }
 
 // interruptRuns ends the runs of a link that has ended, and returns their number.
--- a/runner/message.go
+++ b/runner/message.go
@@ -23,8 +23,13 @@
 	// runs to others: four messages, and under the time after which a run stalls.
 	runnerSilence = time.Second
 	// leaderSilence is how long the leader says nothing before a runner ends its
-	// runs. It is longer than the leader's, which alone decides whether a run goes on.
-	leaderSilence = 2 * time.Second
+	// link. It is longer than the leader's, which alone decides whether a run goes on.
+	leaderSilence = 1200 * time.Millisecond
+	// orphanTime is how long runs go on without a link. A new leader is elected within
+	// two election timeouts, 0.8 s, as a rule, and opens its links at once.
+	orphanTime = 2500 * time.Millisecond
+	// termHeader carries the term of the leader that opens a link.
+	termHeader = "Leader-Term"
 	// startValidity is how old the newest report that the leader had heard may be when
 	// a start is taken in. A runner that stood still must not begin what the leader
 	// asked for long ago.
@@ -35,11 +40,17 @@
 type start struct {
 	Run     uint64            `cbor:"1,keyasint"`
 	Backend directory.Backend `cbor:"2,keyasint"`
-	Host    string            `cbor:"3,keyasint"`
-	Sample  *ledger.Sample    `cbor:"4,keyasint"`
-	After   uint64            `cbor:"5,keyasint,omitempty"`
+	Step    string            `cbor:"3,keyasint"`
+	Host    string            `cbor:"4,keyasint"`
+	Sample  *ledger.Sample    `cbor:"5,keyasint"`
+	// Text is what the run continues.
+	Text Batch `cbor:"6,keyasint"`
 }
 
+// firstHeldRun is the number that a link gives to the first run that it brings back.
+// Those that the leader starts count from 1.
+const firstHeldRun = 1 << 32
+
 // commands is a message from the leader.
 type commands struct {
 	// Heard is the number of the newest report that the leader has had, 0 for none.
@@ -52,6 +63,18 @@
 type report struct {
 	Number uint64      `cbor:"1,keyasint"`
 	Runs   []runReport `cbor:"2,keyasint,omitempty"`
+	// Held are the runs that the link brings back; in the first report only.
+	Held []heldReport `cbor:"3,keyasint,omitempty"`
+}
+
+// heldReport tells of a run that was begun over an earlier link. Its news follow as
+// those of any run, after the text that stands here.
+type heldReport struct {
+	Run    uint64 `cbor:"1,keyasint"`
+	Step   string `cbor:"2,keyasint"`
+	Sample string `cbor:"3,keyasint"`
+	Engine string `cbor:"4,keyasint"`
+	Text   Batch  `cbor:"5,keyasint"`
 }
 
 // runReport is what is new of one run.
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -17,7 +17,7 @@
 	// by the runners that it has.
 	settleTime = 300 * time.Millisecond
 	// settledShare is the share of the links that it waits for no longer.
-	settledShare = 0.75
+	settledShare = 0.9
 )
 
 // Pool is what the leader has of runners: a link to each. Its methods may be called
@@ -27,18 +27,23 @@
 	local   Runs
 	client  *http.Client
 	logger  *zerolog.Logger
-	// begun is when the pool was made.
+	// begun is when the pool was made, and term that of the leadership.
 	begun time.Time
+	term  uint64
+	// adopt takes over the runs that links bring back.
+	adopt func(held []*Held)
 
 	mutex sync.Mutex
 	links map[string]*link
 }
 
-// NewPool returns a pool without links. The engine client serves where there is no
-// runner. All links end with the context.
-func NewPool(ctx context.Context, engine Engine, logger *zerolog.Logger) *Pool {
+// NewPool returns a pool without links, for the leadership of the term. The engine client
+// serves where there is no runner. All links end with the context. The function is called
+// with the runs that a new link brings back, by the link's goroutine, and accepts those
+// that the leader goes on with; all others are ended.
+func NewPool(ctx context.Context, term uint64, engine Engine, adopt func(held []*Held), logger *zerolog.Logger) *Pool {
 	return &Pool{
-		context: ctx, local: local{engine: engine}, logger: logger, begun: time.Now(),
+		context: ctx, local: local{engine: engine}, logger: logger, begun: time.Now(), term: term, adopt: adopt,
 		client: &http.Client{Transport: transport.NewInternalTransport()}, links: map[string]*link{},
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -6,7 +6,11 @@
 //
 // Pool is the leader's side and Server the runner's. Between them stands a link: one
 // HTTP request, whose body carries commands and whose answer carries reports. Either
-// side ends a link that has been silent for too long, and with it all of its runs.
+// side ends a link that has been silent for too long.
+//
+// Runs outlive their link for a short time. The next link brings them back, so that a
+// new leader goes on with what an earlier one has begun. Links carry the term of their
+// leader: a runner serves the newest term that it has seen, by one link at a time.
 package runner
 
 import (
@@ -17,13 +21,14 @@
 	"github.com/dillchute/dillchute/scheduler"
 )
 
-// Request is a sample to be run, or continued after an event, on an engine.
+// Request is a sample to be run, or continued after a text, on an engine.
 type Request struct {
 	Backend directory.Backend
-	Host    string
-	Sample  *ledger.Sample
-	// After is the ID of the last event that is kept; 0 begins anew.
-	After uint64
+	// Step is the ID of the sample's step, and Host the host of its route.
+	Step, Host string
+	Sample     *ledger.Sample
+	// Text is what there is of the sample's text; without events the run begins anew.
+	Text scheduler.Text
 }
 
 // Event is one whole event of an engine's stream.
@@ -50,7 +55,7 @@
 	Versions []uint64 `cbor:"3,keyasint,omitempty"`
 }
 
-// Runs carries out runs.
+// Runs begins runs.
 type Runs interface {
 	// Name is that of the store that holds the streams, or "" for this process.
 	Name() string
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,16 +53,37 @@
 		l.runner.CloseClientConnections()
 		l.runner.Close()
 	})
-	l.pool = NewPool(ctx, scriptedEngine(unreachable), &logger)
-	l.pool.Follow([]Store{{Name: "store", Address: l.runner.Listener.Addr().String()}})
+	l.pool = l.lead(ctx, 1, acceptNone)
 	require.Eventually(t, func() bool { return l.pool.Open() == 1 }, soon, interval)
 	return l
 }
 
-// run runs a sample and returns its text.
-func (l *linked) run(ctx context.Context, after uint64) (events []string, versions []uint64, end scheduler.RunEnd) {
-	last := after
-	end = l.pool.For(directory.Backend{ID: "e"}).Run(ctx, Request{Sample: &ledger.Sample{ID: "s"}, After: after}, func(batch Batch) {
+// lead returns the pool of a leader of the term with a link to the runner.
+func (l *linked) lead(ctx context.Context, term uint64, adopt func([]*Held)) *Pool {
+	logger := zerolog.Nop()
+	pool := NewPool(ctx, term, scriptedEngine(unreachable), adopt, &logger)
+	pool.Follow([]Store{{Name: "store", Address: l.runner.Listener.Addr().String()}})
+	return pool
+}
+
+func acceptNone([]*Held) {}
+
+// textOf returns a text of so many events, made by the version.
+func textOf(events int, version uint64) scheduler.Text {
+	text := scheduler.Text{Last: uint64(events)}
+	for id := range events {
+		text.Events = append(text.Events, fmt.Sprintf("early/%d", id+1))
+	}
+	if events > 0 {
+		text.Versions = []uint64{version}
+	}
+	return text
+}
+
+// run runs a sample after a text and returns what it adds.
+func (l *linked) run(ctx context.Context, text scheduler.Text) (events []string, versions []uint64, end scheduler.RunEnd) {
+	last := text.Last
+	end = l.pool.For(directory.Backend{ID: "e"}).Run(ctx, Request{Step: "step", Sample: &ledger.Sample{ID: "s"}, Text: text}, func(batch Batch) {
 		if batch.First != last+1 {
 			panic(fmt.Sprintf("event %d after %d", batch.First, last))
 		}
@@ -74,24 +96,25 @@
 func TestRunGoesThroughARunner(t *testing.T) {
 	const many = 500
 	linked := newLinked(t, func(_ context.Context, request Request, each func(Event)) scheduler.RunEnd {
-		for id := request.After + 1; id <= many; id++ {
+		for id := request.Text.Last + 1; id <= many; id++ {
 			each(Event{ID: id, Data: fmt.Sprintf("%s/%d", request.Sample.ID, id), Version: 1 + id/many})
 		}
 		return scheduler.Complete
 	})
-	events, versions, end := linked.run(context.Background(), 2)
+	events, versions, end := linked.run(context.Background(), textOf(2, 9))
 	require.Equal(t, scheduler.Complete, end)
 	require.Len(t, events, many-2)
 	require.Equal(t, "s/3", events[0])
 	require.Equal(t, "s/500", events[len(events)-1])
 	require.Contains(t, versions, uint64(1))
 	require.Contains(t, versions, uint64(2))
+	require.NotContains(t, versions, uint64(9), "the version of the text before tells nothing of this engine")
 }
 
 func TestRunnerTellsHowARunEnds(t *testing.T) {
 	for _, want := range []scheduler.RunEnd{scheduler.Rejected, scheduler.Failed, scheduler.Impossible, scheduler.Unreachable} {
 		linked := newLinked(t, func(context.Context, Request, func(Event)) scheduler.RunEnd { return want })
-		_, _, end := linked.run(context.Background(), 0)
+		_, _, end := linked.run(context.Background(), textOf(0, 0))
 		require.Equal(t, want, end)
 	}
 }
@@ -105,7 +128,7 @@
 		<-ctx.Done()
 		return scheduler.Complete
 	})
-	events, _, end := linked.run(context.Background(), 0)
+	events, _, end := linked.run(context.Background(), textOf(0, 0))
 	require.Equal(t, scheduler.Broken, end)
 	require.Equal(t, []string{"a"}, events)
 }
@@ -128,7 +151,7 @@
 		require.Eventually(t, func() bool { return linked.server.Held() == 1 }, soon, interval)
 		cancel()
 	}()
-	_, _, end := linked.run(ctx, 0)
+	_, _, end := linked.run(ctx, textOf(0, 0))
 	require.Equal(t, scheduler.Broken, end)
 	<-cancelled
 }
@@ -142,23 +165,119 @@
 		require.Eventually(t, func() bool { return linked.server.Held() == 1 }, soon, interval)
 		linked.runner.CloseClientConnections()
 	}()
-	_, _, end := linked.run(context.Background(), 0)
+	_, _, end := linked.run(context.Background(), textOf(0, 0))
 	require.Equal(t, scheduler.Interrupted, end)
 	<-cancelled
 	require.Eventually(t, func() bool { return linked.pool.Open() == 1 }, soon, interval, "the link opens again")
 }
 
-// TestLostLeaderEndsItsRuns: nothing runs on for a leader that is gone.
-func TestLostLeaderEndsItsRuns(t *testing.T) {
+// TestUnclaimedRunsEnd: runs go on for a short time without a leader, and not for ever.
+func TestUnclaimedRunsEnd(t *testing.T) {
 	cancelled := make(chan struct{}, 1)
 	linked := newLinked(t, held(cancelled))
-	go linked.run(context.Background(), 0)
+	linked.server.orphanTime = 20 * interval
+	go linked.run(context.Background(), textOf(0, 0))
 	require.Eventually(t, func() bool { return linked.server.Held() == 1 }, soon, interval)
 	linked.stop()
 	<-cancelled
 	require.Eventually(t, func() bool { return linked.server.Held() == 0 }, soon, interval)
 }
 
+// steppedEngine gives two events, and a third one when it is told to.
+func steppedEngine(goOn <-chan struct{}, runs *atomic.Int64) scriptedEngine {
+	return func(ctx context.Context, request Request, each func(Event)) scheduler.RunEnd {
+		runs.Add(1)
+		first := request.Text.Last + 1
+		each(Event{ID: first, Data: "a", Version: 3})
+		each(Event{ID: first + 1, Data: "b", Version: 3})
+		select {
+		case <-goOn:
+		case <-ctx.Done():
+			return scheduler.Broken
+		}
+		each(Event{ID: first + 2, Data: "c", Version: 4})
+		return scheduler.Complete
+	}
+}
+
+// acceptAll follows all runs that are brought back, and tells their texts and ends.
+func acceptAll(texts chan<- scheduler.Text, ends chan<- scheduler.RunEnd) func([]*Held) {
+	return func(brought []*Held) {
+		for _, one := range brought {
+			text := one.Text
+			one.Accept(func(batch Batch) {
+				text.Events = append(text.Events, batch.Events...)
+				text.Versions = append(text.Versions, batch.Versions...)
+			})
+			go func() {
+				end := one.Wait(context.Background())
+				texts <- text
+				ends <- end
+			}()
+		}
+	}
+}
+
+// TestNextLeaderGoesOn: a run outlives its leader, and the next one gets the whole of its
+// text, with what came while nobody led.
+func TestNextLeaderGoesOn(t *testing.T) {
+	for _, whileNobodyLeads := range []bool{true, false} {
+		goOn, runs := make(chan struct{}), &atomic.Int64{}
+		linked := newLinked(t, steppedEngine(goOn, runs))
+		go linked.run(context.Background(), textOf(2, 3))
+		require.Eventually(t, func() bool { return linked.server.Held() == 1 }, soon, interval)
+		linked.stop()
+		if whileNobodyLeads {
+			close(goOn)
+			require.Eventually(t, func() bool { return linked.server.Held() == 0 }, soon, interval)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		texts, ends := make(chan scheduler.Text, 1), make(chan scheduler.RunEnd, 1)
+		linked.lead(ctx, 2, acceptAll(texts, ends))
+		if !whileNobodyLeads {
+			close(goOn)
+		}
+		text := <-texts
+		require.Equal(t, []string{"early/1", "early/2", "a", "b", "c"}, text.Events)
+		require.ElementsMatch(t, []uint64{3, 4}, text.Versions)
+		require.Equal(t, scheduler.Complete, <-ends)
+		require.Equal(t, int64(1), runs.Load())
+		stop()
+	}
+}
+
+// TestRunThatIsNotWantedEnds: what a new leader does not accept is ended at once.
+func TestRunThatIsNotWantedEnds(t *testing.T) {
+	cancelled := make(chan struct{}, 1)
+	linked := newLinked(t, held(cancelled))
+	linked.server.orphanTime = time.Hour
+	go linked.run(context.Background(), textOf(0, 0))
+	require.Eventually(t, func() bool { return linked.server.Held() == 1 }, soon, interval)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	linked.lead(ctx, 2, acceptNone)
+	<-cancelled
+}
+
+// TestEarlierLeaderIsRefused: a leader that was deposed and does not know it yet gets no
+// link once a later one has had one, and takes no runs from it.
+func TestEarlierLeaderIsRefused(t *testing.T) {
+	goOn, runs := make(chan struct{}), &atomic.Int64{}
+	linked := newLinked(t, steppedEngine(goOn, runs))
+	go linked.run(context.Background(), textOf(0, 0))
+	require.Eventually(t, func() bool { return linked.server.Held() == 1 }, soon, interval)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	texts, ends := make(chan scheduler.Text, 1), make(chan scheduler.RunEnd, 1)
+	later := linked.lead(ctx, 2, acceptAll(texts, ends))
+	require.Eventually(t, func() bool { return later.Open() == 1 && linked.pool.Open() == 0 }, soon, interval)
+	// The earlier leader goes on asking.
+	require.Never(t, func() bool { return linked.pool.Open() > 0 }, 3*minBackoff, interval)
+	close(goOn)
+	require.Equal(t, []string{"a", "b", "c"}, (<-texts).Events)
+	require.Equal(t, scheduler.Complete, <-ends)
+}
+
 // TestStoreThatIsGoneHoldsNothing: runs of a store that leaves the list go elsewhere,
 // and without any runner the process runs samples itself.
 func TestStoreThatIsGoneHoldsNothing(t *testing.T) {
@@ -168,7 +287,7 @@
 		require.Eventually(t, func() bool { return linked.server.Held() == 1 }, soon, interval)
 		linked.pool.Follow(nil)
 	}()
-	_, _, end := linked.run(context.Background(), 0)
+	_, _, end := linked.run(context.Background(), textOf(0, 0))
 	require.Equal(t, scheduler.Interrupted, end)
 	require.Equal(t, "", linked.pool.For(directory.Backend{ID: "e"}).Name())
 }
@@ -177,15 +296,14 @@
 // the leader sent before, since the leader has given the run to others meanwhile.
 func TestStartThatComesLateIsNotBegun(t *testing.T) {
 	now := time.Now()
-	served := &serverLink{
-		runs:        map[uint64]*heldRun{},
-		reportedAt:  []time.Time{now.Add(-3 * startValidity), now.Add(-2 * startValidity), now.Add(-startValidity / 2), now},
-		firstReport: 5, changed: make(chan struct{}, 1), ended: make(chan struct{}, 1), context: context.Background(),
-	}
+	logger := zerolog.Nop()
+	served := newServerLink(NewServer(scriptedEngine(unreachable), &logger), context.Background(), nil)
+	served.reportedAt = []time.Time{now.Add(-3 * startValidity), now.Add(-2 * startValidity), now.Add(-startValidity / 2), now}
+	served.firstReport = 5
 	for number, recent := range map[uint64]bool{0: false, 4: false, 5: false, 6: false, 7: true, 8: true, 9: false} {
 		require.Equal(t, recent, served.isRecent(number), number)
 	}
-	served.begin(start{Run: 1, Sample: &ledger.Sample{}}, false)
+	served.begin(start{Run: 1, Sample: &ledger.Sample{}}, 6)
 	told := served.collect()
 	require.Equal(t, uint64(9), told.Number)
 	require.Equal(t, []runReport{{Run: 1, End: scheduler.Interrupted}}, told.Runs)
@@ -196,7 +314,7 @@
 // replica of the ledger, and engines spread over what is left.
 func TestChoiceOfARunner(t *testing.T) {
 	stores := []Store{
-		{Name: "far", Zone: "b"}, {Name: "member", Zone: "a", Member: true},
+		{Name: "leader", Zone: "a", Leader: true}, {Name: "far", Zone: "b"}, {Name: "member", Zone: "a", Member: true},
 		{Name: "one", Zone: "a"}, {Name: "two", Zone: "a"}, {Name: "three", Zone: "a"},
 	}
 	choose := func(from []Store, engine string) string {
@@ -217,6 +335,29 @@
 	for _, name := range []string{"one", "two", "three"} {
 		require.InDelta(t, engines/3, chosen[name], engines/6, name)
 	}
-	require.Equal(t, "member", choose(stores[:2], "engine-1"))
-	require.Equal(t, "far", choose(stores[:1], "engine-1"))
+	require.Equal(t, "member", choose(stores[:3], "engine-1"))
+	require.Equal(t, "far", choose(stores[:2], "engine-1"))
+	require.Equal(t, "leader", choose(stores[:1], "engine-1"))
+}
+
+// TestFailureIsToldOnce: a leader whose link breaks after it has heard of a failure does
+// not hear of it again, since it would count as another one; a whole text comes again.
+func TestFailureIsToldOnce(t *testing.T) {
+	for _, end := range []scheduler.RunEnd{scheduler.Failed, scheduler.Complete} {
+		linked := newLinked(t, func(_ context.Context, _ Request, each func(Event)) scheduler.RunEnd {
+			each(Event{ID: 1, Data: "a"})
+			return end
+		})
+		_, _, told := linked.run(context.Background(), textOf(0, 0))
+		require.Equal(t, end, told)
+		brought := make(chan int, 1)
+		ctx, stop := context.WithCancel(context.Background())
+		linked.lead(ctx, 1, func(held []*Held) { brought <- len(held) })
+		if end == scheduler.Complete {
+			require.Equal(t, 1, <-brought)
+		} else {
+			require.Never(t, func() bool { return len(brought) > 0 }, 20*interval, interval)
+		}
+		stop()
+	}
 }
--- /dev/null
+++ b/runner/serverlink.go
@@ -0,0 +1,274 @@
+package runner
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dillchute/dillchute/scheduler"
+)
+
+const (
+	// reportInterval is the time between two reports of runs that go on. Checkpoints
+	// and paces look at texts each 100 ms at the most.
+	reportInterval = 100 * time.Millisecond
+	// endDelay is how long the end of a run waits for others before it is reported.
+	endDelay = 10 * time.Millisecond
+	// endedTime is how long a whole text is kept whose end was reported: a leader that is
+	// lost may not have heard of it, or not have recorded its result yet. Scoring and
+	// recording take some tenths of a second, and a silent leader is noticed after
+	// leaderSilence. Other ends are told once: a failure must not count twice.
+	endedTime = 2 * time.Second
+)
+
+// endedRun is a run whose whole text was reported.
+type endedRun struct {
+	run *heldRun
+	at  time.Time
+}
+
+// serverLink is a link as its runner sees it.
+type serverLink struct {
+	server     *Server
+	context    context.Context
+	cancel     context.CancelFunc
+	controller *http.ResponseController
+	// broughtBack counts the runs of earlier links, started those that were asked for on
+	// this one, and late those that were asked for too long ago.
+	broughtBack, started, late int
+	// changed tells that there is something to report, and ended that a run has ended.
+	changed, ended chan struct{}
+
+	mutex sync.Mutex
+	// closed is set once the runs have been taken from the link.
+	closed bool
+	runs   map[uint64]*heldRun
+	// told are the runs whose whole texts were reported lately, the earliest first.
+	told []endedRun
+	// held are the numbers of the runs that the first report brings back.
+	held []uint64
+	// refused are starts that were asked for too long ago.
+	refused []uint64
+	// reportedAt holds when the newest reports were sent, the oldest first, of which
+	// the first has the number firstReport. The link's begin counts as report 0.
+	reportedAt  []time.Time
+	firstReport uint64
+}
+
+func newServerLink(server *Server, parent context.Context, controller *http.ResponseController) *serverLink {
+	ctx, cancel := context.WithCancel(parent)
+	return &serverLink{
+		server: server, context: ctx, cancel: cancel, controller: controller,
+		runs: map[uint64]*heldRun{}, reportedAt: []time.Time{time.Now()},
+		changed: make(chan struct{}, 1), ended: make(chan struct{}, 1),
+	}
+}
+
+// bringBack has the link go on with runs of earlier ones.
+func (l *serverLink) bringBack(runs []*heldRun) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.broughtBack = len(runs)
+	for position, run := range runs {
+		number := uint64(firstHeldRun + position)
+		run.own(l)
+		l.runs[number] = run
+		l.held = append(l.held, number)
+	}
+}
+
+// detach takes the runs from the link, and ends it.
+func (l *serverLink) detach() []*heldRun {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.closed = true
+	l.cancel()
+	runs := make([]*heldRun, 0, len(l.runs))
+	for _, run := range l.runs {
+		run.own(nil)
+		runs = append(runs, run)
+	}
+	clear(l.runs)
+	l.forgetTold()
+	for _, one := range l.told {
+		runs = append(runs, one.run)
+	}
+	l.told = nil
+	return runs
+}
+
+// forgetTold forgets the runs whose ends were reported some time ago.
+func (l *serverLink) forgetTold() {
+	oldest := time.Now().Add(-endedTime)
+	l.told = slices.DeleteFunc(l.told, func(one endedRun) bool { return one.at.Before(oldest) })
+}
+
+// serve carries the link on until its connection ends or the leader is silent for too
+// long.
+func (l *serverLink) serve(reader *bufio.Reader, writer io.Writer) {
+	stop := context.AfterFunc(l.context, l.interrupt)
+	defer stop()
+	var reporting sync.WaitGroup
+	reporting.Go(func() {
+		defer l.cancel()
+		l.sendReports(writer)
+	})
+	l.takeCommands(reader)
+	l.cancel()
+	reporting.Wait()
+}
+
+// interrupt ends reads and writes that wait.
+func (l *serverLink) interrupt() {
+	now := time.Now()
+	// Where a connection has no deadlines, its end is waited for.
+	_ = l.controller.SetReadDeadline(now)
+	_ = l.controller.SetWriteDeadline(now)
+}
+
+// takeCommands carries out the leader's messages.
+func (l *serverLink) takeCommands(reader *bufio.Reader) {
+	silence := time.AfterFunc(leaderSilence, l.cancel)
+	defer silence.Stop()
+	for {
+		var message commands
+		if readMessage(reader, &message) != nil || l.context.Err() != nil {
+			return
+		}
+		silence.Reset(leaderSilence)
+		for _, number := range message.Cancels {
+			l.cancelRun(number)
+		}
+		for _, start := range message.Starts {
+			l.begin(start, message.Heard)
+		}
+	}
+}
+
+// begin starts a run, or reports it as interrupted where it was asked for too long ago.
+func (l *serverLink) begin(asked start, heard uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	switch {
+	case l.closed:
+	case !l.isRecent(heard):
+		l.late++
+		l.refused = append(l.refused, asked.Run)
+		wake(l.ended)
+	default:
+		l.started++
+		l.runs[asked.Run] = l.server.begin(asked, l)
+	}
+}
+
+// isRecent tells whether the report was sent, or the link opened, a short time ago.
+func (l *serverLink) isRecent(number uint64) bool {
+	oldest := time.Now().Add(-startValidity)
+	for len(l.reportedAt) > 1 && l.reportedAt[0].Before(oldest) {
+		l.reportedAt = l.reportedAt[1:]
+		l.firstReport++
+	}
+	position := int(number) - int(l.firstReport)
+	return position >= 0 && position < len(l.reportedAt) && l.reportedAt[position].After(oldest)
+}
+
+// cancelRun ends a run whose end the leader does not wait for.
+func (l *serverLink) cancelRun(number uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if run := l.runs[number]; run != nil {
+		run.own(nil)
+		run.cancel()
+		delete(l.runs, number)
+	}
+}
+
+// sendReports writes reports until the link ends: the ends of runs soon, events that
+// have gathered each reportInterval, and one now and then if there is nothing new.
+func (l *serverLink) sendReports(writer io.Writer) {
+	buffered := bufio.NewWriter(writer)
+	for {
+		if writeMessage(buffered, l.collect()) != nil || buffered.Flush() != nil || l.controller.Flush() != nil {
+			return
+		}
+		if !l.awaitReport(time.Now()) {
+			return
+		}
+	}
+}
+
+// awaitReport waits until the next report is due, and tells whether the link goes on.
+func (l *serverLink) awaitReport(sentAt time.Time) bool {
+	due := time.NewTimer(time.Until(sentAt.Add(keepaliveInterval)))
+	defer due.Stop()
+	changed := l.changed
+	for {
+		select {
+		case <-l.context.Done():
+			return false
+		case <-due.C:
+			return true
+		case <-changed:
+			// What is new is told with the next report; further news change nothing.
+			changed = nil
+			due.Reset(time.Until(sentAt.Add(reportInterval)))
+		case <-l.ended:
+			sleep(l.context, endDelay)
+			return true
+		}
+	}
+}
+
+// collect returns the next report, after which the runs whose ends it tells are kept for
+// a short time only. The first one brings back the runs of earlier links.
+func (l *serverLink) collect() report {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.reportedAt = append(l.reportedAt, time.Now())
+	next := report{Number: l.firstReport + uint64(len(l.reportedAt)) - 1}
+	if next.Number == 1 {
+		for _, number := range l.held {
+			if run := l.runs[number]; run != nil {
+				next.Held = append(next.Held, run.takeHeld(number))
+			}
+		}
+		return next
+	}
+	for _, number := range l.refused {
+		next.Runs = append(next.Runs, runReport{Run: number, End: scheduler.Interrupted})
+	}
+	l.refused = nil
+	l.forgetTold()
+	for number, run := range l.runs {
+		news, any := run.takeReport(number)
+		if any {
+			next.Runs = append(next.Runs, news)
+		}
+		if news.End != 0 {
+			delete(l.runs, number)
+		}
+		if news.End == scheduler.Complete {
+			l.told = append(l.told, endedRun{run: run, at: time.Now()})
+		}
+	}
+	return next
+}
+
+// wake makes the channel ready once.
+func wake(signal chan struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(duration):
+	}
+}
--- a/server/executor.go
+++ b/server/executor.go
@@ -78,10 +78,11 @@
 	defer stop()
 	t := &tenure{
 		Executor: x, context: leadership, replica: opened, machine: machine, term: term,
-		loop: eventloop.New(), scheduler: scheduler.New(), runners: runner.NewPool(leadership, x.engines, x.logger),
+		loop: eventloop.New(), scheduler: scheduler.New(),
 		cancels: map[*scheduler.Task]context.CancelFunc{}, progress: map[*scheduler.Task]*runProgress{},
 		checkpointed: map[*scheduler.Task]uint64{}, known: map[string]bool{},
 	}
+	t.runners = runner.NewPool(leadership, term, x.engines, t.adopt, x.logger)
 	t.deferOrders()
 	t.loadHistory()
 	go t.follow(stop)
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -78,6 +78,7 @@
 	router.Handle(runner.Path, l.runs).Methods(http.MethodPost)
 	httpServer := newHTTPServer(router)
 	serveHTTP(httpServer, internal, l.logger)
+	defer l.runs.Close()
 	defer httpServer.Close()
 	go l.maintain(watchContext, opened)
 	go l.executor.run(watchContext, opened, l.machine)
--- a/server/run.go
+++ b/server/run.go
@@ -4,9 +4,11 @@
 	"context"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/eventloop"
 	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/runner"
 	"github.com/dillchute/dillchute/scheduler"
@@ -80,15 +82,62 @@
 // start runs a task on its engine.
 func (t *tenure) start(assignment scheduler.Assignment) {
 	task := assignment.Task
-	runContext, cancel := context.WithCancel(t.context)
-	t.cancels[task] = cancel
 	runs := t.runners.For(assignment.Backend)
 	event.SampleStarted.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).
 		Str("engine", assignment.Backend.ID).Str("runner", runs.Name()).Uint("attempt", uint64(task.Attempts)).Uint("after", task.Text.Last).
 		Uint("expected", uint64(assignment.Expected)).Uint("pace", micros(assignment.Pace)).Uint("ahead", boolToUint(task.IsAhead())).
 		Int("spare_ms", assignment.Spare).Send()
-	request := runner.Request{Backend: assignment.Backend, Host: task.Step.Host, Sample: task.Sample, After: task.Text.Last}
-	progress := newRunProgress(task.Text, runs.Name() != "")
+	request := runner.Request{
+		Backend: assignment.Backend, Step: task.Step.ID, Host: task.Step.Host, Sample: task.Sample, Text: task.Text,
+	}
+	followed := t.followRun(assignment, runs.Name() != "")
+	go followed.run(func(ctx context.Context) scheduler.RunEnd { return runs.Run(ctx, request, followed.take) })
+}
+
+// adopt goes on with runs of an earlier leader, where their samples wait and their texts
+// will do. It is called by a runner's link and waits for the loop.
+func (t *tenure) adopt(held []*runner.Held) {
+	eventloop.Ask(t.loop, func() struct{} {
+		for _, one := range held {
+			assignment, ok := t.scheduler.Adopt(nowMillis(), one.Step, one.Sample, one.Engine, one.Text)
+			if !ok {
+				continue
+			}
+			event.RunAdopted.On(t.logger).Str("sample", one.Sample).Str("step", one.Step).Str("engine", one.Engine).
+				Str("runner", one.Name()).Uint("after", one.Text.Last).Send()
+			followed := t.followRun(assignment, true)
+			one.Accept(followed.take)
+			go followed.run(one.Wait)
+		}
+		return struct{}{}
+	})
+}
+
+// followedRun is a run under way, as its tenure follows it.
+type followedRun struct {
+	tenure     *tenure
+	assignment scheduler.Assignment
+	context    context.Context
+	cancel     context.CancelFunc
+	progress   *runProgress
+	// silence gives the run up if its engine sends nothing for stall.
+	silence *time.Timer
+	stall   time.Duration
+
+	// mutex holds back parts that come while the run is given up.
+	mutex sync.Mutex
+	// version is the newest that has made an event, and gap is set once an event did not
+	// follow the one before.
+	version uint64
+	gap     bool
+}
+
+// followRun prepares to follow a run of the task. Its stream may be reported by a runner.
+func (t *tenure) followRun(assignment scheduler.Assignment, reported bool) *followedRun {
+	task := assignment.Task
+	ctx, cancel := context.WithCancel(t.context)
+	t.cancels[task] = cancel
+	progress := newRunProgress(task.Text, reported)
 	t.progress[task] = progress
 	if task.Text.Last == 0 {
 		delete(t.checkpointed, task)
@@ -97,33 +146,44 @@
 	if t.scheduler.Loading(assignment.Backend.ID, task.Step.Model) {
 		stall = loadStall
 	}
-	began := time.Now()
-	go func() {
-		defer cancel()
-		defer func() { t.metrics.run.WithLabelValues().Observe(time.Since(began).Seconds()) }()
-		end, version := t.runTask(runContext, cancel, runs, request, progress, stall)
-		text, _ := progress.read()
-		t.loop.Call(func() { t.runEnded(task, assignment, end, text, version) })
-	}()
+	return &followedRun{
+		tenure: t, assignment: assignment, context: ctx, cancel: cancel, progress: progress,
+		silence: time.AfterFunc(stall, cancel), stall: stall,
+	}
 }
 
-// runTask reads a run's stream. It gives up a stream that stands still.
-func (t *tenure) runTask(ctx context.Context, cancel context.CancelFunc, runs runner.Runs, request runner.Request, progress *runProgress, stall time.Duration) (scheduler.RunEnd, uint64) {
-	timer := time.AfterFunc(stall, cancel)
-	defer timer.Stop()
-	version, gap := uint64(0), false
-	end := runs.Run(ctx, request, func(batch runner.Batch) {
-		timer.Reset(stall)
-		t.metrics.events.WithLabelValues().Add(float64(len(batch.Events)))
-		version = max(version, slices.Max(batch.Versions))
-		if gap = gap || !progress.add(batch); gap {
-			cancel()
-		}
-	})
-	if text, _ := progress.read(); end == scheduler.Complete && (gap || text.Last == 0) {
+// take takes in the next part of the run's text.
+func (f *followedRun) take(batch runner.Batch) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.silence.Reset(f.stall)
+	f.tenure.metrics.events.WithLabelValues().Add(float64(len(batch.Events)))
+	f.version = max(f.version, slices.Max(batch.Versions))
+	if f.gap = f.gap || !f.progress.add(batch); f.gap {
+		f.cancel()
+	}
+}
+
+// outcome returns how a run has ended by what came of it, its text, and the newest version
+// that has made an event of it.
+func (f *followedRun) outcome(end scheduler.RunEnd) (scheduler.RunEnd, scheduler.Text, uint64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	text, _ := f.progress.read()
+	if end == scheduler.Complete && (f.gap || text.Last == 0) {
 		end = scheduler.Broken
 	}
-	return end, version
+	return end, text, f.version
+}
+
+// run waits for the run's end and tells it to the tenure.
+func (f *followedRun) run(wait func(ctx context.Context) scheduler.RunEnd) {
+	began := time.Now()
+	defer f.cancel()
+	defer f.silence.Stop()
+	end, text, version := f.outcome(wait(f.context))
+	f.tenure.metrics.run.WithLabelValues().Observe(time.Since(began).Seconds())
+	f.tenure.loop.Call(func() { f.tenure.runEnded(f.assignment.Task, f.assignment, end, text, version) })
 }
 
 func (t *tenure) runEnded(task *scheduler.Task, assignment scheduler.Assignment, end scheduler.RunEnd, text scheduler.Text, version uint64) {
