--- /dev/null
+++ b/server/followed_run.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dillchute/dillchute/runner"
+	"github.com/dillchute/dillchute/scheduler"
+)
+
+// followedRun is a run under way, as its tenure follows it.
+type followedRun struct {
+	tenure     *tenure
+	assignment scheduler.Assignment
+	context    context.Context
+	cancel     context.CancelFunc
+	progress   *runProgress
+	// silence gives the run up if its engine sends nothing for stall.
+	silence *time.Timer
+	stall   time.Duration
+
+	// mutex holds back parts that come while the run is given up.
+	mutex sync.Mutex
+	// version is the newest that has made an event, and gap is set once an event did not
+	// follow the one before.
+	version uint64
+	gap     bool
+}
+
+// followRun prepares to follow a run of the task. Its stream may be reported by a runner.
+func (t *tenure) followRun(assignment scheduler.Assignment, reported bool) *followedRun {
+	task := assignment.Task
+	ctx, cancel := context.WithCancel(t.context)
+	t.cancels[task] = cancel
+	progress := newRunProgress(task.Text, reported)
+	t.progress[task] = progress
+	if task.Text.Last == 0 {
+		delete(t.checkpointed, task)
+	}
+	stall := stallTimeout
+	if t.scheduler.Loading(assignment.Backend.ID, task.Step.Model) {
+		stall = loadStall
+	}
+	return &followedRun{
+		tenure: t, assignment: assignment, context: ctx, cancel: cancel, progress: progress,
+		silence: time.AfterFunc(stall, cancel), stall: stall,
+	}
+}
+
+// take takes in the next part of the run's text.
+func (f *followedRun) take(batch runner.Batch) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.silence.Reset(f.stall)
+	f.tenure.metrics.events.WithLabelValues().Add(float64(len(batch.Events)))
+	f.version = max(f.version, slices.Max(batch.Versions))
+	if f.gap = f.gap || !f.progress.add(batch); f.gap {
+		f.cancel()
+	}
+}
+
+// outcome returns how a run has ended by what came of it, its text, and the newest version
+// that has made an event of it.
+func (f *followedRun) outcome(end scheduler.RunEnd) (scheduler.RunEnd, scheduler.Text, uint64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	text, _ := f.progress.read()
+	if end == scheduler.Complete && (f.gap || text.Last == 0) {
+		end = scheduler.Broken
+	}
+	return end, text, f.version
+}
+
+// run waits for the run's end and tells it to the tenure.
+func (f *followedRun) run(wait func(ctx context.Context) scheduler.RunEnd) {
+	began := time.Now()
+	defer f.cancel()
+	defer f.silence.Stop()
+	end, text, version := f.outcome(wait(f.context))
+	f.tenure.metrics.run.WithLabelValues().Observe(time.Since(began).Seconds())
+	f.tenure.loop.Call(func() { f.tenure.runEnded(f.assignment.Task, f.assignment, end, text, version) })
+}
--- /dev/null
+++ b/server/tenure.go
@@ -0,0 +1,244 @@
+package server
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/eventloop"
+	"github.com/dillchute/dillchute/ledger"
+	"github.com/dillchute/dillchute/replica"
+	"github.com/dillchute/dillchute/runner"
+	"github.com/dillchute/dillchute/scheduler"
+)
+
+// tenure is one leadership. Its fields belong to its loop.
+type tenure struct {
+	*Executor
+	context   context.Context
+	replica   *replica.Replica
+	machine   *ledger.Machine
+	term      uint64
+	loop      *eventloop.Loop
+	scheduler *scheduler.Scheduler
+	// runners are the stores that hold the streams of runs.
+	runners *runner.Pool
+	// spreads is set once other stores hold them.
+	spreads bool
+
+	catalog    *directory.Catalog
+	generation uint64
+	cancels    map[*scheduler.Task]context.CancelFunc
+	// progress holds what each run under way has produced.
+	progress map[*scheduler.Task]*runProgress
+	// checkpointed holds the number of events of each task's text that the ledger keeps.
+	checkpointed  map[*scheduler.Task]uint64
+	checkpointing bool
+	results       []pendingResult
+	recording     bool
+	// recordAfter is when results that could not be recorded are tried again.
+	recordAfter time.Time
+	prunedAt    time.Time
+	// aheadAt is when runs ahead were last looked for.
+	aheadAt time.Time
+	// known holds the open steps that the scheduler has taken in.
+	known map[string]bool
+	// recordedPaces are those that the ledger holds, and pacesAt is when they were
+	// last looked at.
+	recordedPaces map[string]float64
+	pacesAt       time.Time
+}
+
+// deferOrders leaves engines alone that an earlier leader has given orders to,
+// until its lease has ended.
+func (t *tenure) deferOrders() {
+	wait := (t.settings.OrderLease + orderMargin).Milliseconds()
+	t.replica.Do(func() { t.orders.note(nowMillis(), t.machine.Orders()) })
+	for id, learnt := range t.orders.heldByOthers(t.settings.Name) {
+		t.scheduler.DeferOrders(id, learnt+wait)
+	}
+}
+
+// loadHistory tells the scheduler of the steps that an earlier leader has seen end,
+// and of the engines' paces that it has observed.
+func (t *tenure) loadHistory() {
+	t.replica.Do(func() {
+		t.scheduler.TakePaces(t.machine.Paces())
+		for _, entry := range t.machine.Steps() {
+			if entry.Ended {
+				t.scheduler.NoteEnded(entry.Step)
+			}
+		}
+	})
+}
+
+// follow wakes the loop when the ledger or the directory has changed.
+func (t *tenure) follow(stop context.CancelFunc) {
+	for {
+		ledgerChanged, directoryChanged := t.replica.Changed(), t.watcher.Changed()
+		status := t.replica.Status()
+		if !status.Serving || status.Term != t.term {
+			stop()
+			return
+		}
+		t.loop.Call(t.syncState)
+		select {
+		case <-t.context.Done():
+			return
+		case <-ledgerChanged:
+		case <-directoryChanged:
+		}
+	}
+}
+
+func (t *tenure) tick() {
+	for _, task := range t.scheduler.Overdue(nowMillis()) {
+		t.finish(task, ledger.Result{Sample: task.Sample.ID, State: ledger.Dead}, "overdue")
+	}
+	t.moveSlow()
+	t.runAhead()
+	t.checkpoint()
+	t.recordPaces()
+	t.runnersOpen.Store(int64(t.runners.Open()))
+	if time.Since(t.prunedAt) > pruneInterval {
+		t.prunedAt = time.Now()
+		t.prune()
+	}
+}
+
+// prune forgets steps that have ended and whose time is over.
+func (t *tenure) prune() {
+	oldest := nowMillis() - t.settings.Retention.Milliseconds()
+	var steps []string
+	t.replica.Do(func() {
+		for _, entry := range t.machine.Steps() {
+			if entry.Ended && entry.Step.SubmittedAt < oldest {
+				steps = append(steps, entry.Step.ID)
+			}
+		}
+	})
+	if len(steps) > 0 {
+		go t.replica.Execute(t.context, ledger.Command{Prune: &ledger.Prune{Steps: steps}}.Encode())
+	}
+}
+
+// syncState takes in what has changed in the directory and the ledger.
+func (t *tenure) syncState() {
+	if catalog := t.watcher.Catalog(); catalog != t.catalog {
+		first := t.catalog == nil
+		t.catalog = catalog
+		t.forwarder.Forget(catalog)
+		backends := engineBackends(catalog)
+		t.followRunners(backends)
+		if first {
+			t.inspect(backends)
+		}
+		for _, task := range t.scheduler.SyncEngines(nowMillis(), backends, catalog.Models) {
+			t.cancel(task)
+			t.takeText(task)
+			t.scheduler.Requeue(task)
+		}
+	}
+	var open []*ledger.Entry
+	var whole []*scheduler.Task
+	unchanged := false
+	t.replica.Do(func() {
+		unchanged = t.machine.Generation == t.generation
+		t.generation = t.machine.Generation
+		if unchanged {
+			return
+		}
+		for _, entry := range t.machine.Steps() {
+			if !entry.Ended {
+				whole = append(whole, t.scheduler.AddStep(entry)...)
+				open = append(open, entry)
+			}
+		}
+	})
+	if !unchanged {
+		t.endClosed(open)
+		t.logTakenOver(open)
+	}
+	for _, task := range whole {
+		event.SampleKept.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).Uint("events", task.Text.Last).Send()
+		t.score(task)
+	}
+}
+
+// logTakenOver says which runs ahead the newest of the open steps have taken over.
+func (t *tenure) logTakenOver(open []*ledger.Entry) {
+	for _, entry := range open {
+		if t.known[entry.Step.ID] {
+			continue
+		}
+		t.known[entry.Step.ID] = true
+		for _, task := range t.scheduler.TakenOver(entry.Step.ID) {
+			event.SampleTakenOver.On(t.logger).Str("sample", task.Sample.ID).Str("step", entry.Step.ID).
+				Str("engine", task.Engine).Uint("after", t.eventsOf(task)).Send()
+		}
+	}
+}
+
+func engineBackends(catalog *directory.Catalog) []directory.Backend {
+	var backends []directory.Backend
+	for name, service := range catalog.Services {
+		if len(service.Models) > 0 {
+			backends = append(backends, catalog.Backends(name)...)
+		}
+	}
+	return backends
+}
+
+// endClosed stops the tasks of steps that are not open any more.
+func (t *tenure) endClosed(open []*ledger.Entry) {
+	isOpen := make(map[string]bool, len(open))
+	for _, entry := range open {
+		isOpen[entry.Step.ID] = true
+	}
+	for _, id := range t.scheduler.Steps() {
+		if isOpen[id] {
+			continue
+		}
+		delete(t.known, id)
+		for _, task := range t.scheduler.EndStep(id) {
+			t.cancel(task)
+			delete(t.checkpointed, task)
+		}
+	}
+}
+
+// flush starts what can be started.
+func (t *tenure) flush() error {
+	if t.catalog == nil {
+		return nil
+	}
+	t.record()
+	now := nowMillis()
+	for _, order := range t.scheduler.Orders(now) {
+		go t.load(order)
+	}
+	if !t.runners.Settled() {
+		return nil
+	}
+	for _, assignment := range t.scheduler.Assign(now, t.servicesOf) {
+		t.start(assignment)
+	}
+	return nil
+}
+
+func (t *tenure) servicesOf(task *scheduler.Task) ([]string, bool) {
+	path, _, _ := strings.Cut(task.Sample.Path, "?")
+	route, ok := t.catalog.Table.Match(task.Step.Host, path)
+	if !ok {
+		return nil, false
+	}
+	services := make([]string, 0, len(route.Shares))
+	for _, share := range route.Shares {
+		if share.Weight > 0 {
+			services = append(services, share.Service)
+		}
+	}
+	return services, true
+}
