Runners always: runs outlive their leader on every deployment

Hypothesis: what a lost leader costs binds on the small sites, too, where a step just beyond 7 s means that a later one is never asked for. Conclusion: one way for all; the setting and the leader's own streams are gone.

--- a/config/roles.go
+++ b/config/roles.go
@@ -58,9 +58,6 @@
 	OrderLease time.Duration `yaml:"order_lease"`
 	// Retention is how long the results of a step are kept since it was sent.
 	Retention time.Duration `yaml:"retention"`
-	// RunnersFromSlots is the number of slots of all engines from which on the leader
-	// has other stores hold the streams of runs; 0 for always.
-	RunnersFromSlots int `yaml:"runners_from_slots"`
 }
 
 // Gateway holds the settings of a gateway.
@@ -85,16 +82,10 @@
 	return Directory{Process: defaultProcess(), ToleratedLosses: 1, HeartbeatInterval: time.Second}
 }
 
-// defaultRunnersFromSlots: a leader that held the streams of 462 slots itself, 12,000
-// events a second, used 0.20 of a core in the mean and lost its leadership when many
-// began at once (docs/ROUNDS.md, the large fleets); with 150 it did not.
-const defaultRunnersFromSlots = 200
-
 // DefaultLedger returns the settings that hold where a file is silent.
 func DefaultLedger() Ledger {
 	return Ledger{
 		Process: defaultProcess(), ToleratedLosses: 1, OrderLease: 3 * time.Second, Retention: 2 * time.Minute,
-		RunnersFromSlots: defaultRunnersFromSlots,
 	}
 }
 
@@ -173,8 +164,7 @@
 		check{"data_folder", l.DataFolder == "", "must not be empty"},
 		check{"tolerated_losses", l.ToleratedLosses < 0, "must not be negative"},
 		check{"order_lease", l.OrderLease < 0, "must not be negative"},
-		check{"retention", l.Retention <= 0, "must be positive"},
-		check{"runners_from_slots", l.RunnersFromSlots < 0, "must not be negative"}))
+		check{"retention", l.Retention <= 0, "must be positive"}))
 }
 
 // Validate returns an ErrInvalid error that names every wrong field.
--- a/runner/link.go
+++ b/runner/link.go
@@ -24,8 +24,8 @@
 
 var errRefused = errorx.NewNamespace("runner").NewType("link_refused")
 
-// link is a link as the leader sees it. It is opened again whenever it has ended.
-type link struct {
+// Link is a link as the leader sees it. It is opened again whenever it has ended.
+type Link struct {
 	pool    *Pool
 	address string
 	// store belongs to the pool's mutex.
@@ -55,7 +55,7 @@
 	Step, Sample, Engine string
 	// Text is the sample's text so far.
 	Text   scheduler.Text
-	link   *link
+	link   *Link
 	number uint64
 	run    *linkRun
 }
@@ -70,9 +70,9 @@
 // Name is that of the store that holds the stream.
 func (h *Held) Name() string { return h.link.name }
 
-func newLink(pool *Pool, store Store) *link {
+func newLink(pool *Pool, store Store) *Link {
 	ctx, cancel := context.WithCancel(pool.context)
-	opened := &link{
+	opened := &Link{
 		pool: pool, address: store.Address, store: store, name: store.Name, context: ctx, cancel: cancel,
 		changed: make(chan struct{}, 1), runs: map[uint64]*linkRun{},
 	}
@@ -80,11 +80,20 @@
 	return opened
 }
 
-// Name implements Runs.
-func (l *link) Name() string { return l.name }
+// Name is that of the store that holds the streams, "" for a nil link.
+func (l *Link) Name() string {
+	if l == nil {
+		return ""
+	}
+	return l.name
+}
 
-// Run implements Runs.
-func (l *link) Run(ctx context.Context, request Request, each func(Batch)) scheduler.RunEnd {
+// Run hands the run's text to the function, part by part and in order, until the run ends.
+// It is Interrupted if the link ends, or is nil.
+func (l *Link) Run(ctx context.Context, request Request, each func(Batch)) scheduler.RunEnd {
+	if l == nil {
+		return scheduler.Interrupted
+	}
 	run := &linkRun{each: each, ended: make(chan scheduler.RunEnd, 1)}
 	number, ok := l.ask(run, request)
 	if !ok {
@@ -94,7 +103,7 @@
 }
 
 // wait waits for the end of a run, and ends it with the context.
-func (l *link) wait(ctx context.Context, number uint64, run *linkRun) scheduler.RunEnd {
+func (l *Link) wait(ctx context.Context, number uint64, run *linkRun) scheduler.RunEnd {
 	select {
 	case end := <-run.ended:
 		return end
@@ -105,7 +114,7 @@
 }
 
 // ask queues the start of a run. It fails on a link that has ended.
-func (l *link) ask(run *linkRun, request Request) (number uint64, ok bool) {
+func (l *Link) ask(run *linkRun, request Request) (number uint64, ok bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if !l.up.Load() {
@@ -125,7 +134,7 @@
 }
 
 // abandon has the runner end a run, whose end is not waited for.
-func (l *link) abandon(number uint64) {
+func (l *Link) abandon(number uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.runs[number] == nil {
@@ -137,7 +146,7 @@
 }
 
 // keepOpen opens the link again and again.
-func (l *link) keepOpen() {
+func (l *Link) keepOpen() {
 	backoff := minBackoff
 	for l.context.Err() == nil {
 		opened, err := l.carry()
@@ -151,7 +160,7 @@
 }
 
 // carry opens the link and carries it on until it ends.
-func (l *link) carry() (opened bool, err error) {
+func (l *Link) carry() (opened bool, err error) {
 	ctx, cancel := context.WithCancel(l.context)
 	defer cancel()
 	body, commandWriter := io.Pipe()
@@ -191,7 +200,7 @@
 
 // open has runs begin on the link, after those that it brings back. It returns how many
 // of them were accepted; the runner ends the others.
-func (l *link) open(first report) (accepted int) {
+func (l *Link) open(first report) (accepted int) {
 	held := make([]*Held, 0, len(first.Held))
 	for _, one := range first.Held {
 		text := scheduler.Text{Events: one.Text.Events, Last: uint64(len(one.Text.Events)), Versions: one.Text.Versions}
@@ -220,7 +229,7 @@
 }
 
 // interruptRuns ends the runs of a link that has ended, and returns their number.
-func (l *link) interruptRuns() int {
+func (l *Link) interruptRuns() int {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.up.Store(false)
@@ -234,7 +243,7 @@
 
 // sendCommands writes the commands that gather, and a message now and then if there
 // are none.
-func (l *link) sendCommands(ctx context.Context, writer io.Writer, heard *atomic.Uint64) {
+func (l *Link) sendCommands(ctx context.Context, writer io.Writer, heard *atomic.Uint64) {
 	buffered := bufio.NewWriter(writer)
 	keepalive := time.NewTimer(0)
 	defer keepalive.Stop()
@@ -254,7 +263,7 @@
 	}
 }
 
-func (l *link) takePending() commands {
+func (l *Link) takePending() commands {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	pending := l.pending
@@ -263,7 +272,7 @@
 }
 
 // takeReports takes in reports until the link ends.
-func (l *link) takeReports(reader *bufio.Reader, silence *time.Timer, heard *atomic.Uint64) error {
+func (l *Link) takeReports(reader *bufio.Reader, silence *time.Timer, heard *atomic.Uint64) error {
 	for {
 		var message report
 		if err := readMessage(reader, &message); err != nil {
@@ -278,7 +287,7 @@
 }
 
 // takeNews hands a run's news on. A run that was abandoned has none.
-func (l *link) takeNews(news runReport) {
+func (l *Link) takeNews(news runReport) {
 	l.mutex.Lock()
 	run := l.runs[news.Run]
 	if news.End != 0 {
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -24,7 +24,6 @@
 // from several goroutines.
 type Pool struct {
 	context context.Context
-	local   Runs
 	client  *http.Client
 	logger  *zerolog.Logger
 	// begun is when the pool was made, and term that of the leadership.
@@ -34,17 +33,16 @@
 	adopt func(held []*Held)
 
 	mutex sync.Mutex
-	links map[string]*link
+	links map[string]*Link
 }
 
-// NewPool returns a pool without links, for the leadership of the term. The engine client
-// serves where there is no runner. All links end with the context. The function is called
-// with the runs that a new link brings back, by the link's goroutine, and accepts those
-// that the leader goes on with; all others are ended.
-func NewPool(ctx context.Context, term uint64, engine Engine, adopt func(held []*Held), logger *zerolog.Logger) *Pool {
+// NewPool returns a pool without links, for the leadership of the term. All links end with
+// the context. The function is called with the runs that a new link brings back, by the
+// link's goroutine, and accepts those that the leader goes on with; all others are ended.
+func NewPool(ctx context.Context, term uint64, adopt func(held []*Held), logger *zerolog.Logger) *Pool {
 	return &Pool{
-		context: ctx, local: local{engine: engine}, logger: logger, begun: time.Now(), term: term, adopt: adopt,
-		client: &http.Client{Transport: transport.NewInternalTransport()}, links: map[string]*link{},
+		context: ctx, logger: logger, begun: time.Now(), term: term, adopt: adopt,
+		client: &http.Client{Transport: transport.NewInternalTransport()}, links: map[string]*Link{},
 	}
 }
 
@@ -74,31 +72,28 @@
 	}
 }
 
-// For returns who is to hold the streams of the engine's runs.
-func (p *Pool) For(engine directory.Backend) Runs {
+// For returns the link to the store that is to hold the streams of the engine's runs, or
+// nil if none is open.
+func (p *Pool) For(engine directory.Backend) *Link {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	var best *link
+	var best *Link
 	for _, one := range p.links {
 		if one.up.Load() && (best == nil || one.store.preferredTo(best.store, engine.ID, engine.Zone)) {
 			best = one
 		}
 	}
-	if best == nil {
-		return p.local
-	}
 	return best
 }
 
-// Settled tells whether runs may begin: most links are open, or they were waited for
-// long enough.
-func (p *Pool) Settled() bool {
-	if time.Since(p.begun) > settleTime {
-		return true
-	}
+// Ready tells whether runs may begin: most links are open, or they were waited for long
+// enough and there is one.
+func (p *Pool) Ready() bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return float64(p.open()) >= settledShare*float64(len(p.links))
+	open := p.open()
+	settled := float64(open) >= settledShare*float64(len(p.links)) || time.Since(p.begun) > settleTime
+	return open > 0 && settled
 }
 
 // Open returns the number of links that are open.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -2,7 +2,8 @@
 // leader of the ledger decides which engine runs a sample; another store, the run's
 // runner, holds the stream of the engine and reports what comes to the leader, many
 // events at once. A leader that held hundreds of streams itself would spend its
-// processor on them, and be late with its heartbeats to the other replicas.
+// processor on them, and be late with its heartbeats to the other replicas; and with it
+// all of its streams would be lost.
 //
 // Pool is the leader's side and Server the runner's. Between them stands a link: one
 // HTTP request, whose body carries commands and whose answer carries reports. Either
@@ -54,27 +55,3 @@
 	// Versions are those of the weights that made the events, 0 for unknown.
 	Versions []uint64 `cbor:"3,keyasint,omitempty"`
 }
-
-// Runs begins runs.
-type Runs interface {
-	// Name is that of the store that holds the streams, or "" for this process.
-	Name() string
-	// Run hands the run's text to the function, part by part and in order, until the
-	// run ends. It is Interrupted if the runner is lost.
-	Run(ctx context.Context, request Request, each func(Batch)) scheduler.RunEnd
-}
-
-// local is the process itself as a runner.
-type local struct {
-	engine Engine
-}
-
-// Name implements Runs.
-func (l local) Name() string { return "" }
-
-// Run implements Runs.
-func (l local) Run(ctx context.Context, request Request, each func(Batch)) scheduler.RunEnd {
-	return l.engine.Run(ctx, request, func(event Event) {
-		each(Batch{First: event.ID, Events: []string{event.Data}, Versions: []uint64{event.Version}})
-	})
-}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -61,7 +61,7 @@
 // lead returns the pool of a leader of the term with a link to the runner.
 func (l *linked) lead(ctx context.Context, term uint64, adopt func([]*Held)) *Pool {
 	logger := zerolog.Nop()
-	pool := NewPool(ctx, term, scriptedEngine(unreachable), adopt, &logger)
+	pool := NewPool(ctx, term, adopt, &logger)
 	pool.Follow([]Store{{Name: "store", Address: l.runner.Listener.Addr().String()}})
 	return pool
 }
@@ -279,7 +279,7 @@
 }
 
 // TestStoreThatIsGoneHoldsNothing: runs of a store that leaves the list go elsewhere,
-// and without any runner the process runs samples itself.
+// and without any runner none begins.
 func TestStoreThatIsGoneHoldsNothing(t *testing.T) {
 	cancelled := make(chan struct{}, 1)
 	linked := newLinked(t, held(cancelled))
@@ -289,7 +289,8 @@
 	}()
 	_, _, end := linked.run(context.Background(), textOf(0, 0))
 	require.Equal(t, scheduler.Interrupted, end)
-	require.Equal(t, "", linked.pool.For(directory.Backend{ID: "e"}).Name())
+	require.Nil(t, linked.pool.For(directory.Backend{ID: "e"}))
+	require.False(t, linked.pool.Ready())
 }
 
 // TestStartThatComesLateIsNotBegun: a runner that stood still takes in no start that
--- a/server/checkpoint.go
+++ b/server/checkpoint.go
@@ -21,16 +21,13 @@
 	checkpointBytes = 512 << 10
 )
 
-// reportFreshness is how long the newest part of a run that another store holds tells
-// how far the run is: no news for longer means that its engine stands still.
+// reportFreshness is how long the newest part of a run tells how far the run is: no news
+// for longer than a runner's keepalive means that its engine stands still.
 const reportFreshness = 250 * time.Millisecond
 
 // runProgress is the text of a run under way. The run's goroutine extends it,
 // and the loop reads it.
 type runProgress struct {
-	// reported is set if another store holds the stream, whose events come by
-	// reports.
-	reported bool
 	// checkpointedAt is when the text was last kept, or when the run began. It
 	// belongs to the loop.
 	checkpointedAt time.Time
@@ -43,8 +40,8 @@
 }
 
 // newRunProgress returns the progress of a run that continues the text.
-func newRunProgress(text scheduler.Text, reported bool) *runProgress {
-	return &runProgress{checkpointedAt: time.Now(), reported: reported, text: scheduler.Text{
+func newRunProgress(text scheduler.Text) *runProgress {
+	return &runProgress{checkpointedAt: time.Now(), text: scheduler.Text{
 		// The full slice expressions force copies: an earlier run may still append.
 		Events: text.Events[:len(text.Events):len(text.Events)], Last: text.Last,
 		Versions: text.Versions[:len(text.Versions):len(text.Versions)],
@@ -76,13 +73,12 @@
 	return p.text, p.events
 }
 
-// observed returns the number of events since the run began, and as of when. Events
-// that come by reports tell of the time of the newest report, not of now: an engine
-// would look slow just before the next one.
+// observed returns the number of events since the run began, and as of when: events come
+// by reports, and an engine would look slow just before the next one.
 func (p *runProgress) observed(now int64) (at int64, events int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.reported && now-p.newest < reportFreshness.Milliseconds() {
+	if now-p.newest < reportFreshness.Milliseconds() {
 		return p.newest, p.events
 	}
 	return now, p.events
--- a/server/executor.go
+++ b/server/executor.go
@@ -79,7 +79,7 @@
 		cancels: map[*scheduler.Task]context.CancelFunc{}, progress: map[*scheduler.Task]*runProgress{},
 		checkpointed: map[*scheduler.Task]uint64{}, known: map[string]bool{},
 	}
-	t.runners = runner.NewPool(leadership, term, x.engines, t.adopt, x.logger)
+	t.runners = runner.NewPool(leadership, term, t.adopt, x.logger)
 	t.deferOrders()
 	t.loadHistory()
 	go t.follow(stop)
--- a/server/followed_run.go
+++ b/server/followed_run.go
@@ -29,12 +29,12 @@
 	gap     bool
 }
 
-// followRun prepares to follow a run of the task. Its stream may be reported by a runner.
-func (t *tenure) followRun(assignment scheduler.Assignment, reported bool) *followedRun {
+// followRun prepares to follow a run of the task.
+func (t *tenure) followRun(assignment scheduler.Assignment) *followedRun {
 	task := assignment.Task
 	ctx, cancel := context.WithCancel(t.context)
 	t.cancels[task] = cancel
-	progress := newRunProgress(task.Text, reported)
+	progress := newRunProgress(task.Text)
 	t.progress[task] = progress
 	if task.Text.Last == 0 {
 		delete(t.checkpointed, task)
--- a/server/run.go
+++ b/server/run.go
@@ -38,16 +38,16 @@
 // start runs a task on its engine.
 func (t *tenure) start(assignment scheduler.Assignment) {
 	task := assignment.Task
-	runs := t.runners.For(assignment.Backend)
+	link := t.runners.For(assignment.Backend)
 	event.SampleStarted.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).
-		Str("engine", assignment.Backend.ID).Str("runner", runs.Name()).Uint("attempt", uint64(task.Attempts)).Uint("after", task.Text.Last).
+		Str("engine", assignment.Backend.ID).Str("runner", link.Name()).Uint("attempt", uint64(task.Attempts)).Uint("after", task.Text.Last).
 		Uint("expected", uint64(assignment.Expected)).Uint("pace", micros(assignment.Pace)).Uint("ahead", boolToUint(task.IsAhead())).
 		Int("spare_ms", assignment.Spare).Send()
 	request := runner.Request{
 		Backend: assignment.Backend, Step: task.Step.ID, Host: task.Step.Host, Sample: task.Sample, Text: task.Text,
 	}
-	followed := t.followRun(assignment, runs.Name() != "")
-	go followed.run(func(ctx context.Context) scheduler.RunEnd { return runs.Run(ctx, request, followed.take) })
+	followed := t.followRun(assignment)
+	go followed.run(func(ctx context.Context) scheduler.RunEnd { return link.Run(ctx, request, followed.take) })
 }
 
 // adopt goes on with runs of an earlier leader, where their samples wait and their texts
@@ -61,7 +61,7 @@
 			}
 			event.RunAdopted.On(t.logger).Str("sample", one.Sample).Str("step", one.Step).Str("engine", one.Engine).
 				Str("runner", one.Name()).Uint("after", one.Text.Last).Send()
-			followed := t.followRun(assignment, true)
+			followed := t.followRun(assignment)
 			one.Accept(followed.take)
 			go followed.run(one.Wait)
 		}
--- a/server/runners.go
+++ b/server/runners.go
@@ -6,20 +6,6 @@
 	"github.com/dillchute/dillchute/runner"
 )
 
-// followRunners has other stores hold the streams of runs where the engines have more
-// slots than this process should hold streams of its own. Once they do they go on
-// for the rest of the leadership: a change of mind would cut every run.
-func (t *tenure) followRunners(engines []directory.Backend) {
-	slots := 0
-	for _, engine := range engines {
-		slots += engine.Slots
-	}
-	t.spreads = t.spreads || slots >= t.settings.RunnersFromSlots
-	if t.spreads {
-		t.runners.Follow(runnersOf(t.catalog, t.settings.Name))
-	}
-}
-
 // runnersOf returns the stores that may hold streams for the leader of the name. The
 // leader itself is one of them: it may hold streams of an earlier leader.
 func runnersOf(catalog *directory.Catalog, leader string) []runner.Store {
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -25,8 +25,6 @@
 	scheduler *scheduler.Scheduler
 	// runners are the stores that hold the streams of runs.
 	runners *runner.Pool
-	// spreads is set once other stores hold them.
-	spreads bool
 
 	catalog    *directory.Catalog
 	generation uint64
@@ -131,7 +129,7 @@
 		t.catalog = catalog
 		t.forwarder.Forget(catalog)
 		backends := engineBackends(catalog)
-		t.followRunners(backends)
+		t.runners.Follow(runnersOf(catalog, t.settings.Name))
 		if first {
 			t.inspect(backends)
 		}
@@ -219,7 +217,7 @@
 	for _, order := range t.scheduler.Orders(now) {
 		go t.load(order)
 	}
-	if !t.runners.Settled() {
+	if !t.runners.Ready() {
 		return nil
 	}
 	for _, assignment := range t.scheduler.Assign(now, t.servicesOf) {
