Runners tell what a cancelled run has; a deposed leader begins nothing

Two findings of the tests on, one failure each: - TestRunGoesOnWhenItsEngineLeaves: a run that its leader ended lost what had come since its last report, up to 100 ms of text, also with each move off a slow engine. A runner now says that a later leader has taken over, or refuses the link, and a leader that is told so begins no more. scheduler.Requeue is gone: runs on engines that are gone end as others do.

--- a/runner/link.go
+++ b/runner/link.go
@@ -20,6 +20,9 @@
 	// minBackoff and maxBackoff are the times between two attempts to open a link.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 2 * time.Second
+	// cancelWait is how long the end of a run is waited for that the leader has ended:
+	// several times the way there and back and the runner's endDelay.
+	cancelWait = 100 * time.Millisecond
 )
 
 var errRefused = errorx.NewNamespace("runner").NewType("link_refused")
@@ -102,15 +105,35 @@
 	return l.wait(ctx, number, run)
 }
 
-// wait waits for the end of a run, and ends it with the context.
+// wait waits for the end of a run, and ends it with the context. The runner tells what
+// had come by then, so that it is not made again.
 func (l *Link) wait(ctx context.Context, number uint64, run *linkRun) scheduler.RunEnd {
 	select {
 	case end := <-run.ended:
 		return end
 	case <-ctx.Done():
-		l.abandon(number)
+		return l.end(number, run)
+	}
+}
+
+// end has the runner end a run, and waits for a moment for what it tells of it. A text
+// that was whole by then is whole.
+func (l *Link) end(number uint64, run *linkRun) scheduler.RunEnd {
+	l.cancelRun(number)
+	defer l.forget(number)
+	if l.context.Err() != nil {
 		return scheduler.Broken
 	}
+	limit := time.NewTimer(cancelWait)
+	defer limit.Stop()
+	select {
+	case end := <-run.ended:
+		if end == scheduler.Complete {
+			return end
+		}
+	case <-limit.C:
+	}
+	return scheduler.Broken
 }
 
 // ask queues the start of a run. It fails on a link that has ended.
@@ -133,16 +156,21 @@
 	return l.nextRun, true
 }
 
-// abandon has the runner end a run, whose end is not waited for.
-func (l *Link) abandon(number uint64) {
+// cancelRun asks the runner to end a run.
+func (l *Link) cancelRun(number uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.runs[number] == nil {
-		return
+	if l.runs[number] != nil {
+		l.pending.Cancels = append(l.pending.Cancels, number)
+		wake(l.changed)
 	}
+}
+
+// forget has no more news of a run handed on.
+func (l *Link) forget(number uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	delete(l.runs, number)
-	l.pending.Cancels = append(l.pending.Cancels, number)
-	wake(l.changed)
 }
 
 // keepOpen opens the link again and again.
@@ -178,6 +206,9 @@
 		return false, err
 	}
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusConflict {
+		l.pool.superseded.Store(true)
+	}
 	if response.StatusCode != http.StatusOK {
 		return false, errRefused.New("status %d", response.StatusCode)
 	}
@@ -219,7 +250,8 @@
 	}
 	for _, one := range held {
 		if one.run.each == nil {
-			l.abandon(one.number)
+			l.cancelRun(one.number)
+			l.forget(one.number)
 		} else {
 			accepted++
 		}
@@ -280,6 +312,10 @@
 		}
 		silence.Reset(runnerSilence)
 		heard.Store(message.Number)
+		if message.Superseded {
+			l.pool.superseded.Store(true)
+			return errRefused.New("a later link has taken over")
+		}
 		for _, news := range message.Runs {
 			l.takeNews(news)
 		}
--- a/runner/message.go
+++ b/runner/message.go
@@ -65,6 +65,8 @@
 	Runs   []runReport `cbor:"2,keyasint,omitempty"`
 	// Held are the runs that the link brings back; in the first report only.
 	Held []heldReport `cbor:"3,keyasint,omitempty"`
+	// Superseded is set in the last report of a link that another one has taken over.
+	Superseded bool `cbor:"4,keyasint,omitempty"`
 }
 
 // heldReport tells of a run that was begun over an earlier link. Its news follow as
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,6 +33,9 @@
 	// adopt takes over the runs that links bring back.
 	adopt func(held []*Held)
 
+	// superseded is set once a runner has told of a later leader.
+	superseded atomic.Bool
+
 	mutex sync.Mutex
 	links map[string]*Link
 }
@@ -87,8 +91,11 @@
 }
 
 // Ready tells whether runs may begin: most links are open, or they were waited for long
-// enough and there is one.
+// enough and there is one. A leader that a later one has taken links from begins no more.
 func (p *Pool) Ready() bool {
+	if p.superseded.Load() {
+		return false
+	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	open := p.open()
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -156,6 +156,22 @@
 	<-cancelled
 }
 
+// TestCancelledRunTellsWhatItHas: what had come of a run that the leader ends is told, so
+// that it is not made again.
+func TestCancelledRunTellsWhatItHas(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	linked := newLinked(t, func(running context.Context, _ Request, each func(Event)) scheduler.RunEnd {
+		each(Event{ID: 1, Data: "a"})
+		cancel()
+		<-running.Done()
+		each(Event{ID: 2, Data: "b"})
+		return scheduler.Broken
+	})
+	events, _, end := linked.run(ctx, textOf(0, 0))
+	require.Equal(t, scheduler.Broken, end)
+	require.Equal(t, []string{"a", "b"}, events)
+}
+
 // TestLostRunnerInterruptsItsRuns: the leader learns at once that a runner is lost, and
 // that its engines are not to blame.
 func TestLostRunnerInterruptsItsRuns(t *testing.T) {
@@ -271,6 +287,7 @@
 	texts, ends := make(chan scheduler.Text, 1), make(chan scheduler.RunEnd, 1)
 	later := linked.lead(ctx, 2, acceptAll(texts, ends))
 	require.Eventually(t, func() bool { return later.Open() == 1 && linked.pool.Open() == 0 }, soon, interval)
+	require.False(t, linked.pool.Ready(), "the earlier leader begins no more")
 	// The earlier leader goes on asking.
 	require.Never(t, func() bool { return linked.pool.Open() > 0 }, 3*minBackoff, interval)
 	close(goOn)
@@ -298,7 +315,7 @@
 func TestStartThatComesLateIsNotBegun(t *testing.T) {
 	now := time.Now()
 	logger := zerolog.Nop()
-	served := newServerLink(NewServer(scriptedEngine(unreachable), &logger), context.Background(), nil)
+	served := newServerLink(NewServer(scriptedEngine(unreachable), &logger), context.Background(), 1, nil)
 	served.reportedAt = []time.Time{now.Add(-3 * startValidity), now.Add(-2 * startValidity), now.Add(-startValidity / 2), now}
 	served.firstReport = 5
 	for number, recent := range map[uint64]bool{0: false, 4: false, 5: false, 6: false, 7: true, 8: true, 9: false} {
--- a/runner/server.go
+++ b/runner/server.go
@@ -81,10 +81,10 @@
 		http.Error(response, "links need HTTP/1.1", http.StatusHTTPVersionNotSupported)
 		return
 	}
-	link := newServerLink(s, request.Context(), controller)
+	link := newServerLink(s, request.Context(), term, controller)
 	defer link.cancel()
 	if !s.adopt(link, term) {
-		http.Error(response, "a later leader has a link, or this store stops", http.StatusConflict)
+		http.Error(response, "a later leader has a link", http.StatusConflict)
 		return
 	}
 	defer s.links.Done()
@@ -101,16 +101,20 @@
 }
 
 // adopt makes the link the current one, with all runs that are held. It fails for a
-// link of an earlier term than the newest, and once the server is closed.
+// link of an earlier term than the newest. Once the server is closed a link ends at once.
 func (s *Server) adopt(link *serverLink, term uint64) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.closed || term < s.term {
+	if term < s.term {
 		return false
 	}
 	s.links.Add(1)
+	if s.closed {
+		link.cancel()
+		return true
+	}
 	if s.current != nil {
-		s.orphans = append(s.orphans, s.current.detach()...)
+		s.orphans = append(s.orphans, s.current.supersede(term)...)
 	}
 	if s.endTimer != nil {
 		s.endTimer.Stop()
--- a/runner/serverlink.go
+++ b/runner/serverlink.go
@@ -37,6 +37,7 @@
 	context    context.Context
 	cancel     context.CancelFunc
 	controller *http.ResponseController
+	term       uint64
 	// broughtBack counts the runs of earlier links, started those that were asked for on
 	// this one, and late those that were asked for too long ago.
 	broughtBack, started, late int
@@ -44,9 +45,10 @@
 	changed, ended chan struct{}
 
 	mutex sync.Mutex
-	// closed is set once the runs have been taken from the link.
-	closed bool
-	runs   map[uint64]*heldRun
+	// closed is set once the runs have been taken from the link, and superseded if
+	// another link has them.
+	closed, superseded bool
+	runs               map[uint64]*heldRun
 	// told are the runs whose whole texts were reported lately, the earliest first.
 	told []endedRun
 	// held are the numbers of the runs that the first report brings back.
@@ -59,10 +61,10 @@
 	firstReport uint64
 }
 
-func newServerLink(server *Server, parent context.Context, controller *http.ResponseController) *serverLink {
+func newServerLink(server *Server, parent context.Context, term uint64, controller *http.ResponseController) *serverLink {
 	ctx, cancel := context.WithCancel(parent)
 	return &serverLink{
-		server: server, context: ctx, cancel: cancel, controller: controller,
+		server: server, context: ctx, cancel: cancel, term: term, controller: controller,
 		runs: map[uint64]*heldRun{}, reportedAt: []time.Time{time.Now()},
 		changed: make(chan struct{}, 1), ended: make(chan struct{}, 1),
 	}
@@ -85,8 +87,26 @@
 func (l *serverLink) detach() []*heldRun {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.closed = true
 	l.cancel()
+	return l.takeRuns()
+}
+
+// supersede takes the runs from the link for one of the term. The link ends once it has
+// told its leader of a later one; its own leader may have opened another link instead.
+func (l *serverLink) supersede(term uint64) []*heldRun {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if term > l.term {
+		l.superseded = true
+		wake(l.ended)
+	} else {
+		l.cancel()
+	}
+	return l.takeRuns()
+}
+
+func (l *serverLink) takeRuns() []*heldRun {
+	l.closed = true
 	runs := make([]*heldRun, 0, len(l.runs))
 	for _, run := range l.runs {
 		run.own(nil)
@@ -176,14 +196,12 @@
 	return position >= 0 && position < len(l.reportedAt) && l.reportedAt[position].After(oldest)
 }
 
-// cancelRun ends a run whose end the leader does not wait for.
+// cancelRun ends a run. What had come of it is told with its end.
 func (l *serverLink) cancelRun(number uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if run := l.runs[number]; run != nil {
-		run.own(nil)
 		run.cancel()
-		delete(l.runs, number)
 	}
 }
 
@@ -192,10 +210,11 @@
 func (l *serverLink) sendReports(writer io.Writer) {
 	buffered := bufio.NewWriter(writer)
 	for {
-		if writeMessage(buffered, l.collect()) != nil || buffered.Flush() != nil || l.controller.Flush() != nil {
+		next := l.collect()
+		if writeMessage(buffered, next) != nil || buffered.Flush() != nil || l.controller.Flush() != nil {
 			return
 		}
-		if !l.awaitReport(time.Now()) {
+		if next.Superseded || !l.awaitReport(time.Now()) {
 			return
 		}
 	}
@@ -229,7 +248,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.reportedAt = append(l.reportedAt, time.Now())
-	next := report{Number: l.firstReport + uint64(len(l.reportedAt)) - 1}
+	next := report{Number: l.firstReport + uint64(len(l.reportedAt)) - 1, Superseded: l.superseded}
 	if next.Number == 1 {
 		for _, number := range l.held {
 			if run := l.runs[number]; run != nil {
--- a/scheduler/ahead_test.go
+++ b/scheduler/ahead_test.go
@@ -101,7 +101,7 @@
 
 	s, first = returningStep(t)
 	ahead = runAhead(t, s, first)
-	s.Requeue(ahead)
+	require.True(t, s.RunEnded(0, ahead, ahead.Run, Broken))
 	require.Equal(t, Finished, ahead.State)
 	require.Empty(t, s.ahead)
 }
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -120,21 +120,6 @@
 	}
 }
 
-// Requeue has a task that was scored in vain, or whose engine is gone, run again.
-func (s *Scheduler) Requeue(task *Task) {
-	if task.State == Finished {
-		return
-	}
-	if task.ahead {
-		s.endAhead(task, Broken)
-		return
-	}
-	s.leave(task)
-	task.Run++
-	task.State = Waiting
-	s.requeue(task)
-}
-
 // Finish marks a task as done. It tells whether the trainer has the whole groups
 // that it waits for by that.
 func (s *Scheduler) Finish(task *Task) (stepWhole bool) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -86,7 +86,7 @@
 }
 
 // SyncEngines takes in the engines that exist and the newest versions. It
-// returns the tasks that ran on engines which are gone; they wait again.
+// returns the tasks that run on engines which are gone: the caller ends their runs.
 func (s *Scheduler) SyncEngines(now int64, backends []directory.Backend, newest map[string]uint64) []*Task {
 	present := make(map[string]bool, len(backends))
 	for _, backend := range backends {
--- a/server/run.go
+++ b/server/run.go
@@ -27,14 +27,6 @@
 	return task.Text.Last
 }
 
-// takeText has the task hold what its run has produced so far, since the run's
-// end will not be waited for.
-func (t *tenure) takeText(task *scheduler.Task) {
-	if progress := t.progress[task]; progress != nil {
-		task.Text, _ = progress.read()
-	}
-}
-
 // start runs a task on its engine.
 func (t *tenure) start(assignment scheduler.Assignment) {
 	task := assignment.Task
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -134,9 +134,8 @@
 			t.inspect(backends)
 		}
 		for _, task := range t.scheduler.SyncEngines(nowMillis(), backends, catalog.Models) {
+			// It waits again once its run has told what there is of its text.
 			t.cancel(task)
-			t.takeText(task)
-			t.scheduler.Requeue(task)
 		}
 	}
 	var open []*ledger.Entry
