A lost leadership tells runners nothing

Found by reading: the end of a leadership reaches its runs before it reaches the links, so that a link could still tell its runner to end runs that are the next leader's. Test that failed first: TestNothingIsToldForALostLeadership. Versions of a batch are looked at one by one, so that a batch without any could not end the process.

--- a/runner/link.go
+++ b/runner/link.go
@@ -117,13 +117,14 @@
 }
 
 // end has the runner end a run, and waits for a moment for what it tells of it. A text
-// that was whole by then is whole.
+// that was whole by then is whole. Where the leadership or the link has ended, nothing is
+// told to the runner: the run is the next link's.
 func (l *Link) end(number uint64, run *linkRun) scheduler.RunEnd {
-	l.cancelRun(number)
 	defer l.forget(number)
-	if l.context.Err() != nil {
+	if l.context.Err() != nil || l.pool.context.Err() != nil {
 		return scheduler.Broken
 	}
+	l.cancelRun(number)
 	limit := time.NewTimer(cancelWait)
 	defer limit.Stop()
 	select {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -38,8 +39,9 @@
 	pool   *Pool
 	runner *httptest.Server
 	server *Server
-	// stop ends the leadership.
-	stop context.CancelFunc
+	// leadership is the context of the first leader's pool, and stop ends it.
+	leadership context.Context
+	stop       context.CancelFunc
 }
 
 func newLinked(t *testing.T, engine scriptedEngine) *linked {
@@ -47,7 +49,7 @@
 	l := &linked{server: NewServer(engine, &logger)}
 	l.runner = httptest.NewServer(l.server)
 	ctx, stop := context.WithCancel(context.Background())
-	l.stop = stop
+	l.leadership, l.stop = ctx, stop
 	t.Cleanup(func() {
 		stop()
 		l.runner.CloseClientConnections()
@@ -262,6 +264,44 @@
 	}
 }
 
+// TestLostLeadershipEndsNoRuns: a leader that loses its leadership stops waiting for its
+// runs, and tells no runner to end them: they are the next leader's.
+func TestLostLeadershipEndsNoRuns(t *testing.T) {
+	const many = 50
+	cancelled := make(chan struct{}, many)
+	linked := newLinked(t, held(cancelled))
+	linked.server.orphanTime = time.Hour
+	var ended sync.WaitGroup
+	for range many {
+		ended.Go(func() { linked.run(linked.leadership, textOf(0, 0)) })
+	}
+	require.Eventually(t, func() bool { return linked.server.Held() == many }, soon, interval)
+	linked.stop()
+	ended.Wait()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	brought := make(chan int, 1)
+	linked.lead(ctx, 2, func(held []*Held) { brought <- len(held) })
+	require.Equal(t, many, <-brought)
+	require.Empty(t, cancelled, "no engine's run was ended")
+	linked.server.Close()
+}
+
+// TestNothingIsToldForALostLeadership: the end of a leadership reaches its runs before it
+// reaches the link that could still tell the runner to end them.
+func TestNothingIsToldForALostLeadership(t *testing.T) {
+	leadership, stop := context.WithCancel(context.Background())
+	run := &linkRun{ended: make(chan scheduler.RunEnd, 1)}
+	link := &Link{
+		pool: &Pool{context: leadership}, context: context.Background(),
+		changed: make(chan struct{}, 1), runs: map[uint64]*linkRun{7: run},
+	}
+	stop()
+	require.Equal(t, scheduler.Broken, link.wait(leadership, 7, run))
+	require.Empty(t, link.pending.Cancels)
+	require.Empty(t, link.runs)
+}
+
 // TestRunThatIsNotWantedEnds: what a new leader does not accept is ended at once.
 func TestRunThatIsNotWantedEnds(t *testing.T) {
 	cancelled := make(chan struct{}, 1)
--- a/server/followed_run.go
+++ b/server/followed_run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -55,7 +54,9 @@
 	defer f.mutex.Unlock()
 	f.silence.Reset(f.stall)
 	f.tenure.metrics.events.WithLabelValues().Add(float64(len(batch.Events)))
-	f.version = max(f.version, slices.Max(batch.Versions))
+	for _, version := range batch.Versions {
+		f.version = max(f.version, version)
+	}
 	if f.gap = f.gap || !f.progress.add(batch); f.gap {
 		f.cancel()
 	}
