A store that stops refuses links as unavailable, not as a later leader's

Found by reading: a closed server took a link while its end was waited for. Test: TestClosedServerTakesNoLink.

--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -419,3 +419,12 @@
 		stop()
 	}
 }
+
+// TestClosedServerTakesNoLink: a store that stops is no sign of a later leader.
+func TestClosedServerTakesNoLink(t *testing.T) {
+	linked := newLinked(t, unreachable)
+	linked.server.Close()
+	require.Eventually(t, func() bool { return linked.pool.Open() == 0 }, soon, interval)
+	require.Never(t, func() bool { return linked.pool.Open() > 0 }, 3*minBackoff, interval)
+	require.False(t, linked.pool.superseded.Load())
+}
--- a/runner/server.go
+++ b/runner/server.go
@@ -83,8 +83,8 @@
 	}
 	link := newServerLink(s, request.Context(), term, controller)
 	defer link.cancel()
-	if !s.adopt(link, term) {
-		http.Error(response, "a later leader has a link", http.StatusConflict)
+	if status := s.adopt(link, term); status != http.StatusOK {
+		http.Error(response, "this store takes no link of the term", status)
 		return
 	}
 	defer s.links.Done()
@@ -100,19 +100,19 @@
 		Uint("left", uint64(left)).Uint("late", uint64(link.late)).Send()
 }
 
-// adopt makes the link the current one, with all runs that are held. It fails for a
-// link of an earlier term than the newest. Once the server is closed a link ends at once.
-func (s *Server) adopt(link *serverLink, term uint64) bool {
+// adopt makes the link the current one, with all runs that are held. It returns the status
+// of the answer: a conflict for a link of an earlier term than the newest, and unavailable
+// once the server is closed.
+func (s *Server) adopt(link *serverLink, term uint64) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.closed {
+		return http.StatusServiceUnavailable
+	}
 	if term < s.term {
-		return false
+		return http.StatusConflict
 	}
 	s.links.Add(1)
-	if s.closed {
-		link.cancel()
-		return true
-	}
 	if s.current != nil {
 		s.orphans = append(s.orphans, s.current.supersede(term)...)
 	}
@@ -122,7 +122,7 @@
 	s.term, s.current = term, link
 	link.bringBack(s.orphans)
 	s.orphans = nil
-	return true
+	return http.StatusOK
 }
 
 // release takes the runs of a link that has ended, and ends them if no other link
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -38,12 +38,13 @@
 			return false
 		}
 		services, ok := serviceOf(task)
-		if !ok || unplaced[demandOf(task, services)] {
+		wanted := demandOf(task, services)
+		if !ok || unplaced[wanted] {
 			return false
 		}
 		backend, ok := s.place(now, task, services)
 		if !ok {
-			unplaced[demandOf(task, services)] = true
+			unplaced[wanted] = true
 		}
 		if ok {
 			task.Run++
