--- a/runner/link.go
+++ b/runner/link.go
@@ -239,7 +239,7 @@
 		run := &linkRun{ended: make(chan scheduler.RunEnd, 1)}
 		held = append(held, &Held{Step: one.Step, Sample: one.Sample, Engine: one.Engine, Text: text, link: l, number: one.Run, run: run})
 	}
-	// No run is accepted by a link whose runs an end would not interrupt.
+	// They are known before they are accepted, so that an end of the link interrupts them.
 	l.mutex.Lock()
 	l.pending = commands{}
 	for _, one := range held {
@@ -323,7 +323,7 @@
 	}
 }
 
-// takeNews hands a run's news on. A run that was abandoned has none.
+// takeNews hands a run's news on, unless the run has been forgotten.
 func (l *Link) takeNews(news runReport) {
 	l.mutex.Lock()
 	run := l.runs[news.Run]
