Tenants and keys: requests need a key, backends see the tenant's name

Tenants are objects of the directory, so watchers take in changed ones only. The key is looked up for each request in the newest catalog, also on kept connections. Steps carry their tenant; for others' keys they do not exist. Where there are no tenants, nothing changes.

--- a/directory/machine.go
+++ b/directory/machine.go
@@ -40,6 +40,7 @@
 	KindRoute ObjectKind = iota + 1
 	KindService
 	KindBackend
+	KindTenant
 )
 
 // contents is what a snapshot holds.
@@ -60,6 +61,8 @@
 	Floor   uint64      `cbor:"12,keyasint"`
 	// Gone are IDs of backends that have left.
 	Gone map[string]uint64 `cbor:"13,keyasint"`
+	// Tenants are those of the configuration in force, by name.
+	Tenants map[string]*versioned[routing.Tenant] `cbor:"14,keyasint,omitempty"`
 }
 
 // Machine is the replicated state. Its methods must not be called concurrently.
@@ -82,6 +85,7 @@
 		Models:   map[string]*versioned[uint64]{},
 		Stores:   map[string]*versioned[Store]{},
 		Gone:     map[string]uint64{},
+		Tenants:  map[string]*versioned[routing.Tenant]{},
 	}
 }
 
@@ -92,6 +96,7 @@
 	state.Routes, state.Services = maps.Clone(state.Routes), maps.Clone(state.Services)
 	state.Backends, state.Models = maps.Clone(state.Backends), maps.Clone(state.Models)
 	state.Stores, state.Gone = maps.Clone(state.Stores), maps.Clone(state.Gone)
+	state.Tenants = maps.Clone(state.Tenants)
 	return func(writer io.Writer) error { return deterministic.NewEncoder(writer).Encode(state) }
 }
 
@@ -223,6 +228,11 @@
 	for _, service := range configuration.Services {
 		services[service.Name] = service
 	}
+	tenants := make(map[string]routing.Tenant, len(configuration.Tenants))
+	for _, tenant := range configuration.Tenants {
+		tenants[tenant.Name] = tenant
+	}
+	syncObjects(m, m.state.Tenants, tenants, KindTenant)
 	syncObjects(m, m.state.Routes, routes, KindRoute)
 	syncObjects(m, m.state.Services, services, KindService)
 	if m.state.Limits.Object != configuration.Limits {
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -23,6 +23,7 @@
 	Removed  []Removed         `cbor:"11,keyasint,omitempty"`
 	// Replicas are the addresses of the directory's own replicas.
 	Replicas []consensus.Member `cbor:"12,keyasint,omitempty"`
+	Tenants  []routing.Tenant   `cbor:"13,keyasint,omitempty"`
 }
 
 // Removed names an object that is there no more.
@@ -44,6 +45,7 @@
 	delta.Services = changed(s.Services, since)
 	delta.Backends = changed(s.Backends, since)
 	delta.Stores = changed(s.Stores, since)
+	delta.Tenants = changed(s.Tenants, since)
 	if s.Limits.Revision > since {
 		limits := s.Limits.Object
 		delta.Limits = &limits
@@ -92,6 +94,9 @@
 	routes    map[string]routing.Route
 	backends  map[string]Backend
 	byService map[string][]Backend
+	tenants   map[string]routing.Tenant
+	// byKey holds the tenant of each key.
+	byKey map[string]routing.Tenant
 }
 
 // NewCatalog returns a catalog that holds nothing.
@@ -106,6 +111,15 @@
 	return backend, ok
 }
 
+// HasTenants tells whether requests need a key.
+func (c *Catalog) HasTenants() bool { return len(c.tenants) > 0 }
+
+// TenantOfKey returns the tenant that holds the key, and whether there is one.
+func (c *Catalog) TenantOfKey(key string) (routing.Tenant, bool) {
+	tenant, ok := c.byKey[key]
+	return tenant, ok
+}
+
 // With returns the catalog after the delta.
 func (c *Catalog) With(delta Delta) *Catalog {
 	base := c
@@ -114,11 +128,12 @@
 	}
 	next := &Catalog{
 		Revision: delta.Revision, Version: delta.Version, Limits: base.Limits, Group: base.Group,
-		Table: base.Table, Replicas: c.Replicas, byService: base.byService,
+		Table: base.Table, Replicas: c.Replicas, byService: base.byService, byKey: base.byKey,
 	}
 	next.routes = merge(base.routes, delta.Routes, routing.Route.Key, delta.removed(KindRoute))
 	next.Services = merge(base.Services, delta.Services, func(s routing.Service) string { return s.Name }, delta.removed(KindService))
 	next.backends = merge(base.backends, delta.Backends, func(b Backend) string { return b.ID }, delta.removed(KindBackend))
+	next.tenants = merge(base.tenants, delta.Tenants, func(t routing.Tenant) string { return t.Name }, delta.removed(KindTenant))
 	next.Stores = merge(base.Stores, delta.Stores, func(s Store) string { return s.Name }, nil)
 	next.Models = mergeModels(base.Models, delta.Models)
 	if delta.Limits != nil {
@@ -157,6 +172,14 @@
 			})
 		}
 	}
+	if delta.Full || len(delta.Tenants) > 0 || len(delta.removed(KindTenant)) > 0 {
+		c.byKey = map[string]routing.Tenant{}
+		for _, tenant := range c.tenants {
+			for _, key := range tenant.Keys {
+				c.byKey[key] = tenant
+			}
+		}
+	}
 }
 
 func (d Delta) removed(kind ObjectKind) []string {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -22,6 +22,8 @@
 	Target string
 	Header http.Header
 	Body   []byte
+	// Tenant is the name of the caller's tenant, "" for none.
+	Tenant string
 	// Deadline is when the caller gives up.
 	Deadline time.Time
 }
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -91,6 +91,8 @@
 	// EventTokens is the number of tokens that one event of a text holds, 0 if
 	// unknown.
 	EventTokens int `cbor:"14,keyasint,omitempty"`
+	// Tenant is the name of the one that handed the step in, "" where there are none.
+	Tenant string `cbor:"15,keyasint,omitempty"`
 }
 
 // State says how a sample ended.
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -30,6 +30,12 @@
 // Listed tells whether the sample has a result.
 func (e *Entry) Listed(sample string) bool { return e.listed[sample] }
 
+// OpenTo tells whether the tenant may read and end the step. A step without a tenant, and a
+// caller of a deployment without any, are not told apart.
+func (e *Entry) OpenTo(tenant string) bool {
+	return tenant == "" || e.Step.Tenant == "" || e.Step.Tenant == tenant
+}
+
 // Sample returns the sample with the ID, or nil.
 func (e *Entry) Sample(id string) *Sample {
 	for position := range e.Step.Samples {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -61,6 +61,8 @@
 	GiveUpMillis int64 `cbor:"12,keyasint"`
 	// SingleVersion allows only samples made under one version of the weights.
 	SingleVersion bool `cbor:"13,keyasint"`
+	// Public routes take requests without a key.
+	Public bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Key identifies the place of a route: no two routes of a configuration share it.
@@ -87,12 +89,14 @@
 	IdleTimeoutMillis int64 `cbor:"4,keyasint"`
 }
 
-// Configuration is one version of all routes, services and limits.
+// Configuration is one version of all routes, services, limits and tenants. Without
+// tenants, no request needs a key.
 type Configuration struct {
 	Version  uint64    `cbor:"1,keyasint"`
 	Routes   []Route   `cbor:"2,keyasint"`
 	Services []Service `cbor:"3,keyasint"`
 	Limits   Limits    `cbor:"4,keyasint"`
+	Tenants  []Tenant  `cbor:"5,keyasint,omitempty"`
 }
 
 // Validate returns an ErrInvalid error that names the first wrong field.
@@ -118,7 +122,7 @@
 		}
 		places[route.Key()] = true
 	}
-	return nil
+	return validateTenants(c.Tenants)
 }
 
 func (r Route) validate(path string, services map[string]bool) error {
--- a/runner/link.go
+++ b/runner/link.go
@@ -150,7 +150,7 @@
 	// The leader has samples scored itself.
 	sample.Reward = nil
 	l.pending.Starts = append(l.pending.Starts, start{
-		Run: l.nextRun, Backend: request.Backend, Step: request.Step, Host: request.Host, Sample: &sample,
+		Run: l.nextRun, Backend: request.Backend, Step: request.Step, Host: request.Host, Tenant: request.Tenant, Sample: &sample,
 		Text: Batch{First: 1, Events: request.Text.Events, Versions: request.Text.Versions},
 	})
 	wake(l.changed)
--- a/runner/message.go
+++ b/runner/message.go
@@ -45,6 +45,8 @@
 	Sample  *ledger.Sample    `cbor:"5,keyasint"`
 	// Text is what the run continues.
 	Text Batch `cbor:"6,keyasint"`
+	// Tenant is as in Request.
+	Tenant string `cbor:"7,keyasint,omitempty"`
 }
 
 // firstHeldRun is the number that a link gives to the first run that it brings back.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -27,6 +27,8 @@
 	Backend directory.Backend
 	// Step is the ID of the sample's step, and Host the host of its route.
 	Step, Host string
+	// Tenant is the name of the step's tenant, "" where there are none.
+	Tenant string
 	Sample     *ledger.Sample
 	// Text is what there is of the sample's text; without events the run begins anew.
 	Text scheduler.Text
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -201,6 +201,8 @@
 	SubmitRefused
 	// SubmitUnknown: it may have been taken.
 	SubmitUnknown
+	// SubmitConflict: another tenant's step has the ID, and none of this one runs.
+	SubmitConflict
 )
 
 // Submit hands a step to the ledger. Its due and give-up times are given
@@ -211,6 +213,8 @@
 	switch {
 	case err != nil && !reached:
 		outcome = SubmitRefused
+	case err == nil && answer.Refused:
+		outcome = SubmitConflict
 	case err != nil || !answer.Found:
 		outcome = SubmitUnknown
 	}
@@ -220,9 +224,14 @@
 }
 
 // Results returns a step's number of samples and its results from the position
-// on; it waits for one that long.
-func (g *Gateway) Results(ctx context.Context, step string, after int, wait time.Duration) (int, []ledger.Result, error) {
-	answer, _, err := g.ledger.results(ctx, resultsCall{Step: step, After: after, Wait: wait})
+// on; it waits for one that long. The key is the caller's; here and below, the step of
+// another tenant does not exist for it.
+func (g *Gateway) Results(ctx context.Context, key, step string, after int, wait time.Duration) (int, []ledger.Result, error) {
+	tenant, err := g.Identify(ctx, key)
+	if err != nil {
+		return 0, nil, err
+	}
+	answer, _, err := g.ledger.results(ctx, resultsCall{Step: step, After: after, Wait: wait, Tenant: tenant})
 	if err == nil && !answer.Found {
 		err = ErrNotFound.New("no step %q", step)
 	}
@@ -230,8 +239,12 @@
 }
 
 // SampleBody returns the body of a sample.
-func (g *Gateway) SampleBody(ctx context.Context, step, sample string) ([]byte, error) {
-	answer, _, err := g.ledger.call(ctx, ledgerCall{Sample: &sampleCall{Step: step, ID: sample}}, 0)
+func (g *Gateway) SampleBody(ctx context.Context, key, step, sample string) ([]byte, error) {
+	tenant, err := g.Identify(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	answer, _, err := g.ledger.call(ctx, ledgerCall{Sample: &sampleCall{Step: step, ID: sample, Tenant: tenant}}, 0)
 	if err == nil && !answer.Found {
 		err = ErrNotFound.New("no sample %q of step %q", sample, step)
 	}
@@ -239,8 +252,12 @@
 }
 
 // End closes a step.
-func (g *Gateway) End(ctx context.Context, step string) error {
-	answer, _, err := g.ledger.call(ctx, ledgerCall{End: &ledger.End{Step: step}}, 0)
+func (g *Gateway) End(ctx context.Context, key, step string) error {
+	tenant, err := g.Identify(ctx, key)
+	if err != nil {
+		return err
+	}
+	answer, _, err := g.ledger.call(ctx, ledgerCall{End: &endCall{Step: step, Tenant: tenant}}, 0)
 	if err == nil && !answer.Found {
 		err = ErrNotFound.New("no step %q", step)
 	}
--- a/server/ledger_call.go
+++ b/server/ledger_call.go
@@ -25,7 +25,7 @@
 	Submit  *ledger.Step `cbor:"1,keyasint,omitempty"`
 	Results *resultsCall `cbor:"2,keyasint,omitempty"`
 	Sample  *sampleCall  `cbor:"3,keyasint,omitempty"`
-	End     *ledger.End  `cbor:"4,keyasint,omitempty"`
+	End     *endCall     `cbor:"4,keyasint,omitempty"`
 }
 
 type resultsCall struct {
@@ -34,11 +34,19 @@
 	Wait  time.Duration `cbor:"3,keyasint"`
 	// Near asks for what the replica has applied itself, whoever leads.
 	Near bool `cbor:"4,keyasint,omitempty"`
+	// Tenant is the caller's, "" where there are none; so in the calls below.
+	Tenant string `cbor:"5,keyasint,omitempty"`
 }
 
 type sampleCall struct {
-	Step string `cbor:"1,keyasint"`
-	ID   string `cbor:"2,keyasint"`
+	Step   string `cbor:"1,keyasint"`
+	ID     string `cbor:"2,keyasint"`
+	Tenant string `cbor:"3,keyasint,omitempty"`
+}
+
+type endCall struct {
+	Step   string `cbor:"1,keyasint"`
+	Tenant string `cbor:"2,keyasint,omitempty"`
 }
 
 // ledgerAnswer is the answer to a ledgerCall.
@@ -53,6 +61,8 @@
 	Total   int             `cbor:"5,keyasint,omitempty"`
 	Results []ledger.Result `cbor:"6,keyasint,omitempty"`
 	Body    []byte          `cbor:"7,keyasint,omitempty"`
+	// Refused: nothing was done, and it would not be if the call were repeated.
+	Refused bool `cbor:"8,keyasint,omitempty"`
 }
 
 func (l *Ledger) serveCall(response http.ResponseWriter, request *http.Request) {
@@ -93,8 +103,16 @@
 		step.GiveUpAt += now
 	}
 	step.EventTokens = eventTokens(l.watcher.Catalog(), step)
-	known := false
-	l.replica.Do(func() { known = l.machine.Step(step.ID) != nil })
+	known, open := false, false
+	l.replica.Do(func() {
+		if entry := l.machine.Step(step.ID); entry != nil {
+			known, open = true, entry.OpenTo(step.Tenant)
+		}
+	})
+	if known && !open {
+		// Another tenant's step has the ID: none of this one runs.
+		return ledgerAnswer{Refused: true}
+	}
 	if known {
 		event.StepKnown.On(l.logger).Str("step", step.ID).Send()
 		return ledgerAnswer{Found: true}
@@ -154,7 +172,7 @@
 	var answer ledgerAnswer
 	l.replica.Do(func() {
 		entry := l.machine.Step(call.Step)
-		if entry == nil {
+		if entry == nil || !entry.OpenTo(call.Tenant) {
 			return
 		}
 		answer.Found, answer.Total = true, len(entry.Step.Samples)
@@ -180,7 +198,7 @@
 	var answer ledgerAnswer
 	l.replica.Do(func() {
 		entry := l.machine.Step(call.Step)
-		if entry == nil {
+		if entry == nil || !entry.OpenTo(call.Tenant) {
 			return
 		}
 		if sample := entry.Sample(call.ID); sample != nil {
@@ -193,10 +211,10 @@
 	return answer
 }
 
-func (l *Ledger) end(ctx context.Context, end *ledger.End) ledgerAnswer {
+func (l *Ledger) end(ctx context.Context, end *endCall) ledgerAnswer {
 	known, ended := false, false
 	l.replica.Do(func() {
-		if entry := l.machine.Step(end.Step); entry != nil {
+		if entry := l.machine.Step(end.Step); entry != nil && entry.OpenTo(end.Tenant) {
 			known, ended = true, entry.Ended
 		}
 	})
@@ -206,7 +224,7 @@
 	if ended {
 		return ledgerAnswer{Found: true}
 	}
-	_, err := l.replica.Execute(ctx, ledger.Command{End: end}.Encode())
+	_, err := l.replica.Execute(ctx, ledger.Command{End: &ledger.End{Step: end.Step}}.Encode())
 	event.StepEnded.On(l.logger).Str("step", end.Step).Uint("failed", boolToUint(err != nil)).Send()
 	return ledgerAnswer{Found: err == nil, Unknown: err != nil}
 }
--- a/server/run.go
+++ b/server/run.go
@@ -36,7 +36,8 @@
 		Uint("expected", uint64(assignment.Expected)).Uint("pace", micros(assignment.Pace)).Uint("ahead", boolToUint(task.IsAhead())).
 		Int("spare_ms", assignment.Spare).Send()
 	request := runner.Request{
-		Backend: assignment.Backend, Step: task.Step.ID, Host: task.Step.Host, Sample: task.Sample, Text: task.Text,
+		Backend: assignment.Backend, Step: task.Step.ID, Host: task.Step.Host, Tenant: task.Step.Tenant,
+		Sample: task.Sample, Text: task.Text,
 	}
 	followed := t.followRun(assignment)
 	go followed.run(func(ctx context.Context) scheduler.RunEnd { return link.Run(ctx, request, followed.take) })
