Usage of tenants is reported by one node at a time

Gateways count what backends began and tell their totals; the directory's log keeps them, fixes each window 3 s after its end, and the leader reports what was fixed under its term, unchanged until it is taken. Safety without checked fences is the record before each call (package duty): a successor waits for the lease from when it learnt of it. Windows go by the middle of the replicas' clocks. Ruled out: holders chosen by a lease of their own, which needs the same record and another election.

--- a/config/roles.go
+++ b/config/roles.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -44,8 +45,22 @@
 	ToleratedLosses int `yaml:"tolerated_losses"`
 	// HeartbeatInterval is the time between heartbeats of a backend.
 	HeartbeatInterval time.Duration `yaml:"heartbeat_interval"`
+	// DutyAddress is where the calls go that one process at a time makes, and Duties names
+	// those that are wanted there; of these, DutyUsage is known.
+	DutyAddress string   `yaml:"duty_address"`
+	Duties      []string `yaml:"duties"`
+	// UsageWindow is the length of the windows of time that are reported one by one.
+	UsageWindow time.Duration `yaml:"usage_window"`
+	// DutyLease is how long a process must not act that takes a duty over from another one.
+	DutyLease time.Duration `yaml:"duty_lease"`
 }
 
+// DutyUsage is the duty to report the usage of tenants.
+const DutyUsage = "usage"
+
+// Reports tells whether the usage of tenants is to be reported.
+func (d Directory) Reports() bool { return d.DutyAddress != "" && slices.Contains(d.Duties, DutyUsage) }
+
 // Ledger holds the settings of a store.
 type Ledger struct {
 	Process    `yaml:",inline"`
@@ -79,7 +94,10 @@
 
 // DefaultDirectory returns the settings that hold where a file is silent.
 func DefaultDirectory() Directory {
-	return Directory{Process: defaultProcess(), ToleratedLosses: 1, HeartbeatInterval: time.Second}
+	return Directory{
+		Process: defaultProcess(), ToleratedLosses: 1, HeartbeatInterval: time.Second,
+		UsageWindow: 5 * time.Second, DutyLease: 3 * time.Second,
+	}
 }
 
 // DefaultLedger returns the settings that hold where a file is silent.
@@ -155,7 +173,11 @@
 		check{"control_address", !validAddress(d.ControlAddress), "must be an IP address and a port"},
 		check{"data_folder", d.DataFolder == "", "must not be empty"},
 		check{"tolerated_losses", d.ToleratedLosses < 0, "must not be negative"},
-		check{"heartbeat_interval", d.HeartbeatInterval <= 0, "must be positive"}))
+		check{"heartbeat_interval", d.HeartbeatInterval <= 0, "must be positive"},
+		check{"duty_address", d.DutyAddress != "" && !validAddress(d.DutyAddress), "must be an IP address and a port"},
+		check{"duties", len(d.Duties) > 0 && d.DutyAddress == "", "need a duty_address"},
+		check{"usage_window", d.UsageWindow < time.Millisecond, "must be a millisecond or more"},
+		check{"duty_lease", d.DutyLease < 0, "must not be negative"}))
 }
 
 // Validate returns an ErrInvalid error that names every wrong field.
--- a/directory/command.go
+++ b/directory/command.go
@@ -8,10 +8,12 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/duty"
 	"github.com/dillchute/dillchute/routing"
+	"github.com/dillchute/dillchute/usage"
 )
 
-// Command is one entry of the replicated log. Exactly one pointer is set.
+// Command is one entry of the replicated log. Exactly one field is set.
 type Command struct {
 	PutConfiguration *PutConfiguration `cbor:"1,keyasint,omitempty"`
 	PutBackend       *Backend          `cbor:"2,keyasint,omitempty"`
@@ -21,6 +23,13 @@
 	FormGroup        *Group            `cbor:"6,keyasint,omitempty"`
 	ReportGroup      *Group            `cbor:"7,keyasint,omitempty"`
 	Retire           *Retire           `cbor:"8,keyasint,omitempty"`
+	// CountUsage holds totals of gateways, FixUsage a window that is closed, and ToldUsage
+	// one that was reported.
+	CountUsage []usage.Totals `cbor:"9,keyasint,omitempty"`
+	FixUsage   int64          `cbor:"10,keyasint,omitempty"`
+	ToldUsage  int64          `cbor:"11,keyasint,omitempty"`
+	// Act says that its holder is about to carry out a duty.
+	Act *duty.Act `cbor:"12,keyasint,omitempty"`
 }
 
 // PutConfiguration puts a configuration into force if its version is higher
--- a/directory/machine.go
+++ b/directory/machine.go
@@ -10,7 +10,9 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/duty"
 	"github.com/dillchute/dillchute/routing"
+	"github.com/dillchute/dillchute/usage"
 )
 
 // maxTombstones bounds the removed objects that are remembered, beyond which
@@ -63,6 +65,9 @@
 	Gone map[string]uint64 `cbor:"13,keyasint"`
 	// Tenants are those of the configuration in force, by name.
 	Tenants map[string]*versioned[routing.Tenant] `cbor:"14,keyasint,omitempty"`
+	Usage   usage.Book                            `cbor:"15,keyasint"`
+	// Acts are the newest acts of duties, by subject.
+	Acts map[string]duty.Act `cbor:"16,keyasint,omitempty"`
 }
 
 // Machine is the replicated state. Its methods must not be called concurrently.
@@ -86,6 +91,7 @@
 		Stores:   map[string]*versioned[Store]{},
 		Gone:     map[string]uint64{},
 		Tenants:  map[string]*versioned[routing.Tenant]{},
+		Acts:     map[string]duty.Act{},
 	}
 }
 
@@ -96,7 +102,7 @@
 	state.Routes, state.Services = maps.Clone(state.Routes), maps.Clone(state.Services)
 	state.Backends, state.Models = maps.Clone(state.Backends), maps.Clone(state.Models)
 	state.Stores, state.Gone = maps.Clone(state.Stores), maps.Clone(state.Gone)
-	state.Tenants = maps.Clone(state.Tenants)
+	state.Tenants, state.Acts, state.Usage = maps.Clone(state.Tenants), maps.Clone(state.Acts), state.Usage.Clone()
 	return func(writer io.Writer) error { return deterministic.NewEncoder(writer).Encode(state) }
 }
 
@@ -153,6 +159,12 @@
 // Group returns the ledger's group.
 func (m *Machine) Group() Group { return m.state.Group.Object }
 
+// Usage returns the record of usage. It must not be changed.
+func (m *Machine) Usage() *usage.Book { return &m.state.Usage }
+
+// Acts returns the newest acts of duties, by subject. It must not be changed.
+func (m *Machine) Acts() map[string]duty.Act { return m.state.Acts }
+
 func objects[T any](known map[string]*versioned[T]) []T {
 	list := make([]T, 0, len(known))
 	for _, name := range slices.Sorted(maps.Keys(known)) {
@@ -195,6 +207,15 @@
 		m.reportGroup(*command.ReportGroup)
 	case command.Retire != nil:
 		return m.retire(*command.Retire)
+	case command.FixUsage != 0:
+		m.state.Usage.Fix(command.FixUsage)
+	case command.ToldUsage != 0:
+		m.state.Usage.Told(command.ToldUsage)
+	case command.Act != nil:
+		m.state.Acts[command.Act.Subject] = *command.Act
+	}
+	for _, totals := range command.CountUsage {
+		m.state.Usage.Count(totals)
 	}
 	return 0
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -117,6 +117,11 @@
 	Took time.Duration
 }
 
+// MayHaveRun tells whether the backend may have run the request.
+func (a AttemptRecord) MayHaveRun() bool {
+	return a.Outcome == 0 || a.Outcome == Answered || a.Outcome == Lost
+}
+
 // recordBegin notes an attempt that begins.
 func (r *Result) recordBegin(backend string) {
 	r.History = append(r.History, AttemptRecord{Backend: backend, Began: time.Now()})
--- a/server/directory.go
+++ b/server/directory.go
@@ -16,7 +16,9 @@
 	"github.com/dillchute/dillchute/config"
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/duty"
 	"github.com/dillchute/dillchute/replica"
+	"github.com/dillchute/dillchute/usage"
 )
 
 const (
@@ -60,6 +62,10 @@
 	// view is the machine's state, a little late.
 	view       atomic.Pointer[directory.Catalog]
 	heartbeats *heartbeats
+	usage      *usageKeeper
+	// clockTold is when the leader was last told of this machine's clock. It belongs to
+	// the review.
+	clockTold time.Time
 
 	mutex   sync.Mutex
 	serving bool
@@ -67,8 +73,9 @@
 	newestStore, firstStore time.Time
 }
 
-// NewDirectory opens the replica's data folder or sets it up.
-func NewDirectory(settings config.Directory, seeds *Seeds, logger *zerolog.Logger) (*Directory, error) {
+// NewDirectory opens the replica's data folder or sets it up. The client, which may be nil,
+// takes reports of usage.
+func NewDirectory(settings config.Directory, seeds *Seeds, client UsageClient, logger *zerolog.Logger) (*Directory, error) {
 	machine := directory.NewMachine()
 	founders, identity := directoryFounders(settings)
 	opened, err := replica.Open(replica.Settings{
@@ -83,6 +90,10 @@
 		settings: settings, logger: logger, machine: machine, replica: opened,
 		client: replica.NewInternalClient(), watches: &watchCounter{}, metrics: newDirectoryMetrics(), heartbeats: newHeartbeats(),
 	}
+	d.usage = &usageKeeper{
+		settings: settings, replica: opened, machine: machine, client: client, clock: usage.NewClock(), acts: duty.NewWatch(),
+		metrics: d.metrics, logger: logger,
+	}
 	d.view.Store(directory.NewCatalog())
 	return d, nil
 }
--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -10,7 +10,8 @@
 	"github.com/dillchute/dillchute/replica"
 )
 
-// directoryCall is a call to the directory's leader. Exactly one field is set.
+// directoryCall is a call to the directory's leader. Exactly one field is set, or Clock
+// with Heard.
 type directoryCall struct {
 	Heartbeat *Heartbeat                  `cbor:"1,keyasint,omitempty"`
 	Leave     string                      `cbor:"2,keyasint,omitempty"`
@@ -24,7 +25,16 @@
 	// Heard are backends that another replica has heard of.
 	Heard []string `cbor:"10,keyasint,omitempty"`
 	// Newest asks for the revision that a quorum has confirmed.
-	Newest bool `cbor:"11,keyasint,omitempty"`
+	Newest bool       `cbor:"11,keyasint,omitempty"`
+	Usage  *usageCall `cbor:"12,keyasint,omitempty"`
+	// Clock is what the machine of a replica that does not lead shows; it comes with Heard.
+	Clock *clockReading `cbor:"13,keyasint,omitempty"`
+}
+
+// clockReading is a machine's time of day in milliseconds since 1970.
+type clockReading struct {
+	Machine string `cbor:"1,keyasint"`
+	Millis  int64  `cbor:"2,keyasint"`
 }
 
 // directoryAnswer is the answer to a directoryCall.
@@ -37,7 +47,8 @@
 	Found   bool                    `cbor:"5,keyasint,omitempty"`
 	Retired bool                    `cbor:"6,keyasint,omitempty"`
 	// Revision answers Newest.
-	Revision uint64 `cbor:"7,keyasint,omitempty"`
+	Revision uint64       `cbor:"7,keyasint,omitempty"`
+	Usage    *usageAnswer `cbor:"8,keyasint,omitempty"`
 }
 
 // kind returns the call's name in logs, or "" if calls of its kind are frequent
@@ -119,8 +130,11 @@
 	switch {
 	case call.Heartbeat != nil:
 		err = d.handleHeartbeat(ctx, *call.Heartbeat)
-	case len(call.Heard) > 0:
+	case call.Clock != nil:
 		d.heartbeats.noteHeard(time.Now(), call.Heard)
+		d.usage.noteClock(call.Clock.Machine, call.Clock.Millis)
+	case call.Usage != nil:
+		answer.Usage, err = d.usage.take(ctx, call.Usage)
 	case call.Leave != "":
 		event.BackendLeft.On(d.logger).Str("backend", call.Leave).Send()
 		_, err = d.execute(ctx, directory.Command{RemoveBackend: &directory.RemoveBackend{ID: call.Leave}})
--- a/server/directory_review.go
+++ b/server/directory_review.go
@@ -38,6 +38,7 @@
 		}
 		serving := d.replica.Status().Serving
 		d.beginServing(serving)
+		d.usage.noteActs()
 		if !serving {
 			d.tellHeard(ctx)
 			continue
@@ -45,6 +46,8 @@
 		limited, cancel := context.WithTimeout(ctx, time.Second)
 		d.reviewBackends(limited)
 		d.formGroup(limited)
+		d.usage.noteClock(d.settings.Name, time.Now().UnixMilli())
+		d.usage.review(limited, d.view.Load().HasTenants())
 		cancel()
 	}
 }
--- a/server/directory_watch_test.go
+++ b/server/directory_watch_test.go
@@ -94,7 +94,7 @@
 	settings.FirstStart = true
 	settings.Peers = []string{leader, settings.InternalAddress}
 	process := settings.Process
-	d, err := NewDirectory(settings, NewSeeds(process, func() (config.Process, error) { return process, nil }, logger), logger)
+	d, err := NewDirectory(settings, NewSeeds(process, func() (config.Process, error) { return process, nil }, logger), nil, logger)
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -44,6 +44,7 @@
 	forwarder *forward.Forwarder
 	ledger    *ledgerClient
 	metrics   gatewayMetrics
+	usage     *usageTeller
 
 	// startedAt is when the gateway began to follow the directory.
 	startedAt time.Time
@@ -59,13 +60,14 @@
 	return &Gateway{
 		settings: settings, logger: logger, watcher: watcher,
 		forwarder: forward.New(backends, settings.Zone), ledger: newLedgerClient(watcher, settings.Zone, logger),
-		metrics: newGatewayMetrics(), startedAt: time.Now(),
+		metrics: newGatewayMetrics(), usage: newUsageTeller(settings.Name, watcher), startedAt: time.Now(),
 	}
 }
 
 // Run follows the directory until the context ends.
 func (g *Gateway) Run(ctx context.Context) {
 	go g.watcher.Run(ctx)
+	go g.usage.run(ctx)
 	for ctx.Err() == nil {
 		changed := g.watcher.Changed()
 		g.forwarder.Forget(g.watcher.Catalog())
@@ -172,6 +174,7 @@
 func (g *Gateway) noteRequest(catalog *directory.Catalog, route routing.Route, request *forward.Request, result forward.Result, started time.Time) {
 	took := time.Since(started)
 	g.metrics.noteRequest(result, took)
+	g.usage.note(request.Tenant, result)
 	for _, attempt := range result.History {
 		if result.Response != nil && attempt.Backend == result.Backend {
 			continue
--- a/server/heartbeat.go
+++ b/server/heartbeat.go
@@ -117,18 +117,23 @@
 	return err
 }
 
-// tellHeard tells the leader whom this replica has heard.
+// tellHeard tells the leader whom this replica has heard, and now and then what its clock
+// shows.
 func (d *Directory) tellHeard(ctx context.Context) {
 	heard := d.heartbeats.takeUntold()
-	if len(heard) == 0 {
+	if len(heard) == 0 && time.Since(d.clockTold) < clockInterval {
 		return
 	}
+	d.clockTold = time.Now()
 	limited, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	// What is lost is told again with the next heartbeats.
-	_, _ = d.call(limited, directoryCall{Heard: heard})
+	_, _ = d.call(limited, directoryCall{Heard: heard, Clock: &clockReading{Machine: d.settings.Name, Millis: time.Now().UnixMilli()}})
 }
 
+// clockInterval is the longest time between two readings of a replica's clock.
+const clockInterval = time.Second
+
 // followMachine keeps a view of the machine that needs no turn of the loop.
 func (d *Directory) followMachine(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/server/process.go
+++ b/server/process.go
@@ -99,6 +99,7 @@
 	<-ctx.Done()
 	event.GatewayStopping.On(logger).Int("in_flight", gateway.InFlight()).Send()
 	gateway.drain(settings.Grace)
+	gateway.usage.finish(background)
 	event.GatewayStopped.On(logger).Int("in_flight", gateway.InFlight()).Send()
 	return callerServer.Close()
 }
--- a/server/role_metrics.go
+++ b/server/role_metrics.go
@@ -85,13 +85,19 @@
 // directoryMetrics count what a replica of the directory is asked.
 type directoryMetrics struct {
 	calls *prometheus.HistogramVec
+	usage *prometheus.CounterVec
 }
 
 func newDirectoryMetrics() directoryMetrics {
-	return directoryMetrics{calls: newHistogram("directory_call_seconds", "Calls carried out as leader, by outcome.", "outcome")}
+	return directoryMetrics{
+		calls: newHistogram("directory_call_seconds", "Calls carried out as leader, by outcome.", "outcome"),
+		usage: newCounter("directory_usage_reports_total", "Reports of usage that were sent, by outcome.", "outcome"),
+	}
 }
 
-func (m directoryMetrics) collectors() []prometheus.Collector { return []prometheus.Collector{m.calls} }
+func (m directoryMetrics) collectors() []prometheus.Collector {
+	return []prometheus.Collector{m.calls, m.usage}
+}
 
 // outcomeOf labels a call that ended with the error, or with none.
 func outcomeOf(err error) string {
@@ -117,6 +123,9 @@
 	collectReplica(emit, d.replica.Status())
 	collectTransport(emit, d.replica.Counts())
 	gauge(emit, "directory_watches", "Watches that are held.", float64(d.watches.count()))
+	d.replica.Do(func() {
+		gauge(emit, "directory_usage_untold", "Windows of usage that are fixed and were not taken yet.", float64(len(d.machine.Usage().Untold)))
+	})
 }
 
 func (w *watchCounter) count() int {
@@ -139,6 +148,9 @@
 	g.watcher.collect(emit)
 	gauge(emit, "gateway_ready", "Whether the gateway takes new connections.", oneIf(g.Ready()))
 	gauge(emit, "gateway_in_flight", "Requests that have not ended.", float64(g.InFlight()))
+	late, dropped := g.usage.meter.Lost()
+	gauge(emit, "gateway_usage_late", "Requests that were counted too late for their window of usage.", float64(late))
+	gauge(emit, "gateway_usage_dropped", "Requests that were not counted for lack of room.", float64(dropped))
 }
 
 func (w *Watcher) collect(emit chan<- prometheus.Metric) {
