--- a/runner/runner.go
+++ b/runner/runner.go
@@ -29,7 +29,7 @@
 	Step, Host string
 	// Tenant is the name of the step's tenant, "" where there are none.
 	Tenant string
-	Sample     *ledger.Sample
+	Sample *ledger.Sample
 	// Text is what there is of the sample's text; without events the run begins anew.
 	Text scheduler.Text
 }
