--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -79,3 +79,19 @@
 		}
 	})
 }
+
+// TestActsCountFromWhenTheyWereLearnt: the holder's clock does not matter, a
+// repeated look does not start the lease anew, and a newer act does.
+func TestActsCountFromWhenTheyWereLearnt(t *testing.T) {
+	w := NewWatch()
+	early := Act{Subject: "e", Holder: "other", At: -1000000}
+	w.Note(100, map[string]Act{"e": early, "own": {Subject: "own", Holder: "me"}})
+	w.Note(200, map[string]Act{"e": early, "own": {Subject: "own", Holder: "me"}})
+	require.Equal(t, map[string]int64{"e": 100}, w.HeldByOthers("me"))
+	later := early
+	later.At++
+	w.Note(300, map[string]Act{"e": later})
+	require.Equal(t, map[string]int64{"e": 300}, w.HeldByOthers("me"))
+	w.Note(400, nil)
+	require.Empty(t, w.HeldByOthers("me"))
+}
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -6,6 +6,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/dillchute/dillchute/duty"
 	"github.com/dillchute/dillchute/internal/pack"
 )
 
@@ -15,7 +16,9 @@
 	Record *Record `cbor:"2,keyasint,omitempty"`
 	End    *End    `cbor:"3,keyasint,omitempty"`
 	Prune  *Prune  `cbor:"4,keyasint,omitempty"`
-	Order  *Order  `cbor:"5,keyasint,omitempty"`
+	// Order says that the leader is about to give an order to an engine, whose ID is the
+	// subject: the next leader must know for how long it must not.
+	Order *duty.Act `cbor:"5,keyasint,omitempty"`
 	// Checkpoint keeps what long runs have produced so far.
 	Checkpoint *Checkpoint `cbor:"6,keyasint,omitempty"`
 	Paces      *Paces      `cbor:"7,keyasint,omitempty"`
@@ -27,16 +30,6 @@
 	Millis map[string]float64 `cbor:"1,keyasint"`
 }
 
-// Order says that a leader is about to give an order to an engine, so that the
-// next leader knows for how long it must not.
-type Order struct {
-	Engine string `cbor:"1,keyasint"`
-	// Holder is the process that gives the order.
-	Holder string `cbor:"2,keyasint"`
-	// At is in milliseconds since 1970, by the holder's clock.
-	At int64 `cbor:"3,keyasint"`
-}
-
 // Field is one header field of a sample's request.
 type Field struct {
 	_     struct{} `cbor:",toarray"`
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -7,6 +7,8 @@
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dillchute/dillchute/duty"
 )
 
 // Entry is a step with its results so far.
@@ -50,7 +52,7 @@
 type Machine struct {
 	steps map[string]*Entry
 	// orders holds the newest order to each engine.
-	orders map[string]Order
+	orders map[string]duty.Act
 	paces  map[string]float64
 	// Generation grows with each change.
 	Generation uint64
@@ -58,13 +60,13 @@
 
 // NewMachine returns the state before the first command.
 func NewMachine() *Machine {
-	return &Machine{steps: map[string]*Entry{}, orders: map[string]Order{}}
+	return &Machine{steps: map[string]*Entry{}, orders: map[string]duty.Act{}}
 }
 
 // snapshotHeader comes before the entries in a snapshot.
 type snapshotHeader struct {
-	Orders map[string]Order   `cbor:"1,keyasint"`
-	Paces  map[string]float64 `cbor:"2,keyasint,omitempty"`
+	Orders map[string]duty.Act `cbor:"1,keyasint"`
+	Paces  map[string]float64  `cbor:"2,keyasint,omitempty"`
 }
 
 // Snapshot returns a function that writes the state as it is now, one entry after
@@ -92,7 +94,7 @@
 // Restore replaces the state by a written one; nothing to read is the state
 // before the first command.
 func (m *Machine) Restore(reader io.Reader) error {
-	m.steps, m.orders = map[string]*Entry{}, map[string]Order{}
+	m.steps, m.orders = map[string]*Entry{}, map[string]duty.Act{}
 	m.Generation++
 	pieces := cbor.NewDecoder(reader)
 	var header snapshotHeader
@@ -242,10 +244,10 @@
 	orderRetention = 600000
 )
 
-func (m *Machine) order(order Order) {
-	m.orders[order.Engine] = order
+func (m *Machine) order(order duty.Act) {
+	m.orders[order.Subject] = order
 	if len(m.orders) > maxOrders {
-		maps.DeleteFunc(m.orders, func(_ string, known Order) bool { return known.At < order.At-orderRetention })
+		maps.DeleteFunc(m.orders, func(_ string, known duty.Act) bool { return known.At < order.At-orderRetention })
 	}
 }
 
@@ -254,4 +256,4 @@
 func (m *Machine) Paces() map[string]float64 { return m.paces }
 
 // Orders returns the newest order to each engine. It must not be changed.
-func (m *Machine) Orders() map[string]Order { return m.orders }
+func (m *Machine) Orders() map[string]duty.Act { return m.orders }
--- a/server/executor.go
+++ b/server/executor.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dillchute/dillchute/config"
+	"github.com/dillchute/dillchute/duty"
 	"github.com/dillchute/dillchute/eventloop"
 	"github.com/dillchute/dillchute/forward"
 	"github.com/dillchute/dillchute/ledger"
@@ -22,10 +23,6 @@
 	// of a run whose engine loads weights meanwhile.
 	stallTimeout = 1200 * time.Millisecond
 	loadStall    = 5 * time.Second
-	// orderMargin is added to the lease: an order is sent up to orderDelay after
-	// it was recorded.
-	orderMargin = 800 * time.Millisecond
-	orderDelay  = 400 * time.Millisecond
 	// rewardBackoff is the pause before a reward call is repeated.
 	rewardBackoff = 100 * time.Millisecond
 	recordTimeout = 2 * time.Second
@@ -43,14 +40,14 @@
 	engines   EngineClient
 	forwarder *forward.Forwarder
 	metrics   ledgerMetrics
-	orders    *orderWatch
+	orders    *duty.Watch
 	logger    *zerolog.Logger
 	// runnersOpen is the number of the leader's runners, as of its last tick.
 	runnersOpen atomic.Int64
 }
 
 func newExecutor(settings config.Ledger, watcher *Watcher, engines EngineClient, forwarder *forward.Forwarder, metrics ledgerMetrics, logger *zerolog.Logger) *Executor {
-	return &Executor{settings: settings, watcher: watcher, engines: engines, forwarder: forwarder, metrics: metrics, orders: newOrderWatch(), logger: logger}
+	return &Executor{settings: settings, watcher: watcher, engines: engines, forwarder: forwarder, metrics: metrics, orders: duty.NewWatch(), logger: logger}
 }
 
 // run begins a leadership whenever the replica serves, and ends it when it does not.
--- a/server/load.go
+++ b/server/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/duty"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/scheduler"
@@ -88,8 +89,8 @@
 	limited, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	began := time.Now()
-	record := &ledger.Order{Engine: request.Order.Backend.ID, Holder: t.settings.Name, At: nowMillis()}
-	if _, err := t.replica.Execute(limited, ledger.Command{Order: record}.Encode()); err != nil || time.Since(began) > orderDelay {
+	record := &duty.Act{Subject: request.Order.Backend.ID, Holder: t.settings.Name, At: nowMillis()}
+	if _, err := t.replica.Execute(limited, ledger.Command{Order: record}.Encode()); err != nil || time.Since(began) > duty.SendLimit {
 		return LoadConflict
 	}
 	answer := t.engines.Load(limited, request)
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/duty"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/eventloop"
 	"github.com/dillchute/dillchute/ledger"
@@ -52,9 +53,9 @@
 // deferOrders leaves engines alone that an earlier leader has given orders to,
 // until its lease has ended.
 func (t *tenure) deferOrders() {
-	wait := (t.settings.OrderLease + orderMargin).Milliseconds()
-	t.replica.Do(func() { t.orders.note(nowMillis(), t.machine.Orders()) })
-	for id, learnt := range t.orders.heldByOthers(t.settings.Name) {
+	wait := (t.settings.OrderLease + duty.Margin).Milliseconds()
+	t.replica.Do(func() { t.orders.Note(nowMillis(), t.machine.Orders()) })
+	for id, learnt := range t.orders.HeldByOthers(t.settings.Name) {
 		t.scheduler.DeferOrders(id, learnt+wait)
 	}
 }
