--- a/directory/machine.go
+++ b/directory/machine.go
@@ -135,6 +135,16 @@
 	return known.Object, true
 }
 
+// BackendAt returns the backend that is registered at the address, and whether there is one.
+func (m *Machine) BackendAt(address string) (Backend, bool) {
+	for _, known := range m.state.Backends {
+		if known.Object.Address == address {
+			return known.Object, true
+		}
+	}
+	return Backend{}, false
+}
+
 // Gone tells whether a backend of that ID has left.
 func (m *Machine) Gone(id string) bool {
 	_, gone := m.state.Gone[id]
@@ -297,10 +307,8 @@
 
 // releaseAddress takes out the backend that had the address before.
 func (m *Machine) releaseAddress(address string) {
-	for _, earlier := range m.Backends() {
-		if earlier.Address == address {
-			m.removeBackend(earlier.ID)
-		}
+	if earlier, ok := m.BackendAt(address); ok {
+		m.removeBackend(earlier.ID)
 	}
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -66,6 +66,7 @@
 	CallNotServed        = Event{5014, zerolog.WarnLevel, "a call of an operator or trainer was not carried out"}
 	UsageReported        = Event{5015, zerolog.InfoLevel, "a window's usage was reported"}
 	UsageUnfixed         = Event{5016, zerolog.WarnLevel, "the record of usage could not be changed"}
+	AddressContested     = Event{5018, zerolog.WarnLevel, "a backend's address is held by another one that is heard of"}
 	UsageUntold          = Event{5017, zerolog.WarnLevel, "counts of usage could not be handed on"}
 
 	StepTaken         = Event{6001, zerolog.InfoLevel, "a step was handed in"}
@@ -110,7 +111,7 @@
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
-	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed, UsageReported, UsageUnfixed, UsageUntold,
+	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed, UsageReported, UsageUnfixed, UsageUntold, AddressContested,
 	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkEnded, RunnerFound, RunnerLost, RunsUnclaimed, RunAdopted,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, NearStoreAvoided,
 }
--- a/server/heartbeat.go
+++ b/server/heartbeat.go
@@ -101,16 +101,22 @@
 	}
 	backend := heartbeat.Backend
 	var known directory.Backend
-	var registered, gone bool
+	var holder directory.Backend
+	var registered, gone, held bool
 	if !d.replica.Do(func() {
 		known, registered = d.machine.Backend(backend.ID)
 		gone = d.machine.Gone(backend.ID)
+		holder, held = d.machine.BackendAt(backend.Address)
 	}) {
 		return replica.ErrUnavailable.New("the replica has stopped")
 	}
 	if gone || registered && sameRegistration(known, backend) {
 		return nil
 	}
+	if held && holder.ID != backend.ID && d.heartbeats.silence(time.Now(), holder.ID) < d.addressHold() {
+		event.AddressContested.On(d.logger).Str("backend", backend.ID).Str("holder", holder.ID).Str("address", backend.Address).Send()
+		return nil
+	}
 	event.BackendRegistered.On(d.logger).Str("backend", backend.ID).Str("service", backend.Service).
 		Str("address", backend.Address).Uint("draining", boolToUint(backend.Draining)).Send()
 	_, err := d.execute(ctx, directory.Command{PutBackend: &backend})
@@ -131,6 +137,16 @@
 	_, _ = d.call(limited, directoryCall{Heard: heard, Clock: &clockReading{Machine: d.settings.Name, Millis: time.Now().UnixMilli()}})
 }
 
+// addressBeats is the number of missed heartbeats after which a backend's address may be
+// another's. A heartbeat that a cut has held up may come after its sender has crashed and a
+// later incarnation, which goes on sending them, has registered at the same address.
+const addressBeats = 1.5
+
+// addressHold is how long an address stays its holder's without a heartbeat of it.
+func (d *Directory) addressHold() time.Duration {
+	return time.Duration(addressBeats * float64(d.settings.HeartbeatInterval))
+}
+
 // clockInterval is the longest time between two readings of a replica's clock.
 const clockInterval = time.Second
 
