--- a/server/score.go
+++ b/server/score.go
@@ -70,8 +70,9 @@
 		catalog := t.watcher.Catalog()
 		path, _, _ := strings.Cut(reward.Path, "?")
 		route, ok := catalog.Table.Match(reward.Host, path)
-		if ok {
+		if ok && t.rewards.enter(ctx, route.Key(), mostRewards(catalog, route)) {
 			result := t.sendReward(ctx, catalog, route, reward)
+			t.rewards.leave(route.Key())
 			if result.Response != nil && result.Response.Status/100 == 2 {
 				return result.Response.Signature, rewardScored
 			}
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -44,6 +44,8 @@
 	aheadAt time.Time
 	// known holds the open steps that the scheduler has taken in.
 	known map[string]bool
+	// rewards bounds the reward calls under way.
+	rewards *rewardLimit
 	// recordedPaces are those that the ledger holds, and pacesAt is when they were
 	// last looked at.
 	recordedPaces map[string]float64
