--- a/server/inspect.go
+++ b/server/inspect.go
@@ -2,18 +2,47 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/duty"
 	"github.com/dillchute/dillchute/event"
 )
 
-// inspect asks the engines what they hold and whether they load by an order of an
-// earlier leader: the directory learns of versions by heartbeats only, and of
-// loads under way not at all.
+// inspectWindow is how long before the newest order another one was given whose engine a
+// new leader asks: a load may take loadLimit, and the directory learns what an engine holds
+// by a heartbeat after it.
+const inspectWindow = loadLimit + 4*time.Second
+
+// inspect asks the engines that were given orders lately what they hold and whether they
+// still load: the directory learns of versions by heartbeats only, and of loads under way
+// not at all. Of the others it knows all there is. So what a new leader asks grows with the
+// loads that there is time for, and not with the engines.
 func (t *tenure) inspect(backends []directory.Backend) {
+	var lately map[string]bool
+	t.replica.Do(func() { lately = orderedLately(t.machine.Orders()) })
 	for _, backend := range backends {
-		go t.inspectEngine(backend)
+		if lately[backend.ID] {
+			go t.inspectEngine(backend)
+		}
+	}
+}
+
+// orderedLately returns the engines whose newest orders are no older than inspectWindow
+// when the newest of all was given. Orders are compared with each other only, so that the
+// time of day of this machine does not matter.
+func orderedLately(orders map[string]duty.Act) map[string]bool {
+	newest := int64(0)
+	for _, order := range orders {
+		newest = max(newest, order.At)
+	}
+	lately := map[string]bool{}
+	for engine, order := range orders {
+		if order.At >= newest-inspectWindow.Milliseconds() {
+			lately[engine] = true
+		}
 	}
+	return lately
 }
 
 func (t *tenure) inspectEngine(backend directory.Backend) {
