An answer that is ready is delivered, also when its request's time is over

Cause, by reading: Do chose between the end of the time and a finished attempt by chance, and a stream dropped events that were read already. The test failed before the mend.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -233,20 +233,18 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return r.end(reasonOf(ctx))
+			return r.endOfTime(ctx)
 		case <-hedge.C:
 			if r.route.Kind == routing.Repeatable && r.forwarder.spend() {
 				r.start(ctx)
 			}
 			hedge.Reset(r.hedgeDelay())
 		case done := <-r.attempts:
-			r.pending--
-			r.result.recordEnd(done.backend.ID, done.attempt.Outcome, done.attempt.Response.Status)
 			if r.take(done) {
 				return r.result
 			}
 			if ctx.Err() != nil {
-				return r.end(reasonOf(ctx))
+				return r.endOfTime(ctx)
 			}
 			if r.mayRepeat(done.attempt.Outcome) {
 				r.start(ctx)
@@ -286,8 +284,34 @@
 	}
 }
 
+// endOfTime ends a request whose context has ended, with an answer that is there already if
+// there is one.
+func (r *run) endOfTime(ctx context.Context) Result {
+	if r.takeReady() {
+		return r.result
+	}
+	return r.end(reasonOf(ctx))
+}
+
+// takeReady takes the attempts that have ended by now, and tells whether one of them ends
+// the request.
+func (r *run) takeReady() bool {
+	for {
+		select {
+		case done := <-r.attempts:
+			if r.take(done) {
+				return true
+			}
+		default:
+			return false
+		}
+	}
+}
+
 // take notes an attempt's end and tells whether it ends the request.
 func (r *run) take(done attempted) bool {
+	r.pending--
+	r.result.recordEnd(done.backend.ID, done.attempt.Outcome, done.attempt.Response.Status)
 	switch done.attempt.Outcome {
 	case Answered:
 		r.result.MayHaveRun = true
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -103,7 +103,7 @@
 	opened := client.Open(ctx, backend, s.request, s.last)
 	outcome := opened.Outcome
 	if outcome == Answered {
-		outcome = s.pass(ctx, cancel, backend, opened)
+		outcome = s.pass(cancel, opened)
 	}
 	s.result.recordEnd(backend.ID, outcome, opened.Status)
 	s.forwarder.note(backend, Attempt{Outcome: outcome}, time.Since(started), parent.Err() != nil)
@@ -122,7 +122,7 @@
 }
 
 // pass hands the answer on as it comes.
-func (s *stream) pass(ctx context.Context, cancel context.CancelFunc, backend directory.Backend, opened Opened) Outcome {
+func (s *stream) pass(cancel context.CancelFunc, opened Opened) Outcome {
 	defer opened.Body.Close()
 	isStream := opened.Status == http.StatusOK
 	if s.begun && !isStream {
@@ -152,7 +152,7 @@
 			s.result.Response = &Response{Status: opened.Status}
 			return Answered
 		}
-		if err != nil || ctx.Err() != nil {
+		if err != nil {
 			return Lost
 		}
 		stall.Reset(stallTimeout)
