Looks for loads each 25 ms at most; placing and taking in engines cost less

Hypothesis: before 2,750 engines the leader's time goes into looks through all engines. Loads are looked for at once after one has ended and after each change.

--- a/scheduler/ahead.go
+++ b/scheduler/ahead.go
@@ -138,13 +138,13 @@
 func (s *Scheduler) spareEngine(now int64, task *Task, except string, services []string) *engine {
 	var best *engine
 	bestCost := 0.0
-	for _, id := range s.order {
-		known := s.engines[id]
+	rivals := s.rivals(task)
+	for _, known := range s.order {
 		spare := float64(known.backend.Slots-len(known.running)) > aheadRoom*float64(known.backend.Slots)
-		if id == except || !spare || known.backend.Silent || !s.mayRun(now, known, task, services) {
+		if known.backend.ID == except || !spare || known.backend.Silent || !s.mayRun(now, known, task, services) {
 			continue
 		}
-		if cost := s.placeCost(known, task); best == nil || cost < bestCost {
+		if cost := s.placeCost(known, task, rivals); best == nil || cost < bestCost {
 			best, bestCost = known, cost
 		}
 	}
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -169,8 +169,7 @@
 // wantedMoves returns the tasks that could gain by a move, the longest first.
 func (s *Scheduler) wantedMoves(now int64) []wantedMove {
 	var wanted []wantedMove
-	for _, id := range s.order {
-		known := s.engines[id]
+	for _, known := range s.order {
 		for task := range known.running {
 			if task.ahead || task.moves >= maxMoves || task.moving || now-task.startedAt < minObserveMillis {
 				continue
@@ -199,9 +198,8 @@
 	after := task.seen()
 	least := s.expectedMillis(s.engines[task.Engine], task, after) - moveMillis - minGainMillis
 	var best *engine
-	for _, id := range s.order {
-		known := s.engines[id]
-		if id == task.Engine || known.backend.Silent || len(known.running)+taken[known] >= known.backend.Slots ||
+	for _, known := range s.order {
+		if known.backend.ID == task.Engine || known.backend.Silent || len(known.running)+taken[known] >= known.backend.Slots ||
 			!s.mayRun(now, known, task, services) {
 			continue
 		}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -122,12 +122,12 @@
 func (s *Scheduler) place(now int64, task *Task, services []string) (directory.Backend, bool) {
 	var least, mate *engine
 	leastCost, mateCost := 0.0, 0.0
-	for _, id := range s.order {
-		known := s.engines[id]
+	rivals := s.rivals(task)
+	for _, known := range s.order {
 		if !s.mayRun(now, known, task, services) {
 			continue
 		}
-		cost := s.placeCost(known, task)
+		cost := s.placeCost(known, task, rivals)
 		if least == nil || cost < leastCost {
 			least, leastCost = known, cost
 		}
@@ -170,8 +170,19 @@
 	runMillis = 50
 )
 
-// placeCost rates an engine that may run the task; the lowest is chosen.
-func (s *Scheduler) placeCost(known *engine, task *Task) float64 {
+// rivals returns the other models with samples that wait.
+func (s *Scheduler) rivals(task *Task) []*modelState {
+	var rivals []*modelState
+	for name, model := range s.models {
+		if name != task.Step.Model && model.waiting {
+			rivals = append(rivals, model)
+		}
+	}
+	return rivals
+}
+
+// placeCost rates an engine that may run the task, beside the rivals; the lowest is chosen.
+func (s *Scheduler) placeCost(known *engine, task *Task, rivals []*modelState) float64 {
 	cost := float64(len(known.running)) + slowCost*max(s.ratio(known)-usualRatio, 0)
 	cost += task.remaining(task.Text.Last) * (s.ratio(known) - 1) * s.middlePace / runMillis
 	if task.Attempts > 0 && known.backend.ID == task.Engine {
@@ -180,8 +191,8 @@
 	if known.backend.Silent {
 		cost += silentCost
 	}
-	for name, model := range s.models {
-		if name != task.Step.Model && model.waiting && known.versions[name]+model.lag >= model.newest {
+	for _, model := range rivals {
+		if known.versions[model.name]+model.lag >= model.newest {
 			cost += contentionCost
 		}
 	}
@@ -210,17 +221,18 @@
 }
 
 func (s *Scheduler) mayRun(now int64, known *engine, task *Task, services []string) bool {
-	version := known.versions[task.Step.Model]
 	switch {
-	case !slices.Contains(services, known.backend.Service):
+	case known.freeSlots() <= 0:
 		return false
 	case known.backend.Draining || now < known.avoidedUntil:
 		return false
-	case known.loads(task.Step.Model):
+	case !slices.Contains(services, known.backend.Service):
 		return false
-	case known.freeSlots() <= 0:
+	case known.loads(task.Step.Model):
 		return false
-	case version < task.Step.OldestVersion:
+	}
+	version := known.versions[task.Step.Model]
+	if version < task.Step.OldestVersion {
 		return false
 	}
 	return !task.Step.SingleVersion || len(task.Text.Versions) == 0 || task.Text.Versions[0] == version
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/dillchute/dillchute/directory"
@@ -48,8 +49,8 @@
 // concurrently.
 type Scheduler struct {
 	engines map[string]*engine
-	// order lists the engines' IDs, sorted.
-	order []string
+	// order lists the engines by their IDs.
+	order []*engine
 	steps map[string]*stepState
 	// waiting holds the tasks that wait for an engine.
 	waiting queue
@@ -89,6 +90,7 @@
 // returns the tasks that run on engines which are gone: the caller ends their runs.
 func (s *Scheduler) SyncEngines(now int64, backends []directory.Backend, newest map[string]uint64) []*Task {
 	present := make(map[string]bool, len(backends))
+	before := len(s.engines)
 	for _, backend := range backends {
 		present[backend.ID] = true
 		known := s.engines[backend.ID]
@@ -102,7 +104,11 @@
 		}
 	}
 	var stopped []*Task
+	sameEngines := len(s.engines) == before && len(present) == before
 	for id, known := range s.engines {
+		if sameEngines {
+			break
+		}
 		if present[id] {
 			continue
 		}
@@ -114,15 +120,22 @@
 	for model, version := range newest {
 		s.model(model).noteNewest(now, version)
 	}
-	s.order = s.order[:0]
-	for id := range s.engines {
-		s.order = append(s.order, id)
+	if !sameEngines {
+		s.list()
 	}
-	slices.Sort(s.order)
 	s.middlePace = s.medianPace()
 	return stopped
 }
 
+// list puts the engines in the order of their IDs.
+func (s *Scheduler) list() {
+	s.order = s.order[:0]
+	for _, known := range s.engines {
+		s.order = append(s.order, known)
+	}
+	slices.SortFunc(s.order, func(a, b *engine) int { return cmp.Compare(a.backend.ID, b.backend.ID) })
+}
+
 // AddStep takes in a step whose results so far are listed. It returns the tasks
 // whose text is whole already: an earlier step has left it.
 func (s *Scheduler) AddStep(entry *ledger.Entry) []*Task {
--- a/scheduler/weights.go
+++ b/scheduler/weights.go
@@ -224,11 +224,10 @@
 func (s *Scheduler) cheapest(now int64, model *modelState) *engine {
 	var best *engine
 	bestCost := 0.0
-	for _, id := range s.order {
-		known := s.engines[id]
+	for _, known := range s.order {
 		version := known.versions[model.name]
 		if version == 0 || version >= model.newest || known.loading != nil || known.backend.Draining ||
-			now < known.avoidedUntil || now < s.orderAfter[id] {
+			now < known.avoidedUntil || now < s.orderAfter[known.backend.ID] {
 			continue
 		}
 		if cost := s.loadCost(known, model); best == nil || cost < bestCost {
--- a/server/load.go
+++ b/server/load.go
@@ -39,6 +39,7 @@
 	}
 	t.metrics.loads.WithLabelValues(outcome).Observe(time.Since(began).Seconds())
 	t.loop.Call(func() {
+		t.ordersAt = time.Time{}
 		line := event.LoadEnded.On(t.logger).Str("engine", order.Backend.ID).Str("model", order.Model).
 			Uint("version", order.Version).Uint("held", held)
 		line.Send()
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -40,6 +40,8 @@
 	// recordAfter is when results that could not be recorded are tried again.
 	recordAfter time.Time
 	prunedAt    time.Time
+	// ordersAt is when loads were last looked for; the zero time has them looked for now.
+	ordersAt time.Time
 	// aheadAt is when runs ahead were last looked for.
 	aheadAt time.Time
 	// known holds the open steps that the scheduler has taken in.
@@ -129,7 +131,7 @@
 func (t *tenure) syncState() {
 	if catalog := t.watcher.Catalog(); catalog != t.catalog {
 		first := t.catalog == nil
-		t.catalog = catalog
+		t.catalog, t.ordersAt = catalog, time.Time{}
 		t.forwarder.Forget(catalog)
 		backends := engineBackends(catalog)
 		t.runners.Follow(runnersOf(catalog, t.settings.Name))
@@ -158,6 +160,7 @@
 		}
 	})
 	if !unchanged {
+		t.ordersAt = time.Time{}
 		t.endClosed(open)
 		t.logTakenOver(open)
 	}
@@ -216,9 +219,7 @@
 	}
 	t.record()
 	now := nowMillis()
-	for _, order := range t.scheduler.Orders(now) {
-		go t.load(order)
-	}
+	t.giveOrders(now)
 	if !t.runners.Ready() {
 		return nil
 	}
@@ -228,6 +229,23 @@
 	return nil
 }
 
+// ordersInterval is the least time between two looks for loads, which go through all engines:
+// a small part of the time of a load, and many times that between two flushes of a leader with
+// hundreds of runs.
+const ordersInterval = 25 * time.Millisecond
+
+// giveOrders has engines load what is needed. It looks at once after a load has ended and
+// after a change of the directory or the ledger.
+func (t *tenure) giveOrders(now int64) {
+	if time.Since(t.ordersAt) < ordersInterval {
+		return
+	}
+	t.ordersAt = time.Now()
+	for _, order := range t.scheduler.Orders(now) {
+		go t.load(order)
+	}
+}
+
 func (t *tenure) servicesOf(task *scheduler.Task) ([]string, bool) {
 	path, _, _ := strings.Cut(task.Sample.Path, "?")
 	route, ok := t.catalog.Table.Match(task.Step.Host, path)
