--- a/runner/link.go
+++ b/runner/link.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -151,7 +152,7 @@
 	sample.Reward = nil
 	l.pending.Starts = append(l.pending.Starts, start{
 		Run: l.nextRun, Backend: request.Backend, Step: request.Step, Host: request.Host, Tenant: request.Tenant, Sample: &sample,
-		Text: Batch{First: 1, Events: request.Text.Events, Versions: request.Text.Versions},
+		Text: Batch{First: 1, Events: request.Text.Events, Versions: request.Text.Versions}, askedAt: time.Now(),
 	})
 	wake(l.changed)
 	return l.nextRun, true
@@ -287,7 +288,7 @@
 		case <-l.changed:
 		case <-keepalive.C:
 		}
-		message := l.takePending()
+		message := l.takePending(time.Now())
 		message.Heard = heard.Load()
 		if writeMessage(buffered, message) != nil || buffered.Flush() != nil {
 			return
@@ -296,11 +297,21 @@
 	}
 }
 
-func (l *Link) takePending() commands {
+// takePending returns what is to be sent. Starts that have waited for too long are not sent:
+// their runs are interrupted, since what they were decided by may have passed.
+func (l *Link) takePending(now time.Time) commands {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	pending := l.pending
 	l.pending = commands{}
+	pending.Starts = slices.DeleteFunc(pending.Starts, func(asked start) bool {
+		late := now.Sub(asked.askedAt) > pendingLimit
+		if run := l.runs[asked.Run]; late && run != nil {
+			delete(l.runs, asked.Run)
+			run.ended <- scheduler.Interrupted
+		}
+		return late
+	})
 	return pending
 }
 
