--- a/runner/link.go
+++ b/runner/link.go
@@ -152,7 +152,7 @@
 	sample.Reward = nil
 	l.pending.Starts = append(l.pending.Starts, start{
 		Run: l.nextRun, Backend: request.Backend, Step: request.Step, Host: request.Host, Tenant: request.Tenant, Sample: &sample,
-		Text: Batch{First: 1, Events: request.Text.Events, Versions: request.Text.Versions}, askedAt: time.Now(),
+		Text: Batch{First: 1, Events: request.Text.Events, Versions: request.Text.Versions}, decidedAt: request.DecidedAt,
 	})
 	wake(l.changed)
 	return l.nextRun, true
@@ -305,7 +305,7 @@
 	pending := l.pending
 	l.pending = commands{}
 	pending.Starts = slices.DeleteFunc(pending.Starts, func(asked start) bool {
-		late := now.Sub(asked.askedAt) > pendingLimit
+		late := now.Sub(asked.decidedAt) > pendingLimit
 		if run := l.runs[asked.Run]; late && run != nil {
 			delete(l.runs, asked.Run)
 			run.ended <- scheduler.Interrupted
--- a/runner/message.go
+++ b/runner/message.go
@@ -30,8 +30,8 @@
 	orphanTime = 2500 * time.Millisecond
 	// termHeader carries the term of the leader that opens a link.
 	termHeader = "Leader-Term"
-	// pendingLimit is how long a start may wait at the leader to be sent.
-	pendingLimit = 500 * time.Millisecond
+	// pendingLimit is how long after it was decided a start may be sent.
+	pendingLimit = 300 * time.Millisecond
 	// startValidity is how old the newest report that the leader had heard may be when
 	// a start is taken in. A runner that stood still must not begin what the leader
 	// asked for long ago.
@@ -49,8 +49,8 @@
 	Text Batch `cbor:"6,keyasint"`
 	// Tenant is as in Request.
 	Tenant string `cbor:"7,keyasint,omitempty"`
-	// askedAt is when the leader asked for it; it stays with the leader.
-	askedAt time.Time
+	// decidedAt is as in Request; it stays with the leader.
+	decidedAt time.Time
 }
 
 // firstHeldRun is the number that a link gives to the first run that it brings back.
--- a/runner/pending_test.go
+++ b/runner/pending_test.go
@@ -15,7 +15,7 @@
 func TestStartThatWaitedIsNotSent(t *testing.T) {
 	link := &Link{runs: map[uint64]*linkRun{}, changed: make(chan struct{}, 1)}
 	link.up.Store(true)
-	request := Request{Step: "s", Sample: &ledger.Sample{ID: "x"}}
+	request := Request{Step: "s", Sample: &ledger.Sample{ID: "x"}, DecidedAt: time.Now()}
 	early := &linkRun{ended: make(chan scheduler.RunEnd, 1)}
 	_, ok := link.ask(early, request)
 	require.True(t, ok)
@@ -24,6 +24,7 @@
 	require.Equal(t, scheduler.Interrupted, <-early.ended)
 	require.Empty(t, link.runs)
 
+	request.DecidedAt = time.Now()
 	prompt := &linkRun{ended: make(chan scheduler.RunEnd, 1)}
 	number, ok := link.ask(prompt, request)
 	require.True(t, ok)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/ledger"
@@ -32,6 +33,8 @@
 	Sample *ledger.Sample
 	// Text is what there is of the sample's text; without events the run begins anew.
 	Text scheduler.Text
+	// DecidedAt is when the leader decided on the run.
+	DecidedAt time.Time
 }
 
 // Event is one whole event of an engine's stream.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -85,7 +85,7 @@
 // run runs a sample after a text and returns what it adds.
 func (l *linked) run(ctx context.Context, text scheduler.Text) (events []string, versions []uint64, end scheduler.RunEnd) {
 	last := text.Last
-	end = l.pool.For(directory.Backend{ID: "e"}).Run(ctx, Request{Step: "step", Sample: &ledger.Sample{ID: "s"}, Text: text}, func(batch Batch) {
+	end = l.pool.For(directory.Backend{ID: "e"}).Run(ctx, Request{Step: "step", Sample: &ledger.Sample{ID: "s"}, Text: text, DecidedAt: time.Now()}, func(batch Batch) {
 		if batch.First != last+1 {
 			panic(fmt.Sprintf("event %d after %d", batch.First, last))
 		}
--- a/server/executor.go
+++ b/server/executor.go
@@ -80,6 +80,7 @@
 	t.deferOrders()
 	t.loadHistory()
 	go t.follow(stop)
+	go t.fresh.confirm(leadership, opened)
 	t.loop.Run(leadership, executorTick, t.tick, t.flush)
 	x.runnersOpen.Store(0)
 }
--- a/server/run.go
+++ b/server/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/eventloop"
@@ -37,7 +38,7 @@
 		Int("spare_ms", assignment.Spare).Send()
 	request := runner.Request{
 		Backend: assignment.Backend, Step: task.Step.ID, Host: task.Step.Host, Tenant: task.Step.Tenant,
-		Sample: task.Sample, Text: task.Text,
+		Sample: task.Sample, Text: task.Text, DecidedAt: time.Now(),
 	}
 	followed := t.followRun(assignment)
 	go followed.run(func(ctx context.Context) scheduler.RunEnd { return link.Run(ctx, request, followed.take) })
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/dillchute/dillchute/directory"
@@ -41,9 +40,8 @@
 	// recordAfter is when results that could not be recorded are tried again.
 	recordAfter time.Time
 	prunedAt    time.Time
-	// staleSince is when the oldest change of the ledger or the directory became known that
-	// the loop has not taken in yet, in milliseconds, 0 for none.
-	staleSince atomic.Int64
+	// fresh tells whether the loop's state may be decided by.
+	fresh freshness
 	// ordersAt is when loads were last looked for; the zero time has them looked for now.
 	ordersAt time.Time
 	// aheadAt is when runs ahead were last looked for.
@@ -90,7 +88,7 @@
 			stop()
 			return
 		}
-		t.staleSince.CompareAndSwap(0, nowMillis())
+		t.fresh.noteChange(nowMillis())
 		t.loop.Call(t.syncState)
 		select {
 		case <-t.context.Done():
@@ -134,7 +132,7 @@
 
 // syncState takes in what has changed in the directory and the ledger.
 func (t *tenure) syncState() {
-	t.staleSince.Store(0)
+	t.fresh.noteTaken()
 	if catalog := t.watcher.Catalog(); catalog != t.catalog {
 		first := t.catalog == nil
 		t.catalog, t.ordersAt = catalog, time.Time{}
@@ -226,7 +224,7 @@
 	t.record()
 	now := nowMillis()
 	t.giveOrders(now)
-	if !t.runners.Ready() || t.isStale(now) {
+	if !t.runners.Ready() || t.fresh.isStale(now) {
 		return nil
 	}
 	for _, assignment := range t.scheduler.Assign(now, t.servicesOf) {
@@ -235,18 +233,6 @@
 	return nil
 }
 
-// staleLimit is how long a change may wait for its turn in the loop before nothing more is
-// begun until it is taken in: a step may have ended meanwhile, and none of it may reach an
-// engine for long after that. Of the 3 s that the users allow, a start may spend pendingLimit
-// and startValidity of package runner on its way, and some time on a connection.
-const staleLimit = 300 * time.Millisecond
-
-// isStale tells whether the loop decides by a state that has passed for too long.
-func (t *tenure) isStale(now int64) bool {
-	since := t.staleSince.Load()
-	return since != 0 && now-since > staleLimit.Milliseconds()
-}
-
 // ordersInterval is the least time between two looks for loads, which go through all engines:
 // a small part of the time of a load, and many times that between two flushes of a leader with
 // hundreds of runs.
