Of two tenants' steps of one ID one is taken, also when they come at once

A leader looks for work as soon as a quorum has confirmed it for the first time, not only at its next tick.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -26,8 +26,8 @@
 	Subject string `cbor:"1,keyasint"`
 	// Holder is the name of the process that acts.
 	Holder string `cbor:"2,keyasint"`
-	// At is in milliseconds since 1970, by the holder's clock. It tells acts apart and is
-	// compared with no other clock.
+	// At is in milliseconds since 1970, by the holder's clock. It tells acts apart, and may be
+	// compared with that of other acts but with no clock.
 	At int64 `cbor:"3,keyasint"`
 }
 
--- a/server/executor.go
+++ b/server/executor.go
@@ -80,7 +80,8 @@
 	t.deferOrders()
 	t.loadHistory()
 	go t.follow(stop)
-	go t.fresh.confirm(leadership, opened)
+	// The loop looks again for what can be started after each call.
+	go t.fresh.confirm(leadership, opened, func() { t.loop.Call(func() {}) })
 	t.loop.Run(leadership, executorTick, t.tick, t.flush)
 	x.runnersOpen.Store(0)
 }
--- a/server/freshness.go
+++ b/server/freshness.go
@@ -45,13 +45,16 @@
 	return now-f.confirmedAt.Load() > confirmLimit.Milliseconds()
 }
 
-// confirm has a quorum confirm the leader again and again.
-func (f *freshness) confirm(ctx context.Context, opened *replica.Replica) {
+// confirm has a quorum confirm the leader again and again, and says when it was for the first
+// time: what has waited for that may begin.
+func (f *freshness) confirm(ctx context.Context, opened *replica.Replica, first func()) {
 	for ctx.Err() == nil {
 		began := nowMillis()
 		limited, cancel := context.WithTimeout(ctx, confirmLimit)
 		if opened.Confirm(limited) == nil {
-			f.confirmedAt.Store(began)
+			if f.confirmedAt.Swap(began) == 0 {
+				first()
+			}
 		}
 		cancel()
 		sleep(ctx, confirmInterval)
--- a/server/ledger_call.go
+++ b/server/ledger_call.go
@@ -103,14 +103,8 @@
 		step.GiveUpAt += now
 	}
 	step.EventTokens = eventTokens(l.watcher.Catalog(), step)
-	known, open := false, false
-	l.replica.Do(func() {
-		if entry := l.machine.Step(step.ID); entry != nil {
-			known, open = true, entry.OpenTo(step.Tenant)
-		}
-	})
+	known, open := l.stepFor(step.ID, step.Tenant)
 	if known && !open {
-		// Another tenant's step has the ID: none of this one runs.
 		return ledgerAnswer{Refused: true}
 	}
 	if known {
@@ -125,9 +119,23 @@
 		return ledgerAnswer{Unknown: true}
 	}
 	line.Send()
+	if _, open := l.stepFor(step.ID, step.Tenant); !open {
+		return ledgerAnswer{Refused: true}
+	}
 	return ledgerAnswer{Found: true}
 }
 
+// stepFor tells whether there is a step of the ID, and whether it is open to the tenant. Of
+// two tenants that hand in steps of one ID, the first has it, and nothing of the other runs.
+func (l *Ledger) stepFor(id, tenant string) (known, open bool) {
+	l.replica.Do(func() {
+		if entry := l.machine.Step(id); entry != nil {
+			known, open = true, entry.OpenTo(tenant)
+		}
+	})
+	return known, open
+}
+
 // eventTokens returns the number of tokens that an event of the step's texts
 // holds, by the service that its first sample's route leads to; 0 if unknown.
 func eventTokens(catalog *directory.Catalog, step *ledger.Step) int {
--- a/transport/silence.go
+++ b/transport/silence.go
@@ -51,10 +51,8 @@
 // the acknowledging, which writes a byte for all that came since the last one.
 func acknowledgements(response http.ResponseWriter) (note, stop func()) {
 	controller := http.NewResponseController(response)
-	if err := controller.EnableFullDuplex(); err != nil {
-		// A stream over another protocol than HTTP/1.1 goes both ways anyway.
-		_ = err
-	}
+	// It fails on HTTP/2 only, where streams go both ways anyway.
+	_ = controller.EnableFullDuplex()
 	come, ending, ended := make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(ended)
