TestLostLeadershipEndsNoRuns looks before the next leader ends what it does not accept

Cause: a fault of the test. The next leader's function took no run on, and as soon as it returned the link ended them all, which is right; the test looked for ended runs after that, in a race.

--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -280,10 +280,11 @@
 	ended.Wait()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	brought := make(chan int, 1)
-	linked.lead(ctx, 2, func(held []*Held) { brought <- len(held) })
-	require.Equal(t, many, <-brought)
-	require.Empty(t, cancelled, "no engine's run was ended")
+	// Once the function returns, the next leader ends the runs that it does not accept.
+	type handedOver struct{ brought, cancelled int }
+	seen := make(chan handedOver, 1)
+	linked.lead(ctx, 2, func(held []*Held) { seen <- handedOver{len(held), len(cancelled)} })
+	require.Equal(t, handedOver{brought: many}, <-seen, "no engine's run was ended")
 	linked.server.Close()
 }
 
