--- a/forward/forward.go
+++ b/forward/forward.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/routing"
 )
 
@@ -28,6 +29,11 @@
 	Deadline time.Time
 }
 
+// Content returns what tells whether another request is the same.
+func (r *Request) Content() quarantine.Content {
+	return quarantine.Content{Tenant: r.Tenant, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
+}
+
 // Response is a backend's whole answer.
 type Response struct {
 	Status int
@@ -63,6 +69,8 @@
 type Attempt struct {
 	Outcome  Outcome
 	Response Response
+	// Broken is set on a lost attempt whose connection the other side ended.
+	Broken bool
 }
 
 // Client sends a request to one backend and returns its whole answer. The
@@ -112,6 +120,8 @@
 	Outcome Outcome
 	// Status is the backend's, 0 if it gave no answer.
 	Status int
+	// Broken is set on a lost attempt whose connection the other side ended.
+	Broken bool
 	Began  time.Time
 	// Took is the time until the attempt's end, or the request's.
 	Took time.Duration
@@ -128,10 +138,11 @@
 }
 
 // recordEnd notes the end of the newest attempt at the backend.
-func (r *Result) recordEnd(backend string, outcome Outcome, status int) {
+func (r *Result) recordEnd(backend string, attempt Attempt) {
 	for position := len(r.History) - 1; position >= 0; position-- {
 		if record := &r.History[position]; record.Backend == backend {
-			record.Outcome, record.Status, record.Took = outcome, status, time.Since(record.Began)
+			record.Outcome, record.Status, record.Broken = attempt.Outcome, attempt.Response.Status, attempt.Broken
+			record.Took = time.Since(record.Began)
 			return
 		}
 	}
@@ -311,7 +322,7 @@
 // take notes an attempt's end and tells whether it ends the request.
 func (r *run) take(done attempted) bool {
 	r.pending--
-	r.result.recordEnd(done.backend.ID, done.attempt.Outcome, done.attempt.Response.Status)
+	r.result.recordEnd(done.backend.ID, done.attempt)
 	switch done.attempt.Outcome {
 	case Answered:
 		r.result.MayHaveRun = true
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -18,6 +18,8 @@
 	Header  http.Header
 	// Body is set if the outcome is Answered, and must be closed.
 	Body io.ReadCloser
+	// Broken is set on a lost stream whose connection the other side ended.
+	Broken bool
 }
 
 // StreamClient opens streams at backends. The client of a forwarder that is asked
@@ -101,11 +103,13 @@
 	}
 	s.result.recordBegin(backend.ID)
 	opened := client.Open(ctx, backend, s.request, s.last)
-	outcome := opened.Outcome
-	if outcome == Answered {
-		outcome = s.pass(cancel, opened)
+	ended := Attempt{Outcome: opened.Outcome, Response: Response{Status: opened.Status}, Broken: opened.Broken}
+	if ended.Outcome == Answered {
+		ended.Outcome = s.pass(cancel, opened)
+		ended.Broken = ended.Outcome == Lost && ctx.Err() == nil
 	}
-	s.result.recordEnd(backend.ID, outcome, opened.Status)
+	outcome := ended.Outcome
+	s.result.recordEnd(backend.ID, ended)
 	s.forwarder.note(backend, Attempt{Outcome: outcome}, time.Since(started), parent.Err() != nil)
 	if outcome == Answered || outcome == Lost {
 		s.result.MayHaveRun = true
--- /dev/null
+++ b/quarantine/fingerprint.go
@@ -0,0 +1,51 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"hash"
+)
+
+// Fingerprint tells requests of the same content. A request that comes again has another ID,
+// so it is known by its content only.
+type Fingerprint [fingerprintBytes]byte
+
+// fingerprintBytes is the length of a fingerprint: two contents among billions do not meet by
+// chance.
+const fingerprintBytes = 16
+
+// Content is what makes two requests the same.
+type Content struct {
+	// Tenant is the name of the caller's tenant, "" for none.
+	Tenant string
+	Method string
+	Host   string
+	// Target is the path and query.
+	Target string
+	Body   []byte
+}
+
+// Fingerprint returns the content's fingerprint.
+func (c Content) Fingerprint() Fingerprint {
+	sum := sha256.New()
+	for _, part := range []string{c.Tenant, c.Method, c.Host, c.Target} {
+		writePart(sum, []byte(part))
+	}
+	writePart(sum, c.Body)
+	var fingerprint Fingerprint
+	copy(fingerprint[:], sum.Sum(nil))
+	return fingerprint
+}
+
+// writePart adds a part with its length before it, so that no two lists of parts look alike.
+func writePart(sum hash.Hash, part []byte) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+	// A hash takes in all that it is given.
+	_, _ = sum.Write(length[:])
+	_, _ = sum.Write(part)
+}
+
+// String returns the fingerprint as it stands in logs.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -179,8 +179,12 @@
 		if result.Response != nil && attempt.Backend == result.Backend {
 			continue
 		}
-		event.AttemptEnded.On(g.logger).Str("request", request.ID).Str("backend", attempt.Backend).
-			Str("outcome", attempt.Outcome.String()).Uint("status", uint64(attempt.Status)).Int("ms", attempt.Took.Milliseconds()).Send()
+		line := event.AttemptEnded.On(g.logger).Str("request", request.ID).Str("backend", attempt.Backend).
+			Str("outcome", attempt.Outcome.String()).Uint("status", uint64(attempt.Status)).Int("ms", attempt.Took.Milliseconds())
+		if attempt.Broken {
+			line.Str("broken_content", request.Content().Fingerprint().String())
+		}
+		line.Send()
 	}
 	line := event.RequestEnded.On(g.logger).Str("request", request.ID).Str("route", route.Name).
 		Uint("attempts", uint64(result.Attempts)).Int("ms", took.Milliseconds()).
