Requests that crash what runs them are held back everywhere after the third crash

Cause: nobody remembered which requests had crashed the backends that ran them. A request that comes again has another ID, so each gateway sent it on again, with retries and hedges; each leader of the ledger did so with samples and reward calls, and a new leader from the beginning. Class: a limit over the whole system kept by nobody. Change: package quarantine. A crash is a broken connection to a backend at whose address nobody listens any more; it is told to the directory, whose log counts crashes by content (tenant, method, host, path, body; the ID too where it stays the same) and whose watches bring the count to every process. No hedges for suspects. Samples wait, reward calls are not sent, under each leader. Ruled out: counting per process (a gateway that starts would not know); by worker (an innocent one is blamed); by resets (live backends reset, too).

--- a/directory/command.go
+++ b/directory/command.go
@@ -9,6 +9,7 @@
 
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/duty"
+	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/routing"
 	"github.com/dillchute/dillchute/usage"
 )
@@ -30,6 +31,21 @@
 	ToldUsage  int64          `cbor:"11,keyasint,omitempty"`
 	// Act says that its holder is about to carry out a duty.
 	Act *duty.Act `cbor:"12,keyasint,omitempty"`
+	// Crashes and Answered are what processes tell of requests that may crash backends.
+	Crashes  []quarantine.Crash       `cbor:"13,keyasint,omitempty"`
+	Answered []quarantine.Fingerprint `cbor:"14,keyasint,omitempty"`
+	// OfferTrial and TakeTrial let a request that is held back be sent once, and ForgetSuspect
+	// drops one that is not.
+	OfferTrial    *SuspectAt             `cbor:"15,keyasint,omitempty"`
+	TakeTrial     quarantine.Fingerprint `cbor:"16,keyasint,omitempty"`
+	ForgetSuspect *SuspectAt             `cbor:"17,keyasint,omitempty"`
+}
+
+// SuspectAt names a suspect as of a revision: a command about it has no effect once it has
+// changed.
+type SuspectAt struct {
+	Fingerprint quarantine.Fingerprint `cbor:"1,keyasint"`
+	Revision    uint64                 `cbor:"2,keyasint"`
 }
 
 // PutConfiguration puts a configuration into force if its version is higher
@@ -110,6 +126,8 @@
 	// Version is the configuration's version held after the command.
 	Version uint64        `cbor:"1,keyasint"`
 	Retire  RetireOutcome `cbor:"2,keyasint"`
+	// Granted says that a trial was taken.
+	Granted bool `cbor:"3,keyasint,omitempty"`
 }
 
 var deterministic = func() cbor.EncMode {
--- a/directory/machine.go
+++ b/directory/machine.go
@@ -11,6 +11,7 @@
 
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/duty"
+	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/routing"
 	"github.com/dillchute/dillchute/usage"
 )
@@ -43,6 +44,7 @@
 	KindService
 	KindBackend
 	KindTenant
+	KindSuspect
 )
 
 // contents is what a snapshot holds.
@@ -68,6 +70,8 @@
 	Usage   usage.Book                            `cbor:"15,keyasint"`
 	// Acts are the newest acts of duties, by subject.
 	Acts map[string]duty.Act `cbor:"16,keyasint,omitempty"`
+	// Suspects are requests under which backends have ended.
+	Suspects map[quarantine.Fingerprint]*versioned[quarantine.Suspect] `cbor:"17,keyasint,omitempty"`
 }
 
 // Machine is the replicated state. Its methods must not be called concurrently.
@@ -92,6 +96,7 @@
 		Gone:     map[string]uint64{},
 		Tenants:  map[string]*versioned[routing.Tenant]{},
 		Acts:     map[string]duty.Act{},
+		Suspects: map[quarantine.Fingerprint]*versioned[quarantine.Suspect]{},
 	}
 }
 
@@ -102,6 +107,7 @@
 	state.Routes, state.Services = maps.Clone(state.Routes), maps.Clone(state.Services)
 	state.Backends, state.Models = maps.Clone(state.Backends), maps.Clone(state.Models)
 	state.Stores, state.Gone = maps.Clone(state.Stores), maps.Clone(state.Gone)
+	state.Suspects = maps.Clone(state.Suspects)
 	state.Tenants, state.Acts, state.Usage = maps.Clone(state.Tenants), maps.Clone(state.Acts), state.Usage.Clone()
 	return func(writer io.Writer) error { return deterministic.NewEncoder(writer).Encode(state) }
 }
@@ -190,6 +196,7 @@
 	result := Result{}
 	if cbor.Unmarshal(data, &command) == nil {
 		result.Retire = m.apply(command)
+		result.Granted = m.takeTrial(command.TakeTrial)
 	}
 	result.Version = m.state.Version
 	encoded, err := deterministic.Marshal(result)
@@ -224,6 +231,7 @@
 	case command.Act != nil:
 		m.state.Acts[command.Act.Subject] = *command.Act
 	}
+	m.applySuspects(command)
 	for _, totals := range command.CountUsage {
 		m.state.Usage.Count(totals)
 	}
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/routing"
 )
 
@@ -24,6 +25,8 @@
 	// Replicas are the addresses of the directory's own replicas.
 	Replicas []consensus.Member `cbor:"12,keyasint,omitempty"`
 	Tenants  []routing.Tenant   `cbor:"13,keyasint,omitempty"`
+	// Suspects are requests under which backends have ended.
+	Suspects []quarantine.Suspect `cbor:"14,keyasint,omitempty"`
 }
 
 // Removed names an object that is there no more.
@@ -46,6 +49,7 @@
 	delta.Backends = changed(s.Backends, since)
 	delta.Stores = changed(s.Stores, since)
 	delta.Tenants = changed(s.Tenants, since)
+	delta.Suspects = changed(s.Suspects, since)
 	if s.Limits.Revision > since {
 		limits := s.Limits.Object
 		delta.Limits = &limits
@@ -67,7 +71,7 @@
 	return delta
 }
 
-func changed[T any](known map[string]*versioned[T], since uint64) []T {
+func changed[K comparable, T any](known map[K]*versioned[T], since uint64) []T {
 	var list []T
 	for _, object := range known {
 		if object.Revision > since {
@@ -90,6 +94,8 @@
 	Stores   map[string]Store
 	Group    Group
 	Replicas []consensus.Member
+	// Suspects are requests under which backends have ended.
+	Suspects map[quarantine.Fingerprint]quarantine.Suspect
 
 	routes    map[string]routing.Route
 	backends  map[string]Backend
@@ -134,6 +140,7 @@
 	next.Services = merge(base.Services, delta.Services, func(s routing.Service) string { return s.Name }, delta.removed(KindService))
 	next.backends = merge(base.backends, delta.Backends, func(b Backend) string { return b.ID }, delta.removed(KindBackend))
 	next.tenants = merge(base.tenants, delta.Tenants, func(t routing.Tenant) string { return t.Name }, delta.removed(KindTenant))
+	next.Suspects = merge(base.Suspects, delta.Suspects, suspectKey, removedAs[quarantine.Fingerprint](delta, KindSuspect))
 	next.Stores = merge(base.Stores, delta.Stores, func(s Store) string { return s.Name }, nil)
 	next.Models = mergeModels(base.Models, delta.Models)
 	if delta.Limits != nil {
@@ -169,24 +176,29 @@
 	}
 }
 
-func (d Delta) removed(kind ObjectKind) []string {
-	var names []string
+func (d Delta) removed(kind ObjectKind) []string { return removedAs[string](d, kind) }
+
+// removedAs returns the names of the removed objects of the kind.
+func removedAs[K ~string](d Delta, kind ObjectKind) []K {
+	var names []K
 	for _, removed := range d.Removed {
 		if removed.Kind == kind {
-			names = append(names, removed.Name)
+			names = append(names, K(removed.Name))
 		}
 	}
 	return names
 }
 
+func suspectKey(suspect quarantine.Suspect) quarantine.Fingerprint { return suspect.Fingerprint }
+
 // merge returns the objects after the changes. Without any it returns the same map.
-func merge[T any](known map[string]T, changes []T, key func(T) string, removed []string) map[string]T {
+func merge[K comparable, T any](known map[K]T, changes []T, key func(T) K, removed []K) map[K]T {
 	if len(changes) == 0 && len(removed) == 0 {
 		return known
 	}
 	merged := maps.Clone(known)
 	if merged == nil {
-		merged = make(map[string]T, len(changes))
+		merged = make(map[K]T, len(changes))
 	}
 	for _, name := range removed {
 		delete(merged, name)
--- a/event/event.go
+++ b/event/event.go
@@ -69,6 +69,12 @@
 	AddressContested     = Event{5018, zerolog.WarnLevel, "a backend's address is held by another one that is heard of"}
 	UsageUntold          = Event{5017, zerolog.WarnLevel, "counts of usage could not be handed on"}
 
+	CrashTold     = Event{5019, zerolog.WarnLevel, "a backend has ended under a request"}
+	TrialOffered  = Event{5020, zerolog.InfoLevel, "a request that is held back may be tried again"}
+	TrialTaken    = Event{5021, zerolog.InfoLevel, "a request that is held back is tried again"}
+	CrashesUntold = Event{5022, zerolog.WarnLevel, "crashes under requests could not be told"}
+	ReviewFailed  = Event{5023, zerolog.WarnLevel, "a decision of the directory's leader could not be recorded"}
+
 	StepTaken         = Event{6001, zerolog.InfoLevel, "a step was handed in"}
 	StepKnown         = Event{6002, zerolog.InfoLevel, "a step was handed in again"}
 	StepEnded         = Event{6003, zerolog.InfoLevel, "a step was ended"}
@@ -94,6 +100,7 @@
 	RunnerLost        = Event{6022, zerolog.WarnLevel, "a store that held streams of runs was lost"}
 	RunsUnclaimed     = Event{6023, zerolog.WarnLevel, "runs that no leader has claimed are ended"}
 	RunAdopted        = Event{6024, zerolog.InfoLevel, "a run of an earlier leader goes on"}
+	SampleHeldBack    = Event{6025, zerolog.WarnLevel, "a sample that crashes engines is held back"}
 
 	RequestEnded     = Event{7001, zerolog.InfoLevel, "a request has ended"}
 	GatewayStarted   = Event{7002, zerolog.InfoLevel, "gateway started"}
@@ -102,6 +109,7 @@
 	StepForwarded    = Event{7005, zerolog.InfoLevel, "a step was passed to the ledger"}
 	AttemptEnded     = Event{7006, zerolog.InfoLevel, "an attempt brought no answer to its request"}
 	NearStoreAvoided = Event{7007, zerolog.WarnLevel, "the ledger's replica in the own zone does not answer"}
+	RequestHeldBack  = Event{7008, zerolog.WarnLevel, "a request that crashes backends was refused"}
 )
 
 // All lists the events in the order of their numbers.
@@ -111,9 +119,9 @@
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
-	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed, UsageReported, UsageUnfixed, UsageUntold, AddressContested,
-	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkEnded, RunnerFound, RunnerLost, RunsUnclaimed, RunAdopted,
-	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, NearStoreAvoided,
+	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed, UsageReported, UsageUnfixed, UsageUntold, AddressContested, CrashTold, TrialOffered, TrialTaken, CrashesUntold, ReviewFailed,
+	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkEnded, RunnerFound, RunnerLost, RunsUnclaimed, RunAdopted, SampleHeldBack,
+	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, NearStoreAvoided, RequestHeldBack,
 }
 
 // On returns a log line for the event, to which fields can be added; Send ends it.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -16,7 +16,11 @@
 
 // Request is a caller's request.
 type Request struct {
-	ID     string
+	ID string
+	// StableID is set on a request that has the same ID each time it comes. Callers give each
+	// of their tries another one.
+	StableID bool
+
 	Method string
 	Host   string
 	// Target is the path and query as they were received.
@@ -31,7 +35,11 @@
 
 // Content returns what tells whether another request is the same.
 func (r *Request) Content() quarantine.Content {
-	return quarantine.Content{Tenant: r.Tenant, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
+	content := quarantine.Content{Tenant: r.Tenant, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
+	if r.StableID {
+		content.ID = r.ID
+	}
+	return content
 }
 
 // Response is a backend's whole answer.
@@ -94,6 +102,8 @@
 	NoAnswer Reason = "no_answer"
 	// Abandoned: the caller has left.
 	Abandoned Reason = "abandoned"
+	// Quarantined: the request has crashed the backends that ran it, and is held back.
+	Quarantined Reason = "quarantined"
 )
 
 // Result is what became of a request.
@@ -180,6 +190,7 @@
 type Forwarder struct {
 	client Client
 	zone   string
+	guard  *quarantine.Guard
 
 	mutex sync.Mutex
 	// random spreads choices of equal worth.
@@ -192,10 +203,10 @@
 	budget  float64
 }
 
-// New returns a forwarder of a process in the zone.
-func New(client Client, zone string) *Forwarder {
+// New returns a forwarder of a process in the zone. The guard judges what may be sent.
+func New(client Client, zone string, guard *quarantine.Guard) *Forwarder {
 	return &Forwarder{
-		client: client, zone: zone, backends: map[string]*backendState{}, usual: map[string]time.Duration{},
+		client: client, zone: zone, guard: guard, backends: map[string]*backendState{}, usual: map[string]time.Duration{},
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		credits: map[string][]float64{}, budget: budgetBurst,
 	}
@@ -214,6 +225,7 @@
 	attempts  chan attempted
 	// fallback is a backend's failure, which is passed on if nothing better comes.
 	fallback *attempted
+	clearance
 }
 
 type attempted struct {
@@ -229,6 +241,7 @@
 	r := &run{
 		forwarder: f, catalog: catalog, route: route, request: request, services: f.order(route),
 		tried: map[string]bool{}, attempts: make(chan attempted, max(route.Attempts, 1)),
+		clearance: f.clear(ctx, request),
 	}
 	result := r.do(ctx)
 	result.recordPending()
@@ -237,7 +250,7 @@
 
 func (r *run) do(ctx context.Context) Result {
 	if !r.start(ctx) {
-		return r.end(NoBackend)
+		return r.end(r.unsent())
 	}
 	hedge := time.NewTimer(r.hedgeDelay())
 	defer hedge.Stop()
@@ -246,7 +259,7 @@
 		case <-ctx.Done():
 			return r.endOfTime(ctx)
 		case <-hedge.C:
-			if r.route.Kind == routing.Repeatable && r.forwarder.spend() {
+			if r.route.Kind == routing.Repeatable && r.mayHedge() && r.forwarder.spend() {
 				r.start(ctx)
 			}
 			hedge.Reset(r.hedgeDelay())
@@ -278,6 +291,9 @@
 	if r.result.MayHaveRun || last == Lost {
 		return NoAnswer
 	}
+	if r.refused {
+		return Quarantined
+	}
 	return Full
 }
 
@@ -358,7 +374,7 @@
 
 // start sends the request to one more backend, and tells whether there is one.
 func (r *run) start(ctx context.Context) bool {
-	if r.result.Attempts >= max(r.route.Attempts, 1) {
+	if r.result.Attempts >= max(r.route.Attempts, 1) || !r.mayStart() {
 		return false
 	}
 	backend, ok := r.forwarder.choose(r.catalog, r.services, r.tried)
@@ -369,9 +385,11 @@
 	r.result.Attempts++
 	r.result.recordBegin(backend.ID)
 	r.pending++
+	verdict := r.verdict
 	go func() {
 		started := time.Now()
 		attempt := r.forwarder.client.Send(ctx, backend, r.request)
+		r.forwarder.learn(ctx, verdict, backend, r.request, attempt)
 		r.forwarder.note(backend, attempt, time.Since(started), ctx.Err() != nil)
 		r.attempts <- attempted{attempt: attempt, backend: backend}
 	}()
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/routing"
 )
 
@@ -30,6 +31,11 @@
 	return answer(ctx)
 }
 
+// noSuspects is a guard that knows of no crashes but those that it is told.
+func noSuspects() *quarantine.Guard {
+	return quarantine.NewGuard(quarantine.Sharing{}, time.Now)
+}
+
 func outcome(kind Outcome) func(context.Context) Attempt {
 	return func(context.Context) Attempt { return Attempt{Outcome: kind} }
 }
@@ -62,7 +68,7 @@
 }
 
 func do(client *scripted, catalog *directory.Catalog, through routing.Route) Result {
-	forwarder := New(client, "z")
+	forwarder := New(client, "z", noSuspects())
 	return forwarder.Do(context.Background(), catalog, through, &Request{Deadline: time.Now().Add(time.Minute)})
 }
 
@@ -152,7 +158,7 @@
 		close(ended)
 		return Attempt{Outcome: Lost}
 	}
-	result := New(client, "z").Do(ctx, catalogOf(backend("a")), route(routing.Unrepeatable, 2), &Request{Deadline: time.Now().Add(time.Minute)})
+	result := New(client, "z", noSuspects()).Do(ctx, catalogOf(backend("a")), route(routing.Unrepeatable, 2), &Request{Deadline: time.Now().Add(time.Minute)})
 	<-ended
 	require.Equal(t, Abandoned, result.Reason)
 	require.True(t, result.MayHaveRun)
@@ -161,7 +167,7 @@
 // TestSharesFollowWeights: a split's parts get their shares of any run of
 // requests, within one request.
 func TestSharesFollowWeights(t *testing.T) {
-	forwarder := New(&scripted{}, "z")
+	forwarder := New(&scripted{}, "z", noSuspects())
 	through := routing.Route{Host: "h", Prefix: "/", Shares: []routing.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	var chosen []string
 	for range 400 {
@@ -187,7 +193,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	small := 0
 	for range processes {
-		forwarder := New(&scripted{}, "z")
+		forwarder := New(&scripted{}, "z", noSuspects())
 		forwarder.random = random
 		for range requestsEach {
 			if forwarder.order(split)[0] == "small" {
@@ -212,7 +218,7 @@
 
 // manyBackends returns a forwarder that draws alike in each run, with twenty backends.
 func manyBackends() (*Forwarder, *directory.Catalog) {
-	forwarder := New(nil, "z")
+	forwarder := New(nil, "z", noSuspects())
 	forwarder.random = rand.New(rand.NewPCG(1, 2))
 	var backends []directory.Backend
 	for number := range 20 {
--- a/forward/ready_test.go
+++ b/forward/ready_test.go
@@ -27,8 +27,9 @@
 	cancel()
 	for range 100 {
 		r := &run{
-			forwarder: New(held{ended}, "z"), catalog: catalogOf(backend("a")), route: routing.Route{Kind: routing.Repeatable, Attempts: 2},
-			request: &Request{}, services: []string{"s"}, tried: map[string]bool{}, attempts: make(chan attempted, 2),
+			forwarder: New(held{ended}, "z", noSuspects()), catalog: catalogOf(backend("a")), route: routing.Route{Kind: routing.Repeatable, Attempts: 2},
+			clearance: clearance{guard: noSuspects()},
+			request:   &Request{}, services: []string{"s"}, tried: map[string]bool{}, attempts: make(chan attempted, 2),
 		}
 		r.pending = 1
 		r.attempts <- attempted{attempt: Attempt{Outcome: Answered, Response: Response{Status: 200}}}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -50,6 +50,7 @@
 	begun     bool
 	last      string
 	result    Result
+	clearance
 }
 
 // Stream passes a request on whose answer is a stream of events. Events are
@@ -59,10 +60,13 @@
 func (f *Forwarder) Stream(ctx context.Context, catalog *directory.Catalog, route routing.Route, request *Request, sink Sink) Result {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	s := &stream{forwarder: f, request: request, route: route, sink: sink}
+	s := &stream{forwarder: f, request: request, route: route, sink: sink, clearance: f.clear(ctx, request)}
 	services := f.order(route)
 	tried := map[string]bool{}
 	for s.result.Attempts < max(route.Attempts, 1) && ctx.Err() == nil {
+		if !s.mayStart() {
+			return s.end(Quarantined)
+		}
 		backend, ok := f.choose(catalog, services, tried)
 		if !ok && route.Resumable && s.result.MayHaveRun {
 			// A stream that broke off may go on where it was before.
@@ -110,6 +114,7 @@
 	}
 	outcome := ended.Outcome
 	s.result.recordEnd(backend.ID, ended)
+	s.forwarder.learn(parent, s.verdict, backend, s.request, ended)
 	s.forwarder.note(backend, Attempt{Outcome: outcome}, time.Since(started), parent.Err() != nil)
 	if outcome == Answered || outcome == Lost {
 		s.result.MayHaveRun = true
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -54,7 +54,7 @@
 	through := route(routing.Streaming, 3)
 	through.Resumable = resumable
 	sink := &recorder{}
-	result := New(client, "z").Stream(context.Background(), catalogOf(backends...), through, &Request{Deadline: time.Now().Add(time.Minute)}, sink)
+	result := New(client, "z", noSuspects()).Stream(context.Background(), catalogOf(backends...), through, &Request{Deadline: time.Now().Add(time.Minute)}, sink)
 	return result, sink
 }
 
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -7,16 +7,18 @@
 	"hash"
 )
 
-// Fingerprint tells requests of the same content. A request that comes again has another ID,
-// so it is known by its content only.
-type Fingerprint [fingerprintBytes]byte
+// Fingerprint tells requests of the same content apart from others, in hexadecimal digits. A
+// request that comes again has another ID, so it is known by its content only.
+type Fingerprint string
 
-// fingerprintBytes is the length of a fingerprint: two contents among billions do not meet by
-// chance.
+// fingerprintBytes is how much of a hash a fingerprint holds: two contents among billions do
+// not meet by chance.
 const fingerprintBytes = 16
 
 // Content is what makes two requests the same.
 type Content struct {
+	// ID is what the sender calls the request each time, "" where it comes under another ID.
+	ID string
 	// Tenant is the name of the caller's tenant, "" for none.
 	Tenant string
 	Method string
@@ -29,13 +31,11 @@
 // Fingerprint returns the content's fingerprint.
 func (c Content) Fingerprint() Fingerprint {
 	sum := sha256.New()
-	for _, part := range []string{c.Tenant, c.Method, c.Host, c.Target} {
+	for _, part := range []string{c.ID, c.Tenant, c.Method, c.Host, c.Target} {
 		writePart(sum, []byte(part))
 	}
 	writePart(sum, c.Body)
-	var fingerprint Fingerprint
-	copy(fingerprint[:], sum.Sum(nil))
-	return fingerprint
+	return Fingerprint(hex.EncodeToString(sum.Sum(nil)[:fingerprintBytes]))
 }
 
 // writePart adds a part with its length before it, so that no two lists of parts look alike.
@@ -46,6 +46,3 @@
 	_, _ = sum.Write(length[:])
 	_, _ = sum.Write(part)
 }
-
-// String returns the fingerprint as it stands in logs.
-func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
--- /dev/null
+++ b/quarantine/guard.go
@@ -0,0 +1,212 @@
+package quarantine
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+)
+
+const (
+	// localLife is how long a process goes by a crash that it has told of alone: the shared
+	// record comes back to it within some hundredths of a second.
+	localLife = 5 * time.Second
+	// mostNews bounds what waits to be told. Beyond it a crash is not told: a process that
+	// sees so many at once sees more than requests crash.
+	mostNews = 1000
+)
+
+// Verdict is what a process knows of a request before it sends it.
+type Verdict struct {
+	Fingerprint Fingerprint
+	// Known is the number of crashes that are counted, 0 for a request without suspicion.
+	Known int
+	// Held is set if the request must not be sent, and Offered if a trial of it may be asked for.
+	Held, Offered bool
+}
+
+// News is what a process has to tell.
+type News struct {
+	Crashes []Crash
+	// Answered are suspects that a backend has answered.
+	Answered []Fingerprint
+}
+
+// IsEmpty tells whether there is nothing to tell.
+func (n News) IsEmpty() bool { return len(n.Crashes) == 0 && len(n.Answered) == 0 }
+
+// localSuspect is a suspect as this process knows it before the shared record does.
+type localSuspect struct {
+	suspect Suspect
+	// until is when the shared record goes alone; it is moved on while the crash is not told.
+	until time.Time
+}
+
+// Sharing is how a process knows the shared record. Without functions there is none.
+type Sharing struct {
+	// Suspects returns the record as the process knows it. It must not be changed.
+	Suspects func() map[Fingerprint]Suspect
+	// TakeTrial asks for the trial of a request, and tells whether this process has got it.
+	TakeTrial func(ctx context.Context, fingerprint Fingerprint) bool
+}
+
+// Guard judges what a process may send, by the shared record and by what the process has seen
+// itself. It may be used concurrently.
+type Guard struct {
+	sharing Sharing
+	now     func() time.Time
+	// Told is signalled once there are news.
+	Told chan struct{}
+
+	mutex sync.Mutex
+	local map[Fingerprint]localSuspect
+	// permits are the trials that this process has taken and not used.
+	permits map[Fingerprint]bool
+	news    News
+}
+
+// NewGuard returns a guard that goes by the shared record and the clock.
+func NewGuard(sharing Sharing, now func() time.Time) *Guard {
+	return &Guard{
+		sharing: sharing, now: now, Told: make(chan struct{}, 1),
+		local: map[Fingerprint]localSuspect{}, permits: map[Fingerprint]bool{},
+	}
+}
+
+func (g *Guard) shared() map[Fingerprint]Suspect {
+	if g.sharing.Suspects == nil {
+		return nil
+	}
+	return g.sharing.Suspects()
+}
+
+// TakeTrial asks for the trial of a request, and tells whether this process has got it.
+func (g *Guard) TakeTrial(ctx context.Context, fingerprint Fingerprint) bool {
+	return g.sharing.TakeTrial != nil && g.sharing.TakeTrial(ctx, fingerprint)
+}
+
+// IsIdle tells whether there are no suspects at all, so that no request needs to be judged.
+func (g *Guard) IsIdle() bool {
+	if len(g.shared()) > 0 {
+		return false
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.now()
+	maps.DeleteFunc(g.local, func(_ Fingerprint, local localSuspect) bool { return now.After(local.until) })
+	return len(g.local) == 0
+}
+
+// JudgeContent judges a request by its content, which is looked at only if there are suspects.
+func (g *Guard) JudgeContent(content Content) Verdict {
+	if g.IsIdle() {
+		return Verdict{}
+	}
+	return g.Judge(content.Fingerprint())
+}
+
+// Judge judges a request.
+func (g *Guard) Judge(fingerprint Fingerprint) Verdict {
+	shared := g.shared()[fingerprint]
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	known := max(shared.Crashes, g.localCrashes(fingerprint))
+	return Verdict{
+		Fingerprint: fingerprint, Known: known, Offered: shared.Offered,
+		Held: known >= HeldFrom && !g.permits[fingerprint],
+	}
+}
+
+// localCrashes returns the number of crashes that this process has counted itself.
+func (g *Guard) localCrashes(fingerprint Fingerprint) int {
+	local, ok := g.local[fingerprint]
+	if ok && g.now().After(local.until) {
+		delete(g.local, fingerprint)
+		return 0
+	}
+	return local.suspect.Crashes
+}
+
+// NoteCrash takes in that the backend has ended under the request, of which the process knew so
+// many crashes as it sent it. It returns the number of crashes that this process counts now.
+func (g *Guard) NoteCrash(fingerprint Fingerprint, backend string, known int) int {
+	shared := g.shared()[fingerprint]
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	base := g.local[fingerprint].suspect
+	if shared.Crashes > base.Crashes {
+		base = shared
+	}
+	crash := Crash{Fingerprint: fingerprint, Backend: backend, Known: known}
+	next, news := base.With(crash)
+	if !news || len(g.news.Crashes) >= mostNews {
+		return next.Crashes
+	}
+	g.local[fingerprint] = localSuspect{suspect: next, until: g.now().Add(localLife)}
+	g.news.Crashes = append(g.news.Crashes, crash)
+	g.wake()
+	return next.Crashes
+}
+
+// NoteAnswer takes in that a backend has answered the request that was judged so.
+func (g *Guard) NoteAnswer(verdict Verdict) {
+	if verdict.Known == 0 {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	delete(g.local, verdict.Fingerprint)
+	if len(g.news.Answered) < mostNews {
+		g.news.Answered = append(g.news.Answered, verdict.Fingerprint)
+	}
+	g.wake()
+}
+
+// Permit lets the request be sent once although it is held back.
+func (g *Guard) Permit(fingerprint Fingerprint) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.permits[fingerprint] = true
+}
+
+// UsePermit uses up a permit, and tells whether there was one.
+func (g *Guard) UsePermit(fingerprint Fingerprint) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	permitted := g.permits[fingerprint]
+	delete(g.permits, fingerprint)
+	return permitted
+}
+
+// TakeNews returns what is to be told.
+func (g *Guard) TakeNews() News {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	news := g.news
+	g.news = News{}
+	return news
+}
+
+// ReturnNews takes back news that could not be told. The process goes by them itself until
+// they are.
+func (g *Guard) ReturnNews(news News) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, crash := range news.Crashes {
+		if local, ok := g.local[crash.Fingerprint]; ok {
+			local.until = g.now().Add(localLife)
+			g.local[crash.Fingerprint] = local
+		}
+	}
+	g.news.Crashes = append(news.Crashes, g.news.Crashes...)
+	g.news.Answered = append(news.Answered, g.news.Answered...)
+	g.wake()
+}
+
+// wake says that there are news.
+func (g *Guard) wake() {
+	select {
+	case g.Told <- struct{}{}:
+	default:
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,3 +1,111 @@
 // Package quarantine keeps requests that crash the backends which run them away from further
-// backends. It has no clock, socket or disk.
+// backends.
+//
+// A request that crashes whatever runs it comes again, under another ID, at any process. No
+// process sees enough of it alone, so what is known of it is shared: a Suspect is kept in a
+// replicated log, counts over all processes, and outlives each of them. A Guard is one
+// process's part: it tells what crashed, and judges what may be sent.
+//
+// Crashes count one after the other: a crash counts if whoever sent the request knew of all
+// crashes that were counted before. Backends that fall together, by a loss of power or by
+// requests sent side by side, count once. An answer ends all suspicion, and a request that is
+// held back is tried again now and then, so that a sound one which was near the crashes of
+// others is served again.
+//
+// The package has no socket or disk, and no clock but the one that it is given.
 package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// HeldFrom is the number of crashes from which on a request is held back.
+	HeldFrom = 3
+	// mostEnded is the number of backends that may end under a request before it is tried
+	// again only rarely: it leaves the users' bound, three sends after the third crash, whole.
+	mostEnded = 6
+	// firstTrial is how long a request is held back before it is tried again, and secondTrial
+	// how long after that once more: a sound request is wanted within seconds, and two trials
+	// with what a race may add stay within the users' bound of three sends.
+	firstTrial  = 5 * time.Second
+	secondTrial = 30 * time.Second
+	// rareTrial is the least wait once mostEnded backends have ended, and lastTrial that after
+	// the second trial.
+	rareTrial = 10 * time.Minute
+	lastTrial = 24 * time.Hour
+	// RetryAfter is what callers are told whose request is held back.
+	RetryAfter = firstTrial
+	// ForgetAfter is how long a suspect that is not held back is remembered after its last
+	// crash.
+	ForgetAfter = 10 * time.Minute
+)
+
+// Crash says that a backend has ended while it ran a request.
+type Crash struct {
+	Fingerprint Fingerprint `cbor:"1,keyasint"`
+	// Backend is the ID of the backend's incarnation.
+	Backend string `cbor:"2,keyasint"`
+	// Known is the number of counted crashes that the sender knew of as it sent the request.
+	Known int `cbor:"3,keyasint"`
+}
+
+// Suspect is a request under which backends have ended. It is never changed.
+type Suspect struct {
+	Fingerprint Fingerprint `cbor:"1,keyasint"`
+	// Crashes counts the crashes that came one after the other.
+	Crashes int `cbor:"2,keyasint"`
+	// Ended are the IDs of the backends that have ended, mostEnded of them at the most.
+	Ended []string `cbor:"3,keyasint"`
+	// Trials counts the trials that were offered, and Offered is set while one may be taken.
+	Trials  int  `cbor:"4,keyasint,omitempty"`
+	Offered bool `cbor:"5,keyasint,omitempty"`
+}
+
+// IsHeld tells whether the request is held back.
+func (s Suspect) IsHeld() bool { return s.Crashes >= HeldFrom }
+
+// With returns the suspect after the crash, and whether that is news.
+func (s Suspect) With(crash Crash) (Suspect, bool) {
+	if slices.Contains(s.Ended, crash.Backend) {
+		return s, false
+	}
+	next := s
+	next.Fingerprint = crash.Fingerprint
+	if crash.Known >= s.Crashes {
+		next.Crashes++
+	}
+	if len(s.Ended) < mostEnded {
+		next.Ended = append(slices.Clone(s.Ended), crash.Backend)
+	}
+	return next, next.Crashes != s.Crashes || len(next.Ended) != len(s.Ended)
+}
+
+// WithOffer returns the suspect with a trial that may be taken.
+func (s Suspect) WithOffer() Suspect {
+	s.Offered = true
+	s.Trials++
+	return s
+}
+
+// WithoutOffer returns the suspect after its trial was taken.
+func (s Suspect) WithoutOffer() Suspect {
+	s.Offered = false
+	return s
+}
+
+// TrialWait returns how long after the last change the request is to be tried again.
+func (s Suspect) TrialWait() time.Duration {
+	wait := lastTrial
+	switch s.Trials {
+	case 0:
+		wait = firstTrial
+	case 1:
+		wait = secondTrial
+	}
+	if len(s.Ended) >= mostEnded {
+		wait = max(wait, rareTrial)
+	}
+	return wait
+}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"net/http"
 	"slices"
 
 	"github.com/dillchute/dillchute/ledger"
+	"github.com/dillchute/dillchute/quarantine"
 )
 
 // Text is what a sample has produced so far.
@@ -48,6 +50,17 @@
 // as far as they were observed.
 func (task *Task) seen() uint64 { return task.Text.Last + uint64(task.observedEvents) }
 
+// Fingerprint tells the sample from others wherever it comes again. It is computed once.
+func (task *Task) Fingerprint() quarantine.Fingerprint {
+	if task.fingerprint == "" {
+		task.fingerprint = quarantine.Content{
+			ID: task.Sample.ID, Tenant: task.Step.Tenant, Method: http.MethodPost, Host: task.Step.Host,
+			Target: task.Sample.Path, Body: task.Sample.Body,
+		}.Fingerprint()
+	}
+	return task.fingerprint
+}
+
 // Task is one sample on its way.
 type Task struct {
 	Step   *ledger.Step
@@ -84,6 +97,8 @@
 	superseded bool
 	// takenOver is set on a task that was a run ahead of its step.
 	takenOver bool
+	// fingerprint is that of the sample, once it was asked for.
+	fingerprint quarantine.Fingerprint
 	// startedAt is when the current run began, and from the event it began after.
 	startedAt int64
 	from      uint64
--- a/server/directory.go
+++ b/server/directory.go
@@ -63,6 +63,8 @@
 	view       atomic.Pointer[directory.Catalog]
 	heartbeats *heartbeats
 	usage      *usageKeeper
+	// suspects belongs to the review.
+	suspects suspectClock
 	// clockTold is when the leader was last told of this machine's clock. It belongs to
 	// the review.
 	clockTold time.Time
--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -28,7 +28,8 @@
 	Newest bool       `cbor:"11,keyasint,omitempty"`
 	Usage  *usageCall `cbor:"12,keyasint,omitempty"`
 	// Clock is what the machine of a replica that does not lead shows; it comes with Heard.
-	Clock *clockReading `cbor:"13,keyasint,omitempty"`
+	Clock      *clockReading   `cbor:"13,keyasint,omitempty"`
+	Quarantine *quarantineCall `cbor:"14,keyasint,omitempty"`
 }
 
 // clockReading is a machine's time of day in milliseconds since 1970.
@@ -49,6 +50,8 @@
 	// Revision answers Newest.
 	Revision uint64       `cbor:"7,keyasint,omitempty"`
 	Usage    *usageAnswer `cbor:"8,keyasint,omitempty"`
+	// Granted answers the question for a trial.
+	Granted bool `cbor:"9,keyasint,omitempty"`
 }
 
 // kind returns the call's name in logs, or "" if calls of its kind are frequent
@@ -135,6 +138,8 @@
 		d.usage.noteClock(call.Clock.Machine, call.Clock.Millis)
 	case call.Usage != nil:
 		answer.Usage, err = d.usage.take(ctx, call.Usage)
+	case call.Quarantine != nil:
+		err = d.handleQuarantine(ctx, call.Quarantine, answer)
 	case call.Leave != "":
 		event.BackendLeft.On(d.logger).Str("backend", call.Leave).Send()
 		_, err = d.execute(ctx, directory.Command{RemoveBackend: &directory.RemoveBackend{ID: call.Leave}})
--- a/server/directory_review.go
+++ b/server/directory_review.go
@@ -45,6 +45,7 @@
 		}
 		limited, cancel := context.WithTimeout(ctx, time.Second)
 		d.reviewBackends(limited)
+		d.reviewSuspects(limited)
 		d.formGroup(limited)
 		d.usage.noteClock(d.settings.Name, time.Now().UnixMilli())
 		d.usage.review(limited, d.view.Load().HasTenants())
@@ -58,6 +59,7 @@
 	defer d.mutex.Unlock()
 	if serving && !d.serving {
 		d.heartbeats.reset()
+		d.suspects = suspectClock{}
 		d.firstStore, d.newestStore = time.Time{}, time.Time{}
 	}
 	d.serving = serving
--- a/server/executor.go
+++ b/server/executor.go
@@ -12,6 +12,7 @@
 	"github.com/dillchute/dillchute/eventloop"
 	"github.com/dillchute/dillchute/forward"
 	"github.com/dillchute/dillchute/ledger"
+	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/replica"
 	"github.com/dillchute/dillchute/runner"
 	"github.com/dillchute/dillchute/scheduler"
@@ -39,6 +40,7 @@
 	watcher   *Watcher
 	engines   EngineClient
 	forwarder *forward.Forwarder
+	guard     *quarantine.Guard
 	metrics   ledgerMetrics
 	orders    *duty.Watch
 	logger    *zerolog.Logger
@@ -46,8 +48,12 @@
 	runnersOpen atomic.Int64
 }
 
-func newExecutor(settings config.Ledger, watcher *Watcher, engines EngineClient, forwarder *forward.Forwarder, metrics ledgerMetrics, logger *zerolog.Logger) *Executor {
-	return &Executor{settings: settings, watcher: watcher, engines: engines, forwarder: forwarder, metrics: metrics, orders: duty.NewWatch(), logger: logger}
+func newExecutor(settings config.Ledger, watcher *Watcher, engines EngineClient, backends forward.Client, metrics ledgerMetrics, logger *zerolog.Logger) *Executor {
+	guard := newGuard(watcher)
+	return &Executor{
+		settings: settings, watcher: watcher, engines: engines, forwarder: forward.New(backends, settings.Zone, guard), guard: guard,
+		metrics: metrics, orders: duty.NewWatch(), logger: logger,
+	}
 }
 
 // run begins a leadership whenever the replica serves, and ends it when it does not.
@@ -75,6 +81,7 @@
 		loop: eventloop.New(), scheduler: scheduler.New(),
 		cancels: map[*scheduler.Task]context.CancelFunc{}, progress: map[*scheduler.Task]*runProgress{},
 		checkpointed: map[*scheduler.Task]uint64{}, known: map[string]bool{}, rewards: newRewardLimit(),
+		heldBack: map[quarantine.Fingerprint]bool{}, asking: map[quarantine.Fingerprint]bool{},
 	}
 	t.runners = runner.NewPool(leadership, term, t.adopt, x.logger)
 	t.deferOrders()
--- a/server/followed_run.go
+++ b/server/followed_run.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/runner"
 	"github.com/dillchute/dillchute/scheduler"
 )
@@ -19,6 +20,9 @@
 	// silence gives the run up if its engine sends nothing for stall.
 	silence *time.Timer
 	stall   time.Duration
+	// fingerprint and known are the sample's, and the crashes that were known of it as its run began.
+	fingerprint quarantine.Fingerprint
+	known       int
 
 	// mutex holds back parts that come while the run is given up.
 	mutex sync.Mutex
@@ -42,8 +46,9 @@
 	if t.scheduler.Loading(assignment.Backend.ID, task.Step.Model) {
 		stall = loadStall
 	}
+	fingerprint, known := t.clearedFor(task)
 	return &followedRun{
-		tenure: t, assignment: assignment, context: ctx, cancel: cancel, progress: progress,
+		fingerprint: fingerprint, known: known, tenure: t, assignment: assignment, context: ctx, cancel: cancel, progress: progress,
 		silence: time.AfterFunc(stall, cancel), stall: stall,
 	}
 }
@@ -74,12 +79,24 @@
 	return end, text, f.version
 }
 
+// learn takes in what the run's end tells of its sample. A run that was given up tells nothing.
+func (f *followedRun) learn(end scheduler.RunEnd) {
+	guard, backend := f.tenure.guard, f.assignment.Backend
+	switch {
+	case end == scheduler.Complete:
+		guard.NoteAnswer(quarantine.Verdict{Fingerprint: f.fingerprint, Known: f.known})
+	case end == scheduler.Broken && f.context.Err() == nil && f.tenure.forwarder.HasEnded(f.tenure.context, backend):
+		guard.NoteCrash(f.fingerprint, backend.ID, f.known)
+	}
+}
+
 // run waits for the run's end and tells it to the tenure.
 func (f *followedRun) run(wait func(ctx context.Context) scheduler.RunEnd) {
 	began := time.Now()
 	defer f.cancel()
 	defer f.silence.Stop()
 	end, text, version := f.outcome(wait(f.context))
+	f.learn(end)
 	f.tenure.metrics.run.WithLabelValues().Observe(time.Since(began).Seconds())
 	f.tenure.loop.Call(func() { f.tenure.runEnded(f.assignment.Task, f.assignment, end, text, version) })
 }
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/forward"
 	"github.com/dillchute/dillchute/ledger"
+	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/replica"
 	"github.com/dillchute/dillchute/routing"
 )
@@ -45,6 +46,7 @@
 	ledger    *ledgerClient
 	metrics   gatewayMetrics
 	usage     *usageTeller
+	guard     *quarantine.Guard
 
 	// startedAt is when the gateway began to follow the directory.
 	startedAt time.Time
@@ -57,9 +59,10 @@
 // NewGateway returns a gateway that reaches backends through the client.
 func NewGateway(settings config.Gateway, seeds *Seeds, backends forward.Client, logger *zerolog.Logger) *Gateway {
 	watcher := NewWatcher(seeds, spread(settings.Name), logger)
+	guard := newGuard(watcher)
 	return &Gateway{
-		settings: settings, logger: logger, watcher: watcher,
-		forwarder: forward.New(backends, settings.Zone), ledger: newLedgerClient(watcher, settings.Zone, logger),
+		settings: settings, logger: logger, watcher: watcher, guard: guard,
+		forwarder: forward.New(backends, settings.Zone, guard), ledger: newLedgerClient(watcher, settings.Zone, logger),
 		metrics: newGatewayMetrics(), usage: newUsageTeller(settings.Name, watcher), startedAt: time.Now(),
 	}
 }
@@ -68,6 +71,7 @@
 func (g *Gateway) Run(ctx context.Context) {
 	go g.watcher.Run(ctx)
 	go g.usage.run(ctx)
+	go tellCrashes(ctx, g.guard, g.watcher)
 	for ctx.Err() == nil {
 		changed := g.watcher.Changed()
 		g.forwarder.Forget(g.watcher.Catalog())
@@ -182,10 +186,13 @@
 		line := event.AttemptEnded.On(g.logger).Str("request", request.ID).Str("backend", attempt.Backend).
 			Str("outcome", attempt.Outcome.String()).Uint("status", uint64(attempt.Status)).Int("ms", attempt.Took.Milliseconds())
 		if attempt.Broken {
-			line.Str("broken_content", request.Content().Fingerprint().String())
+			line.Str("broken_content", string(request.Content().Fingerprint()))
 		}
 		line.Send()
 	}
+	if result.Reason == forward.Quarantined {
+		logHeldBack(g.logger, request.ID, request.Content().Fingerprint())
+	}
 	line := event.RequestEnded.On(g.logger).Str("request", request.ID).Str("route", route.Name).
 		Uint("attempts", uint64(result.Attempts)).Int("ms", took.Milliseconds()).
 		Uint("version", catalog.Version).Uint("revision", catalog.Revision)
--- /dev/null
+++ b/server/held_sample.go
@@ -0,0 +1,43 @@
+package server
+
+import (
+	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/quarantine"
+	"github.com/dillchute/dillchute/scheduler"
+)
+
+// isHeldBack tells whether the task's sample crashes the engines that run it. Its trial, if one
+// is offered, is asked for beside the loop.
+func (t *tenure) isHeldBack(task *scheduler.Task) bool {
+	if t.guard.IsIdle() {
+		return false
+	}
+	verdict := t.guard.Judge(task.Fingerprint())
+	if !verdict.Held {
+		return false
+	}
+	if !t.heldBack[verdict.Fingerprint] {
+		t.heldBack[verdict.Fingerprint] = true
+		event.SampleHeldBack.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).Str("content", string(verdict.Fingerprint)).Send()
+	}
+	if verdict.Offered && !t.asking[verdict.Fingerprint] {
+		t.asking[verdict.Fingerprint] = true
+		go t.askForTrial(verdict.Fingerprint)
+	}
+	return true
+}
+
+func (t *tenure) askForTrial(fingerprint quarantine.Fingerprint) {
+	if t.guard.TakeTrial(t.context, fingerprint) {
+		t.guard.Permit(fingerprint)
+	}
+	t.loop.Call(func() { delete(t.asking, fingerprint) })
+}
+
+// clearedFor returns the fingerprint of a sample whose run begins, and the crashes that are
+// known of it. A permit is used up.
+func (t *tenure) clearedFor(task *scheduler.Task) (quarantine.Fingerprint, int) {
+	fingerprint := task.Fingerprint()
+	t.guard.UsePermit(fingerprint)
+	return fingerprint, t.guard.Judge(fingerprint).Known
+}
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -56,7 +56,7 @@
 		identity: replica.NewIdentity(), runs: runner.NewServer(engines, logger),
 	}
 	l.metrics = newLedgerMetrics()
-	l.executor = newExecutor(settings, l.watcher, engines, forward.New(backends, settings.Zone), l.metrics, logger)
+	l.executor = newExecutor(settings, l.watcher, engines, backends, l.metrics, logger)
 	return l
 }
 
@@ -81,6 +81,7 @@
 	defer l.runs.Close()
 	defer httpServer.Close()
 	go l.maintain(watchContext, opened)
+	go tellCrashes(watchContext, l.executor.guard, l.watcher)
 	go l.executor.run(watchContext, opened, l.machine)
 	return opened.Run(ctx)
 }
--- a/server/score.go
+++ b/server/score.go
@@ -92,7 +92,7 @@
 func (t *tenure) sendReward(ctx context.Context, catalog *directory.Catalog, route routing.Route, reward *ledger.Reward) forward.Result {
 	timeout := time.Duration(route.TimeoutMillis) * time.Millisecond
 	return t.forwarder.Do(ctx, catalog, route, &forward.Request{
-		ID: reward.ID, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
+		ID: reward.ID, StableID: true, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
 		Header: http.Header{}, Body: reward.Body, Deadline: time.Now().Add(timeout),
 	})
 }
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -10,6 +10,7 @@
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/eventloop"
 	"github.com/dillchute/dillchute/ledger"
+	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/replica"
 	"github.com/dillchute/dillchute/runner"
 	"github.com/dillchute/dillchute/scheduler"
@@ -30,6 +31,9 @@
 	catalog    *directory.Catalog
 	generation uint64
 	cancels    map[*scheduler.Task]context.CancelFunc
+	// heldBack holds the samples that were said to be held back, and asking those whose trial
+	// is being asked for.
+	heldBack, asking map[quarantine.Fingerprint]bool
 	// progress holds what each run under way has produced.
 	progress map[*scheduler.Task]*runProgress
 	// checkpointed holds the number of events of each task's text that the ledger keeps.
@@ -249,6 +253,9 @@
 }
 
 func (t *tenure) servicesOf(task *scheduler.Task) ([]string, bool) {
+	if t.isHeldBack(task) {
+		return nil, false
+	}
 	path, _, _ := strings.Cut(task.Sample.Path, "?")
 	route, ok := t.catalog.Table.Match(task.Step.Host, path)
 	if !ok {
