One clock that counts the machine's suspensions, for whatever guards a promise

Cause: each guard read Go's steady clock, which stands still while the machine is suspended: a lease, a quorum's confirmation, a limit for an order or a start looked fresh on waking. Change: package clock tells time with suspensions (CLOCK_BOOTTIME; a reading costs one of time.Now, since the clock of suspensions is read only when the time of day has moved against the steady one, or each 100 ms). On it now: a replica's ticks, decisions' time (freshness of a leader, duties, ages), orders and reports decided before, starts at leader and runner, deadlines of requests (no attempt begins after them, backends are told what is left), silences of backends, the quarantine's waits. Orders and reports have no body written after their limit, also if the machine was suspended while their connection opened. After a standstill of any kind backends get a fresh patience, and one line says how long it was. Ruled out: a replica's reads (each confirmed by a quorum), watches (never go back; a first one is confirmed), runner links' and streams' silences (steady: the pause was ours).

--- a/event/event.go
+++ b/event/event.go
@@ -50,6 +50,9 @@
 	SettingsTaken    = Event{4004, zerolog.InfoLevel, "changed settings are in use"}
 	SettingsRefused  = Event{4005, zerolog.WarnLevel, "the settings file is wrong; the earlier settings hold"}
 
+	ProcessStoodStill = Event{4006, zerolog.WarnLevel, "this process stood still"}
+	NoBootClock       = Event{4007, zerolog.WarnLevel, "the machine has no clock that counts suspensions"}
+
 	BackendRegistered    = Event{5001, zerolog.InfoLevel, "a backend's registration has changed"}
 	BackendLeft          = Event{5002, zerolog.InfoLevel, "a backend has left"}
 	BackendSilent        = Event{5003, zerolog.WarnLevel, "a backend sends no heartbeats"}
@@ -118,7 +121,7 @@
 	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged, StorageRefused, StorageAccepts, SnapshotSent, SnapshotUnsent,
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream,
-	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused,
+	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused, ProcessStoodStill, NoBootClock,
 	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed, UsageReported, UsageUnfixed, UsageUntold, AddressContested, CrashTold, TrialOffered, TrialTaken, CrashesUntold, ReviewFailed,
 	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkEnded, RunnerFound, RunnerLost, RunsUnclaimed, RunAdopted, SampleHeldBack,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, NearStoreAvoided, RequestHeldBack,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/routing"
@@ -29,10 +30,22 @@
 	Body   []byte
 	// Tenant is the name of the caller's tenant, "" for none.
 	Tenant string
-	// Deadline is when the caller gives up.
+	// Deadline is when the caller gives up, by package clock.
 	Deadline time.Time
 }
 
+// remaining returns how long the caller still waits. A timer may say otherwise: it stands still
+// while the machine is suspended.
+func (r *Request) remaining() time.Duration {
+	if r.Deadline.IsZero() {
+		return longestWait
+	}
+	return clock.Until(r.Deadline)
+}
+
+// longestWait bounds a request without a deadline of its own.
+const longestWait = time.Hour
+
 // Content returns what tells whether another request is the same.
 func (r *Request) Content() quarantine.Content {
 	content := quarantine.Content{Tenant: r.Tenant, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
@@ -144,7 +157,7 @@
 
 // recordBegin notes an attempt that begins.
 func (r *Result) recordBegin(backend string) {
-	r.History = append(r.History, AttemptRecord{Backend: backend, Began: time.Now()})
+	r.History = append(r.History, AttemptRecord{Backend: backend, Began: clock.Now()})
 }
 
 // recordEnd notes the end of the newest attempt at the backend.
@@ -152,7 +165,7 @@
 	for position := len(r.History) - 1; position >= 0; position-- {
 		if record := &r.History[position]; record.Backend == backend {
 			record.Outcome, record.Status, record.Broken = attempt.Outcome, attempt.Response.Status, attempt.Broken
-			record.Took = time.Since(record.Began)
+			record.Took = clock.Since(record.Began)
 			return
 		}
 	}
@@ -162,7 +175,7 @@
 func (r *Result) recordPending() {
 	for position := range r.History {
 		if record := &r.History[position]; record.Outcome == 0 {
-			record.Took = time.Since(record.Began)
+			record.Took = clock.Since(record.Began)
 		}
 	}
 }
@@ -236,7 +249,7 @@
 // Do passes the request to the route's services. It returns when there is an
 // answer, or as soon as it is certain that none comes.
 func (f *Forwarder) Do(ctx context.Context, catalog *directory.Catalog, route routing.Route, request *Request) Result {
-	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, request.remaining())
 	defer cancel()
 	r := &run{
 		forwarder: f, catalog: catalog, route: route, request: request, services: f.order(route),
@@ -250,6 +263,9 @@
 
 func (r *run) do(ctx context.Context) Result {
 	if !r.start(ctx) {
+		if r.request.remaining() <= 0 {
+			return r.end(Expired)
+		}
 		return r.end(r.unsent())
 	}
 	hedge := time.NewTimer(r.hedgeDelay())
@@ -288,6 +304,9 @@
 }
 
 func (r *run) reason(last Outcome) Reason {
+	if r.request.remaining() <= 0 {
+		return Expired
+	}
 	if r.result.MayHaveRun || last == Lost {
 		return NoAnswer
 	}
@@ -374,7 +393,7 @@
 
 // start sends the request to one more backend, and tells whether there is one.
 func (r *run) start(ctx context.Context) bool {
-	if r.result.Attempts >= max(r.route.Attempts, 1) || !r.mayStart() {
+	if r.result.Attempts >= max(r.route.Attempts, 1) || r.request.remaining() <= 0 || !r.mayStart() {
 		return false
 	}
 	backend, ok := r.forwarder.choose(r.catalog, r.services, r.tried)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -58,12 +58,12 @@
 // backend after its last whole event, under the head of its first one. If the
 // result has no Response, the caller must be told that the answer is not whole.
 func (f *Forwarder) Stream(ctx context.Context, catalog *directory.Catalog, route routing.Route, request *Request, sink Sink) Result {
-	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, request.remaining())
 	defer cancel()
 	s := &stream{forwarder: f, request: request, route: route, sink: sink, clearance: f.clear(ctx, request)}
 	services := f.order(route)
 	tried := map[string]bool{}
-	for s.result.Attempts < max(route.Attempts, 1) && ctx.Err() == nil {
+	for s.result.Attempts < max(route.Attempts, 1) && ctx.Err() == nil && request.remaining() > 0 {
 		if !s.mayStart() {
 			return s.end(Quarantined)
 		}
@@ -82,8 +82,11 @@
 			return s.result
 		}
 	}
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		return s.end(reasonOf(ctx))
+	case request.remaining() <= 0:
+		return s.end(Expired)
 	}
 	return s.end(Full)
 }
--- a/replica/core_test.go
+++ b/replica/core_test.go
@@ -73,10 +73,16 @@
 	proposals    map[uint64]uint64
 	voters       int
 	standby      int
+	// electionTicks is the groups' election timeout.
+	electionTicks int
 }
 
 func newGroup(t require.TestingT, founders, voters int) *group {
-	g := &group{t: t, proposals: map[uint64]uint64{}, identity: 100, voters: voters}
+	return newGroupWith(t, founders, voters, 10)
+}
+
+func newGroupWith(t require.TestingT, founders, voters, electionTicks int) *group {
+	g := &group{t: t, proposals: map[uint64]uint64{}, identity: 100, voters: voters, electionTicks: electionTicks}
 	var membership consensus.Membership
 	for number := range founders {
 		address := fmt.Sprintf("m%d", number)
@@ -100,7 +106,7 @@
 	p.machine, p.job = &numbers{}, nil
 	core, err := NewCore(CoreConfig{
 		Consensus: consensus.Config{
-			ID: p.identity, ElectionTicks: 10, HeartbeatTicks: 2, MaxAppendBytes: 1 << 10, Seed: uint64(p.identity),
+			ID: p.identity, ElectionTicks: g.electionTicks, HeartbeatTicks: 2, MaxAppendBytes: 1 << 10, Seed: uint64(p.identity),
 			HardState: p.state, Snapshot: p.snapshot, Entries: slices.Clone(p.entries),
 		},
 		Address: p.address, Voters: g.voters, Standby: g.standby, SilentTicks: 30, SnapshotBytes: 1 << 20, SnapshotEntries: 40,
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/rs/zerolog"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/eventloop"
@@ -33,6 +34,9 @@
 	// silentTicks is how long a voter is silent before a learner replaces it.
 	silentTicks    = 30
 	maxAppendBytes = 1 << 20
+	// standstill is how long a tick must be late to be told of: half an election, in which
+	// others may have taken over.
+	standstill = electionTicks / 2 * TickInterval
 	// joinInterval is the time between requests for admission. A process that
 	// has asked for joinPatience in vain stands by, and asks each standbyInterval.
 	joinInterval    = 300 * time.Millisecond
@@ -108,10 +112,10 @@
 	client    *http.Client
 	transfers *transfers
 
-	nextID   uint64
-	waiting  map[uint64]chan Reply
-	lastTick time.Time
-	status   atomic.Pointer[Status]
+	nextID  uint64
+	waiting map[uint64]chan Reply
+	pulse   *clock.Pulse
+	status  atomic.Pointer[Status]
 	// changed is closed and made anew with each change of the machine.
 	changed atomic.Pointer[chan struct{}]
 }
@@ -218,7 +222,7 @@
 		r.handOver()
 		stopLoop()
 	}()
-	r.lastTick = time.Now()
+	r.pulse = clock.NewPulse()
 	return r.loop.Run(loopContext, TickInterval, r.tick, r.flush)
 }
 
@@ -237,12 +241,14 @@
 // tick makes up for ticks that were missed: a leader that stood still must
 // notice that its time has passed before it acts again.
 func (r *Replica) tick() {
-	now := time.Now()
-	missed := int(now.Sub(r.lastTick) / TickInterval)
-	r.lastTick = now
+	elapsed, suspended := r.pulse.Beat()
+	missed := int(elapsed / TickInterval)
 	for range min(max(missed, 1), 2*electionTicks) {
 		r.core.Tick()
 	}
+	if elapsed > standstill {
+		event.ProcessStoodStill.On(r.logger).Int("ms", elapsed.Milliseconds()).Int("suspended_ms", suspended.Milliseconds()).Send()
+	}
 }
 
 // flush persists, applies and sends what the calls of a batch have produced.
--- a/runner/link.go
+++ b/runner/link.go
@@ -13,6 +13,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/scheduler"
 )
@@ -220,7 +221,7 @@
 		return false, err
 	}
 	accepted := l.open(first)
-	event.RunnerFound.On(l.pool.logger).Str("runner", l.name).Int("ms", time.Since(l.pool.begun).Milliseconds()).
+	event.RunnerFound.On(l.pool.logger).Str("runner", l.name).Int("ms", clock.Since(l.pool.begun).Milliseconds()).
 		Uint("held", uint64(len(first.Held))).Uint("accepted", uint64(accepted)).Send()
 	heard := atomic.Uint64{}
 	heard.Store(first.Number)
@@ -288,7 +289,7 @@
 		case <-l.changed:
 		case <-keepalive.C:
 		}
-		message := l.takePending(time.Now())
+		message := l.takePending()
 		message.Heard = heard.Load()
 		if writeMessage(buffered, message) != nil || buffered.Flush() != nil {
 			return
@@ -299,13 +300,13 @@
 
 // takePending returns what is to be sent. Starts that have waited for too long are not sent:
 // their runs are interrupted, since what they were decided by may have passed.
-func (l *Link) takePending(now time.Time) commands {
+func (l *Link) takePending() commands {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	pending := l.pending
 	l.pending = commands{}
 	pending.Starts = slices.DeleteFunc(pending.Starts, func(asked start) bool {
-		late := now.Sub(asked.decidedAt) > pendingLimit
+		late := clock.Since(asked.decidedAt) > pendingLimit
 		if run := l.runs[asked.Run]; late && run != nil {
 			delete(l.runs, asked.Run)
 			run.ended <- scheduler.Interrupted
--- a/runner/pending_test.go
+++ b/runner/pending_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/scheduler"
 )
@@ -13,22 +14,24 @@
 // TestStartThatWaitedIsNotSent: a leader that is short of time sends no start that was
 // decided long ago; its run has not begun and is waited for no longer.
 func TestStartThatWaitedIsNotSent(t *testing.T) {
+	source := &clock.Suspendable{}
+	defer clock.Use(source)()
 	link := &Link{runs: map[uint64]*linkRun{}, changed: make(chan struct{}, 1)}
 	link.up.Store(true)
-	request := Request{Step: "s", Sample: &ledger.Sample{ID: "x"}, DecidedAt: time.Now()}
+	request := Request{Step: "s", Sample: &ledger.Sample{ID: "x"}, DecidedAt: clock.Now()}
 	early := &linkRun{ended: make(chan scheduler.RunEnd, 1)}
 	_, ok := link.ask(early, request)
 	require.True(t, ok)
-	later := time.Now().Add(pendingLimit + time.Millisecond)
-	require.Empty(t, link.takePending(later).Starts)
+	source.Suspend(pendingLimit + time.Millisecond)
+	require.Empty(t, link.takePending().Starts)
 	require.Equal(t, scheduler.Interrupted, <-early.ended)
 	require.Empty(t, link.runs)
 
-	request.DecidedAt = time.Now()
+	request.DecidedAt = clock.Now()
 	prompt := &linkRun{ended: make(chan scheduler.RunEnd, 1)}
 	number, ok := link.ask(prompt, request)
 	require.True(t, ok)
-	sent := link.takePending(time.Now())
+	sent := link.takePending()
 	require.Len(t, sent.Starts, 1)
 	require.Equal(t, number, sent.Starts[0].Run)
 	require.Contains(t, link.runs, number)
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/transport"
 )
@@ -45,7 +46,7 @@
 // link's goroutine, and accepts those that the leader goes on with; all others are ended.
 func NewPool(ctx context.Context, term uint64, adopt func(held []*Held), logger *zerolog.Logger) *Pool {
 	return &Pool{
-		context: ctx, logger: logger, begun: time.Now(), term: term, adopt: adopt,
+		context: ctx, logger: logger, begun: clock.Now(), term: term, adopt: adopt,
 		client: &http.Client{Transport: transport.NewInternalTransport()}, links: map[string]*Link{},
 	}
 }
@@ -99,7 +100,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	open := p.open()
-	settled := float64(open) >= settledShare*float64(len(p.links)) || time.Since(p.begun) > settleTime
+	settled := float64(open) >= settledShare*float64(len(p.links)) || clock.Since(p.begun) > settleTime
 	return open > 0 && settled
 }
 
--- a/runner/serverlink.go
+++ b/runner/serverlink.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/scheduler"
 )
 
@@ -65,7 +66,7 @@
 	ctx, cancel := context.WithCancel(parent)
 	return &serverLink{
 		server: server, context: ctx, cancel: cancel, term: term, controller: controller,
-		runs: map[uint64]*heldRun{}, reportedAt: []time.Time{time.Now()},
+		runs: map[uint64]*heldRun{}, reportedAt: []time.Time{clock.Now()},
 		changed: make(chan struct{}, 1), ended: make(chan struct{}, 1),
 	}
 }
@@ -123,7 +124,7 @@
 
 // forgetTold forgets the runs whose ends were reported some time ago.
 func (l *serverLink) forgetTold() {
-	oldest := time.Now().Add(-endedTime)
+	oldest := clock.Now().Add(-endedTime)
 	l.told = slices.DeleteFunc(l.told, func(one endedRun) bool { return one.at.Before(oldest) })
 }
 
@@ -187,7 +188,7 @@
 
 // isRecent tells whether the report was sent, or the link opened, a short time ago.
 func (l *serverLink) isRecent(number uint64) bool {
-	oldest := time.Now().Add(-startValidity)
+	oldest := clock.Now().Add(-startValidity)
 	for len(l.reportedAt) > 1 && l.reportedAt[0].Before(oldest) {
 		l.reportedAt = l.reportedAt[1:]
 		l.firstReport++
@@ -247,7 +248,7 @@
 func (l *serverLink) collect() report {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.reportedAt = append(l.reportedAt, time.Now())
+	l.reportedAt = append(l.reportedAt, clock.Now())
 	next := report{Number: l.firstReport + uint64(len(l.reportedAt)) - 1, Superseded: l.superseded}
 	if next.Number == 1 {
 		for _, number := range l.held {
@@ -271,7 +272,7 @@
 			delete(l.runs, number)
 		}
 		if news.End == scheduler.Complete {
-			l.told = append(l.told, endedRun{run: run, at: time.Now()})
+			l.told = append(l.told, endedRun{run: run, at: clock.Now()})
 		}
 	}
 	return next
--- a/server/control.go
+++ b/server/control.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/config"
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/control"
@@ -91,7 +92,7 @@
 	}
 	c := &Control{
 		settings: settings, logger: logger, store: store, core: core, loop: eventloop.New(),
-		start: time.Now(), join: join, gained: make(chan struct{}, 1), waiting: map[uint64]chan control.Reply{},
+		start: clock.Now(), join: join, gained: make(chan struct{}, 1), waiting: map[uint64]chan control.Reply{},
 	}
 	c.status.Store(&controlStatus{})
 	c.transport = transport.New(logger, c.receive)
@@ -107,7 +108,7 @@
 }
 
 func (c *Control) clock() control.Clock {
-	return control.Clock{Monotonic: time.Since(c.start).Milliseconds(), Wall: time.Now().UnixMilli()}
+	return control.Clock{Monotonic: clock.Since(c.start).Milliseconds(), Wall: time.Now().UnixMilli()}
 }
 
 func (c *Control) receive(message protocol.Message) {
--- a/server/directory.go
+++ b/server/directory.go
@@ -63,6 +63,7 @@
 	view       atomic.Pointer[directory.Catalog]
 	heartbeats *heartbeats
 	usage      *usageKeeper
+	standstill standstill
 	// suspects belongs to the review.
 	suspects suspectClock
 	// clockTold is when the leader was last told of this machine's clock. It belongs to
--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/replica"
@@ -134,7 +135,7 @@
 	case call.Heartbeat != nil:
 		err = d.handleHeartbeat(ctx, *call.Heartbeat)
 	case call.Clock != nil:
-		d.heartbeats.noteHeard(time.Now(), call.Heard)
+		d.heartbeats.noteHeard(clock.Now(), call.Heard)
 		d.usage.noteClock(call.Clock.Machine, call.Clock.Millis)
 	case call.Usage != nil:
 		answer.Usage, err = d.usage.take(ctx, call.Usage)
--- a/server/directory_review.go
+++ b/server/directory_review.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/config"
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/directory"
@@ -59,6 +60,7 @@
 	defer d.mutex.Unlock()
 	if serving && !d.serving {
 		d.heartbeats.reset()
+		d.standstill.begin()
 		d.suspects = suspectClock{}
 		d.firstStore, d.newestStore = time.Time{}, time.Time{}
 	}
@@ -66,10 +68,11 @@
 }
 
 func (d *Directory) reviewBackends(ctx context.Context) {
+	d.noteStandstill()
 	var backends []directory.Backend
 	d.replica.Do(func() { backends = d.machine.Backends() })
 	for _, backend := range backends {
-		switch silence := d.heartbeats.silence(time.Now(), backend.ID); {
+		switch silence := d.heartbeats.silence(clock.Now(), backend.ID); {
 		case silence > goneBeats*d.settings.HeartbeatInterval:
 			event.BackendGone.On(d.logger).Str("backend", backend.ID).Uint("silent_ms", uint64(silence.Milliseconds())).Send()
 			d.execute(ctx, directory.Command{RemoveBackend: &directory.RemoveBackend{ID: backend.ID}})
--- a/server/engine.go
+++ b/server/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/runner"
@@ -41,6 +42,8 @@
 	Fence  uint64
 	// Sequence is the number of orders that the engine must have taken before.
 	Sequence uint64
+	// SendBy is until when the order may be written, by package clock.
+	SendBy time.Time
 }
 
 // EngineClient speaks to engines.
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/config"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/event"
@@ -149,7 +150,7 @@
 
 // Forward passes a request to the route's services.
 func (g *Gateway) Forward(ctx context.Context, catalog *directory.Catalog, route routing.Route, request *forward.Request) forward.Result {
-	started := time.Now()
+	started := clock.Now()
 	limitDeadline(request, route, started)
 	result := g.forwarder.Do(ctx, catalog, route, request)
 	g.noteRequest(catalog, route, request, result, started)
@@ -158,7 +159,7 @@
 
 // Stream passes a request on whose answer is a stream; see forward.Forwarder.
 func (g *Gateway) Stream(ctx context.Context, catalog *directory.Catalog, route routing.Route, request *forward.Request, sink forward.Sink) forward.Result {
-	started := time.Now()
+	started := clock.Now()
 	limitDeadline(request, route, started)
 	result := g.forwarder.Stream(ctx, catalog, route, request, sink)
 	g.noteRequest(catalog, route, request, result, started)
@@ -176,7 +177,7 @@
 // noteRequest counts and logs a request that has ended, and its attempts that
 // did not bring the answer.
 func (g *Gateway) noteRequest(catalog *directory.Catalog, route routing.Route, request *forward.Request, result forward.Result, started time.Time) {
-	took := time.Since(started)
+	took := clock.Since(started)
 	g.metrics.noteRequest(result, took)
 	g.usage.note(request.Tenant, result)
 	for _, attempt := range result.History {
--- a/server/heartbeat.go
+++ b/server/heartbeat.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/replica"
@@ -65,6 +66,16 @@
 	return ids
 }
 
+// forgive gives all backends a fresh patience after this process has stood still for the
+// duration: it could not hear them meanwhile.
+func (h *heartbeats) forgive(pause time.Duration) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for id, heard := range h.heard {
+		h.heard[id] = heard.Add(pause)
+	}
+}
+
 // silence returns how long the backend has not been heard of, counted from the
 // first question at the earliest.
 func (h *heartbeats) silence(now time.Time, id string) time.Duration {
@@ -87,7 +98,7 @@
 	}
 	known, registered := d.view.Load().Backend(heartbeat.Backend.ID)
 	if registered && sameRegistration(known, heartbeat.Backend) {
-		d.heartbeats.note(time.Now(), heartbeat.Backend.ID, heartbeat.Sequence)
+		d.heartbeats.note(clock.Now(), heartbeat.Backend.ID, heartbeat.Sequence)
 		return d.settings.InternalAddress, nil
 	}
 	_, err := d.call(ctx, directoryCall{Heartbeat: &heartbeat})
@@ -96,7 +107,8 @@
 
 // handleHeartbeat commits, on the leader, what a heartbeat changes.
 func (d *Directory) handleHeartbeat(ctx context.Context, heartbeat Heartbeat) error {
-	if !d.heartbeats.note(time.Now(), heartbeat.Backend.ID, heartbeat.Sequence) {
+	d.noteStandstill()
+	if !d.heartbeats.note(clock.Now(), heartbeat.Backend.ID, heartbeat.Sequence) {
 		return nil
 	}
 	backend := heartbeat.Backend
@@ -113,7 +125,7 @@
 	if gone || registered && sameRegistration(known, backend) {
 		return nil
 	}
-	if held && holder.ID != backend.ID && d.heartbeats.silence(time.Now(), holder.ID) < d.addressHold() {
+	if held && holder.ID != backend.ID && d.heartbeats.silence(clock.Now(), holder.ID) < d.addressHold() {
 		event.AddressContested.On(d.logger).Str("backend", backend.ID).Str("holder", holder.ID).Str("address", backend.Address).Send()
 		return nil
 	}
--- a/server/load.go
+++ b/server/load.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/duty"
 	"github.com/dillchute/dillchute/event"
@@ -31,13 +32,13 @@
 func (t *tenure) load(order scheduler.Order) {
 	limited, cancel := context.WithTimeout(t.context, loadLimit)
 	defer cancel()
-	began := time.Now()
+	began := clock.Now()
 	held, tookPlace := t.loadUntilHeld(limited, order)
 	outcome := "done"
 	if held < order.Version {
 		outcome = "failed"
 	}
-	t.metrics.loads.WithLabelValues(outcome).Observe(time.Since(began).Seconds())
+	t.metrics.loads.WithLabelValues(outcome).Observe(clock.Since(began).Seconds())
 	t.loop.Call(func() {
 		t.ordersAt = time.Time{}
 		line := event.LoadEnded.On(t.logger).Str("engine", order.Backend.ID).Str("model", order.Model).
@@ -89,11 +90,12 @@
 func (t *tenure) sendOrder(ctx context.Context, request LoadRequest) LoadAnswer {
 	limited, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	began := time.Now()
+	began := clock.Now()
 	record := &duty.Act{Subject: request.Order.Backend.ID, Holder: t.settings.Name, At: nowMillis()}
-	if _, err := t.replica.Execute(limited, ledger.Command{Order: record}.Encode()); err != nil || time.Since(began) > duty.SendLimit {
+	if _, err := t.replica.Execute(limited, ledger.Command{Order: record}.Encode()); err != nil || clock.Since(began) > duty.SendLimit {
 		return LoadConflict
 	}
+	request.SendBy = began.Add(duty.SendLimit)
 	answer := t.engines.Load(limited, request)
 	t.metrics.orders.WithLabelValues(strconv.Itoa(int(answer))).Inc()
 	event.OrderSent.On(t.logger).Str("engine", request.Order.Backend.ID).Uint("version", request.Order.Version).
--- a/server/node.go
+++ b/server/node.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/config"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/eventloop"
@@ -57,7 +58,7 @@
 
 // NewNode returns a node that has not started yet.
 func NewNode(settings config.Node, logger *zerolog.Logger) *Node {
-	start := time.Now()
+	start := clock.Now()
 	background, stop := context.WithCancel(context.Background())
 	n := &Node{
 		settings: settings, logger: logger, loop: eventloop.New(), start: start,
@@ -78,7 +79,7 @@
 	return n
 }
 
-func (n *Node) now() int64 { return time.Since(n.start).Milliseconds() }
+func (n *Node) now() int64 { return clock.Since(n.start).Milliseconds() }
 
 // Run serves processes of dillchute on one listener and callers on the other
 // until the context ends. Then it takes no new work, lets what runs end within
--- a/server/process.go
+++ b/server/process.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/config"
 	"github.com/dillchute/dillchute/event"
 )
@@ -38,6 +39,13 @@
 	}
 }
 
+// checkClock says so if suspensions of the machine can only be guessed.
+func checkClock(logger *zerolog.Logger) {
+	if !clock.HasBoot() {
+		event.NoBootClock.On(logger).Send()
+	}
+}
+
 func newCallerServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
 }
@@ -86,6 +94,7 @@
 // what runs.
 func RunGateway(ctx context.Context, settings config.Gateway, gateway *Gateway, listeners Listeners, callers, ready http.Handler, logger *zerolog.Logger) error {
 	limitMemory(settings.Process)
+	checkClock(logger)
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	go gateway.Run(background)
@@ -132,6 +141,7 @@
 // RunDirectory serves operators and backends until the context ends.
 func RunDirectory(ctx context.Context, settings config.Directory, served *Directory, listeners Listeners, control http.Handler, logger *zerolog.Logger) error {
 	limitMemory(settings.Process)
+	checkClock(logger)
 	serveMetrics(listeners.Metrics, logger, served.collect, served.metrics.collectors())
 	controlServer := newCallerServer(control)
 	serveHTTP(controlServer, listeners.Outer, logger)
@@ -142,6 +152,7 @@
 // RunLedger serves gateways and other stores until the context ends.
 func RunLedger(ctx context.Context, settings config.Ledger, served *Ledger, listeners Listeners, logger *zerolog.Logger) error {
 	limitMemory(settings.Process)
+	checkClock(logger)
 	serveMetrics(listeners.Metrics, logger, served.collect, served.metrics.collectors())
 	return served.Run(ctx, listeners.Internal)
 }
--- a/server/quarantine.go
+++ b/server/quarantine.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/quarantine"
@@ -41,7 +42,7 @@
 			}
 			return answer.Granted
 		},
-	}, time.Now)
+	}, clock.Now)
 }
 
 // tellCrashes tells the directory what the guard has seen until the context ends. What is not
@@ -141,7 +142,7 @@
 			suspects[suspect.Fingerprint] = suspectAt{suspect: suspect, revision: revision}
 		})
 	})
-	try, forget := d.suspects.due(time.Now(), suspects)
+	try, forget := d.suspects.due(clock.Now(), suspects)
 	for _, one := range try {
 		event.TrialOffered.On(d.logger).Str("content", string(one.Fingerprint)).Send()
 		d.executeOrLog(ctx, directory.Command{OfferTrial: &one})
--- a/server/run.go
+++ b/server/run.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"strconv"
-	"time"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/eventloop"
 	"github.com/dillchute/dillchute/ledger"
@@ -38,7 +38,7 @@
 		Int("spare_ms", assignment.Spare).Send()
 	request := runner.Request{
 		Backend: assignment.Backend, Step: task.Step.ID, Host: task.Step.Host, Tenant: task.Step.Tenant,
-		Sample: task.Sample, Text: task.Text, DecidedAt: time.Now(),
+		Sample: task.Sample, Text: task.Text, DecidedAt: clock.Now(),
 	}
 	followed := t.followRun(assignment)
 	go followed.run(func(ctx context.Context) scheduler.RunEnd { return link.Run(ctx, request, followed.take) })
--- a/server/score.go
+++ b/server/score.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/forward"
 	"github.com/dillchute/dillchute/ledger"
@@ -93,6 +94,6 @@
 	timeout := time.Duration(route.TimeoutMillis) * time.Millisecond
 	return t.forwarder.Do(ctx, catalog, route, &forward.Request{
 		ID: reward.ID, StableID: true, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
-		Header: http.Header{}, Body: reward.Body, Deadline: time.Now().Add(timeout),
+		Header: http.Header{}, Body: reward.Body, Deadline: clock.Now().Add(timeout),
 	})
 }
--- a/server/usage_keeper.go
+++ b/server/usage_keeper.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/config"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/duty"
@@ -54,6 +55,8 @@
 	// Holder is the process that reports, and Fence rises with each change of it.
 	Holder string
 	Fence  uint64
+	// SendBy is until when the report may be written, by package clock.
+	SendBy time.Time
 }
 
 // UsageClient takes reports of usage out of the system.
@@ -213,17 +216,17 @@
 // long is not sent: another process may act by then.
 func (k *usageKeeper) send(report usage.Report) (UsageOutcome, error) {
 	term := k.replica.Status().Term
-	began := time.Now()
+	began := clock.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(duty.SendLimit+usageSendTimeout))
 	defer cancel()
 	act := &duty.Act{Subject: usageSubject, Holder: k.settings.Name, At: nowMillis()}
 	if _, err := k.replica.Execute(ctx, directory.Command{Act: act}.Encode()); err != nil {
 		return UsageBusy, err
 	}
-	if status := k.replica.Status(); !status.Serving || status.Term != term || time.Since(began) > duty.SendLimit {
+	if status := k.replica.Status(); !status.Serving || status.Term != term || clock.Since(began) > duty.SendLimit {
 		return UsageBusy, nil
 	}
-	outcome := k.client.SendUsage(ctx, UsageSend{Report: report, Holder: k.settings.Name, Fence: term})
+	outcome := k.client.SendUsage(ctx, UsageSend{Report: report, Holder: k.settings.Name, Fence: term, SendBy: began.Add(duty.SendLimit)})
 	k.metrics.usage.WithLabelValues(outcome.String()).Inc()
 	return outcome, nil
 }
--- a/server/usage_meter.go
+++ b/server/usage_meter.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/forward"
 	"github.com/dillchute/dillchute/usage"
@@ -15,6 +16,8 @@
 	// usageInterval is the time between two looks for counts that were not told. What a
 	// gateway that is killed takes with it is bounded by it and by usageGather.
 	usageInterval = 300 * time.Millisecond
+	// standstillTold is how long a gateway must have stood still to say so.
+	standstillTold = time.Second
 	// usageTimeout bounds the telling of counts.
 	usageTimeout = time.Second
 )
@@ -54,7 +57,7 @@
 	}
 	for _, attempt := range result.History {
 		if attempt.MayHaveRun() {
-			u.meter.Note(tenant, nowMillis()-time.Since(attempt.Began).Milliseconds())
+			u.meter.Note(tenant, nowMillis()-clock.Since(attempt.Began).Milliseconds())
 			return
 		}
 	}
@@ -62,9 +65,14 @@
 
 // run tells what was counted until the context ends.
 func (u *usageTeller) run(ctx context.Context) {
+	pulse := clock.NewPulse()
 	for ctx.Err() == nil {
 		sleep(ctx, usageInterval)
+		if elapsed, suspended := pulse.Beat(); elapsed > standstillTold {
+			event.ProcessStoodStill.On(u.watcher.logger).Int("ms", elapsed.Milliseconds()).Int("suspended_ms", suspended.Milliseconds()).Send()
+		}
 		u.tell(ctx)
+		pulse.Beat()
 	}
 }
 
--- a/server/watch.go
+++ b/server/watch.go
@@ -134,7 +134,7 @@
 }
 
 func (w *Watcher) take(catalog *directory.Catalog, delta directory.Delta) {
-	w.syncedAt.Store(time.Now().UnixMilli())
+	w.syncedAt.Store(nowMillis())
 	if delta.Revision == catalog.Revision && len(delta.Replicas) == len(catalog.Replicas) {
 		return
 	}
@@ -178,5 +178,5 @@
 
 // ageSeconds returns the time since the directory last answered.
 func (w *Watcher) ageSeconds() float64 {
-	return float64(time.Now().UnixMilli()-w.syncedAt.Load()) / millisPerSecond
+	return float64(nowMillis()-w.syncedAt.Load()) / millisPerSecond
 }
