Failures of samples and reward calls count over leaders; suspensions and lost power in the simulator

Cause, the incident's class looked for elsewhere: the answers of 500 that give a sample up were counted by the leader of the ledger alone, so each new leader began at nought, for runs and for reward calls. Change: the ledger's log keeps them (Command.Failed), and a leader begins with what it holds. TestClocksThatMissSuspensionsAreFound: with steady clocks runs break promises.

--- a/bench/simulate/fault.go
+++ b/bench/simulate/fault.go
@@ -17,6 +17,12 @@
 	KillLeader  FaultKind = "kill-leader"
 	// FreezeLeader stops the leader for long and lets it go on.
 	FreezeLeader FaultKind = "freeze-leader"
+	// SuspendLeader and SuspendNode suspend a machine: timers stand still, too.
+	SuspendLeader FaultKind = "suspend-leader"
+	SuspendNode   FaultKind = "suspend-node"
+	// LosePower takes the power of all machines at once, and a disk with it; they come back one
+	// by one in any order.
+	LosePower FaultKind = "lose-power"
 	// LoseDisk takes a replica's disk; it comes back under a new identity.
 	LoseDisk FaultKind = "lose-disk"
 	// LoseTwoDisks loses a second disk right after the first was replaced.
@@ -57,6 +63,13 @@
 	case FreezeLeader:
 		cl.timeFailover(cl.leader().core.Raft().Term())
 		cl.freeze(kind, cl.leader().process, duration)
+	case SuspendLeader:
+		cl.timeFailover(cl.leader().core.Raft().Term())
+		cl.suspend(kind, cl.leader().process, duration)
+	case SuspendNode:
+		cl.suspend(kind, cl.pickNode().process, duration)
+	case LosePower:
+		cl.losePower(duration)
 	case LoseDisk:
 		cl.loseDisk(cl.pickControl(), duration)
 	case LoseTwoDisks:
@@ -138,6 +151,19 @@
 	}
 	cl.world.fault(string(kind), "%s for %d", target.name, duration)
 	target.freeze()
+	cl.thawAfter(target, duration)
+}
+
+func (cl *cluster) suspend(kind FaultKind, target *process, duration int64) {
+	if !target.alive || target.frozen {
+		return
+	}
+	cl.world.fault(string(kind), "%s for %d", target.name, duration)
+	target.suspend()
+	cl.thawAfter(target, duration)
+}
+
+func (cl *cluster) thawAfter(target *process, duration int64) {
 	life := target.life
 	cl.world.schedule(duration, func() {
 		if target.life == life && target.alive {
@@ -182,6 +208,39 @@
 	cl.world.schedule(duration, func() { cl.restartControl(target) })
 }
 
+// losePower ends all replicas, nodes and engines at the same moment, and loses a replica's disk
+// if that may be. Each comes back at a time of its own.
+func (cl *cluster) losePower(duration int64) {
+	lost := cl.pickControl()
+	mayLose := cl.mayLoseDisk(lost)
+	cl.world.fault(string(LosePower), "for %d, disk of %s: %t", duration, lost.name, mayLose)
+	for _, replica := range cl.controls {
+		switch {
+		case replica == lost && mayLose:
+			replica.wipe()
+		case replica.alive:
+			replica.kill()
+		}
+		cl.world.schedule(cl.world.between(1, duration), func() { cl.restartControl(replica) })
+	}
+	for _, target := range cl.nodes {
+		if target.alive {
+			target.death()
+		}
+		cl.restartNode(target, cl.world.between(1, duration))
+	}
+	for _, target := range cl.engines {
+		if target.alive {
+			target.kill()
+		}
+		cl.world.schedule(cl.world.between(1, duration), func() {
+			if !target.alive {
+				target.start()
+			}
+		})
+	}
+}
+
 // loseTwoDisks loses a disk and, as soon as the group is whole again, another.
 func (cl *cluster) loseTwoDisks(duration int64) {
 	first := cl.pickControl()
--- a/bench/simulate/run.go
+++ b/bench/simulate/run.go
@@ -31,7 +31,7 @@
 // Run runs one seed of a scenario. With keepTrace the result holds the trace.
 func Run(scenario Scenario, seed uint64, keepTrace bool) Result {
 	world := newWorld(seed)
-	world.traceAll = keepTrace
+	world.traceAll, world.steadyClocks = keepTrace, scenario.SteadyClocks
 	cl := newCluster(world, scenario.Topology, scenario.Load)
 	cl.start()
 	cl.scheduleFaults(scenario)
--- a/bench/simulate/scenario.go
+++ b/bench/simulate/scenario.go
@@ -26,6 +26,9 @@
 	MinDuration  int64        `yaml:"fault_min_milliseconds"`
 	MaxDuration  int64        `yaml:"fault_max_milliseconds"`
 	RecoverLimit int64        `yaml:"recover_limit_milliseconds"`
+	// SteadyClocks has all processes go by clocks that do not count suspensions: a fault of the
+	// product, by which runs must fail.
+	SteadyClocks bool `yaml:"steady_clocks"`
 	// NoUnknown: the faults are planned ones, so no live request may be cut.
 	NoUnknown bool `yaml:"no_unknown"`
 	// Promises are those that the scenario attacks.
@@ -79,6 +82,8 @@
 		planned,
 		baseScenario("control-crashes", []oracle.Promise{oracle.ExactlyOnce, oracle.InForce, oracle.AtMostOnce}, 4, KillControl, KillLeader),
 		baseScenario("control-freezes", []oracle.Promise{oracle.ExactlyOnce, oracle.InForce, oracle.AtMostOnce}, 4, FreezeLeader, CutLeader),
+		baseScenario("suspensions", []oracle.Promise{oracle.ExactlyOnce, oracle.InForce, oracle.AtMostOnce, oracle.LeavingNoWork}, 4, SuspendLeader, SuspendNode),
+		baseScenario("power-losses", []oracle.Promise{oracle.ExactlyOnce, oracle.InForce, oracle.AtMostOnce, oracle.NotRun}, 2, LosePower),
 		baseScenario("disk-losses", []oracle.Promise{oracle.ExactlyOnce, oracle.InForce, oracle.AtMostOnce}, 2, LoseDisk, LoseTwoDisks),
 		baseScenario("network-cuts", []oracle.Promise{oracle.ExactlyOnce, oracle.WholeAnswers, oracle.NotRun, oracle.InForce}, 3, CutZone, CutOneWay),
 		baseScenario("network-noise", []oracle.Promise{oracle.ExactlyOnce, oracle.WholeAnswers, oracle.AtMostOnce, oracle.NotRun}, 3, Noise),
@@ -125,7 +130,7 @@
 }
 
 var faultKinds = []FaultKind{
-	KillControl, KillLeader, FreezeLeader, LoseDisk, LoseTwoDisks, CutZone, CutOneWay, CutLeader, Noise,
+	KillControl, KillLeader, FreezeLeader, SuspendLeader, SuspendNode, LosePower, LoseDisk, LoseTwoDisks, CutZone, CutOneWay, CutLeader, Noise,
 	KillNode, FreezeNode, StopNode, KillEngine, FreezeEngine, FailSwaps, LeaveEngine, KillTrainer,
 }
 
--- a/bench/simulate/simulate_test.go
+++ b/bench/simulate/simulate_test.go
@@ -68,6 +68,25 @@
 	}
 }
 
+// TestClocksThatMissSuspensionsAreFound: where processes go by clocks that stand still while
+// their machines are suspended, runs break promises; with the product's clock none does.
+func TestClocksThatMissSuspensionsAreFound(t *testing.T) {
+	attacked := scenario(t, "suspensions")
+	faulty := attacked
+	faulty.SteadyClocks = true
+	broken := 0
+	for seed := range uint64(suspensionSeeds) {
+		require.Empty(t, Run(attacked, seed, false).Violations)
+		if len(Run(faulty, seed, false).Violations) > 0 {
+			broken++
+		}
+	}
+	require.Positive(t, broken)
+}
+
+// suspensionSeeds are enough for the faulty clock to be found several times.
+const suspensionSeeds = 60
+
 func TestScenarioFile(t *testing.T) {
 	load := func(text string) (Scenario, error) {
 		path := filepath.Join(t.TempDir(), "scenario.yaml")
--- a/bench/simulate/world.go
+++ b/bench/simulate/world.go
@@ -65,6 +65,9 @@
 	// traceAll keeps the whole trace; otherwise only the digest is kept.
 	traceAll bool
 	faults   map[string]int
+	// steadyClocks has processes go by clocks that stand still while their machines are
+	// suspended, as a faulty product would.
+	steadyClocks bool
 }
 
 func newWorld(seed uint64) *World {
@@ -126,6 +129,10 @@
 	rate     float64
 	wallSkew int64
 	deferred []func()
+	// suspending is set while the process is frozen because its machine is suspended, since
+	// frozenAt; suspended is how long it was, in this life and before.
+	suspending          bool
+	frozenAt, suspended int64
 }
 
 // maxDrift is the greatest rate by which a clock is wrong, and maxSkewMillis by
@@ -144,17 +151,24 @@
 }
 
 func (p *process) birth() {
-	p.alive, p.frozen, p.deferred = true, false, nil
+	p.alive, p.frozen, p.suspending, p.deferred, p.suspended = true, false, false, nil, 0
 	p.life++
 	p.bornAt = p.world.now
 }
 
 func (p *process) death() {
-	p.alive, p.frozen, p.deferred = false, false, nil
+	p.alive, p.frozen, p.suspending, p.deferred = false, false, false, nil
 }
 
-// monotonic is the process's own monotonic clock, which drifts.
-func (p *process) monotonic() int64 { return int64(float64(p.world.now-p.bornAt) * p.rate) }
+// monotonic is the clock that the process's decisions go by, which drifts. It counts
+// suspensions, as package clock does.
+func (p *process) monotonic() int64 {
+	elapsed := p.world.now - p.bornAt
+	if p.world.steadyClocks {
+		elapsed -= p.suspended
+	}
+	return int64(float64(elapsed) * p.rate)
+}
 
 func (p *process) wall() int64 { return wallStart + p.world.now + p.wallSkew }
 
@@ -162,9 +176,16 @@
 func (p *process) after(delay int64, run func()) {
 	life := p.life
 	p.world.schedule(delay, func() {
-		if p.life == life && p.alive {
-			p.enter(run)
+		if p.life != life || !p.alive {
+			return
+		}
+		if p.suspending {
+			// Timers stand still with the machine, and go on for what was left of them.
+			left := p.world.now - p.frozenAt
+			p.enter(func() { p.after(left, run) })
+			return
 		}
+		p.enter(run)
 	})
 }
 
@@ -179,15 +200,24 @@
 
 func (p *process) freeze() {
 	if p.alive {
-		p.frozen = true
+		p.frozen, p.frozenAt = true, p.world.now
 	}
 }
 
+// suspend freezes the process as its machine is suspended.
+func (p *process) suspend() {
+	p.freeze()
+	p.suspending = p.frozen
+}
+
 func (p *process) thaw() {
 	if !p.frozen {
 		return
 	}
-	p.frozen = false
+	if p.suspending {
+		p.suspended += p.world.now - p.frozenAt
+	}
+	p.frozen, p.suspending = false, false
 	waiting := p.deferred
 	p.deferred = nil
 	for position, run := range waiting {
--- a/event/event.go
+++ b/event/event.go
@@ -104,6 +104,7 @@
 	RunsUnclaimed     = Event{6023, zerolog.WarnLevel, "runs that no leader has claimed are ended"}
 	RunAdopted        = Event{6024, zerolog.InfoLevel, "a run of an earlier leader goes on"}
 	SampleHeldBack    = Event{6025, zerolog.WarnLevel, "a sample that crashes engines is held back"}
+	FailuresKept      = Event{6026, zerolog.InfoLevel, "a sample's failures were recorded"}
 
 	RequestEnded     = Event{7001, zerolog.InfoLevel, "a request has ended"}
 	GatewayStarted   = Event{7002, zerolog.InfoLevel, "gateway started"}
@@ -123,7 +124,7 @@
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused, ProcessStoodStill, NoBootClock,
 	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed, UsageReported, UsageUnfixed, UsageUntold, AddressContested, CrashTold, TrialOffered, TrialTaken, CrashesUntold, ReviewFailed,
-	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkEnded, RunnerFound, RunnerLost, RunsUnclaimed, RunAdopted, SampleHeldBack,
+	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkEnded, RunnerFound, RunnerLost, RunsUnclaimed, RunAdopted, SampleHeldBack, FailuresKept,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, NearStoreAvoided, RequestHeldBack,
 }
 
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -22,6 +22,22 @@
 	// Checkpoint keeps what long runs have produced so far.
 	Checkpoint *Checkpoint `cbor:"6,keyasint,omitempty"`
 	Paces      *Paces      `cbor:"7,keyasint,omitempty"`
+	// Failed counts what engines and reward calls have failed of a sample.
+	Failed *Failed `cbor:"8,keyasint,omitempty"`
+}
+
+// Failed says how often a sample has failed so far. The counts never fall.
+type Failed struct {
+	Step   string   `cbor:"1,keyasint"`
+	Sample string   `cbor:"2,keyasint"`
+	Counts Failures `cbor:"3,keyasint"`
+}
+
+// Failures counts the answers that were failures, over all leaders.
+type Failures struct {
+	// Runs are those of engines, Rewards those of reward calls.
+	Runs    int `cbor:"1,keyasint"`
+	Rewards int `cbor:"2,keyasint"`
 }
 
 // Paces is what the leader has observed of the engines, for the next leader.
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -18,6 +18,8 @@
 	Ended   bool     `cbor:"3,keyasint"`
 	// Partials holds the partial texts of samples without a result.
 	Partials map[string]Partial `cbor:"4,keyasint,omitempty"`
+	// Failures holds the failures of samples without a result.
+	Failures map[string]Failures `cbor:"5,keyasint,omitempty"`
 	// listed holds the samples that have a result.
 	listed map[string]bool
 }
@@ -78,7 +80,7 @@
 	for _, entry := range m.Steps() {
 		entries = append(entries, &Entry{
 			Step: entry.Step, Results: entry.Results[:len(entry.Results):len(entry.Results)], Ended: entry.Ended,
-			Partials: maps.Clone(entry.Partials),
+			Partials: maps.Clone(entry.Partials), Failures: maps.Clone(entry.Failures),
 		})
 	}
 	return func(writer io.Writer) error {
@@ -162,6 +164,10 @@
 		m.checkpoint(command.Checkpoint)
 		return nil
 	}
+	if command.Failed != nil {
+		m.fail(command.Failed)
+		return nil
+	}
 	m.Generation++
 	switch {
 	case command.Submit != nil:
@@ -207,6 +213,7 @@
 		entry.listed[result.Sample] = true
 		entry.Results = append(entry.Results, whole)
 		delete(entry.Partials, result.Sample)
+		delete(entry.Failures, result.Sample)
 	}
 }
 
@@ -231,9 +238,24 @@
 	}
 }
 
+// fail takes in the failures of a sample that has no result.
+func (m *Machine) fail(failed *Failed) {
+	entry := m.steps[failed.Step]
+	if entry == nil || entry.Ended || entry.listed[failed.Sample] || entry.Sample(failed.Sample) == nil {
+		return
+	}
+	if entry.Failures == nil {
+		entry.Failures = map[string]Failures{}
+	}
+	known := entry.Failures[failed.Sample]
+	entry.Failures[failed.Sample] = Failures{
+		Runs: max(known.Runs, failed.Counts.Runs), Rewards: max(known.Rewards, failed.Counts.Rewards),
+	}
+}
+
 func (m *Machine) end(id string) {
 	if entry := m.steps[id]; entry != nil {
-		entry.Ended, entry.Partials = true, nil
+		entry.Ended, entry.Partials, entry.Failures = true, nil, nil
 	}
 }
 
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -53,7 +53,7 @@
 			s.restart(task)
 		}
 	case Failed:
-		task.Failures++
+		task.Failures.Runs++
 		task.Text = Text{}
 	case Impossible:
 		task.State = Finished
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -154,6 +154,7 @@
 		if task == nil {
 			task = &Task{Step: step, Sample: sample, Text: s.firstText(entry, sample)}
 		}
+		task.Failures = entry.Failures[sample.ID]
 		task.seenBefore, task.lengthKnown = s.kept.length(step, sample)
 		state.tasks = append(state.tasks, task)
 		if task.Text.Whole {
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -69,8 +69,8 @@
 	Text   Text
 	// Engine is the one that runs the task, or ran it last.
 	Engine string
-	// Failures counts failed runs; Attempts all runs.
-	Failures int
+	// Failures counts failed runs and reward calls, under all leaders; Attempts all runs.
+	Failures ledger.Failures
 	Attempts int
 	// Run counts the runs, so that the end of an earlier one is known as such.
 	Run uint64
--- a/server/run.go
+++ b/server/run.go
@@ -85,17 +85,38 @@
 	t.metrics.runs.WithLabelValues(strconv.Itoa(int(end))).Inc()
 	event.SampleRunEnded.On(t.logger).Str("sample", task.Sample.ID).Str("engine", assignment.Backend.ID).
 		Uint("end", uint64(end)).Uint("events", text.Last).Uint("state", uint64(task.State)).Send()
+	if end == scheduler.Failed && !ahead {
+		t.keepFailures(task)
+	}
 	switch {
 	case ahead:
 	case end == scheduler.Impossible:
 		t.finish(task, ledger.Result{Sample: task.Sample.ID, State: ledger.Dead}, "impossible")
-	case end == scheduler.Failed && task.Failures >= max(task.Step.Attempts, 1):
+	case end == scheduler.Failed && task.Failures.Runs >= max(task.Step.Attempts, 1):
 		t.finish(task, ledger.Result{Sample: task.Sample.ID, State: ledger.Dead}, "failed")
 	case task.State == scheduler.Scoring:
 		t.score(task)
 	}
 }
 
+// keepFailures records how often the task has failed, so that the next leader goes on counting.
+// What cannot be recorded is recorded with the next failure; a leader that is lost before
+// leaves one failure uncounted.
+func (t *tenure) keepFailures(task *scheduler.Task) {
+	failed := &ledger.Failed{Step: task.Step.ID, Sample: task.Sample.ID, Counts: task.Failures}
+	go func() {
+		limited, cancel := context.WithTimeout(t.context, recordTimeout)
+		defer cancel()
+		_, err := t.replica.Execute(limited, ledger.Command{Failed: failed}.Encode())
+		line := event.FailuresKept.On(t.logger).Str("sample", failed.Sample).Str("step", failed.Step).
+			Uint("runs", uint64(failed.Counts.Runs)).Uint("rewards", uint64(failed.Counts.Rewards))
+		if err != nil {
+			line.Err(err)
+		}
+		line.Send()
+	}()
+}
+
 func (t *tenure) finish(task *scheduler.Task, result ledger.Result, why string) {
 	t.cancel(task)
 	kept := t.checkpointed[task]
--- a/server/score.go
+++ b/server/score.go
@@ -22,9 +22,10 @@
 	}
 	scoreContext, cancel := context.WithCancel(t.context)
 	t.cancels[task] = cancel
+	failures := task.Failures.Rewards
 	go func() {
 		defer cancel()
-		score, end := t.callReward(scoreContext, task)
+		score, end := t.callReward(scoreContext, task, failures)
 		if end != rewardCancelled {
 			t.loop.Call(func() { t.scored(task, score, end) })
 		}
@@ -43,6 +44,15 @@
 	rewardCancelled
 )
 
+// noteRewardFailures has the failures of a task's reward calls recorded.
+func (t *tenure) noteRewardFailures(task *scheduler.Task, failures int) {
+	if task.State != scheduler.Scoring {
+		return
+	}
+	task.Failures.Rewards = max(task.Failures.Rewards, failures)
+	t.keepFailures(task)
+}
+
 func (t *tenure) scored(task *scheduler.Task, score string, end rewardEnd) {
 	if task.State != scheduler.Scoring {
 		return
@@ -63,10 +73,9 @@
 }
 
 // callReward repeats the reward call until it is answered with a success, or
-// has failed as often as its route allows.
-func (t *tenure) callReward(ctx context.Context, task *scheduler.Task) (score string, end rewardEnd) {
+// has failed as often as its route allows, with the failures under earlier leaders.
+func (t *tenure) callReward(ctx context.Context, task *scheduler.Task, failures int) (score string, end rewardEnd) {
 	reward := task.Sample.Reward
-	failures := 0
 	for ctx.Err() == nil {
 		catalog := t.watcher.Catalog()
 		path, _, _ := strings.Cut(reward.Path, "?")
@@ -81,6 +90,9 @@
 			if failures >= max(route.Attempts, 1) {
 				return "", rewardFailed
 			}
+			if result.Failures > 0 {
+				t.loop.Call(func() { t.noteRewardFailures(task, failures) })
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/server/score_test.go
+++ b/server/score_test.go
@@ -19,6 +19,6 @@
 		Step:   &ledger.Step{ID: "s", Attempts: 3},
 		Sample: &ledger.Sample{ID: "x", Reward: &ledger.Reward{ID: "r", Host: "h", Path: "/reward"}},
 	}
-	_, end := (&tenure{}).callReward(ended, task)
+	_, end := (&tenure{}).callReward(ended, task, 0)
 	require.Equal(t, rewardCancelled, end)
 }
