Backends that cannot be reached use up none of a route's attempts

Change: up to three such attempts do not count; nothing was sent by them, so that no backend more runs the request than the route allows. TestUnreachedBackendsUseNoAttempts.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -194,6 +194,10 @@
 	slowFactor  = 4
 	// smoothing is the weight of the newest latency.
 	smoothing = 0.2
+	// mostUnreached is how many backends that cannot be reached do not count among a route's
+	// attempts: the request was not sent to them, and where several have ended at once it is
+	// served by one that has not. It bounds the time and the connections that are spent so.
+	mostUnreached = 3
 	// budgetShare of all requests may be hedged, and budgetBurst more at once.
 	budgetShare = 0.25
 	budgetBurst = 20
@@ -234,6 +238,8 @@
 	services  []string
 	tried     map[string]bool
 	pending   int
+	// unreached counts the attempts that reached no backend.
+	unreached int
 	result    Result
 	attempts  chan attempted
 	// fallback is a backend's failure, which is passed on if nothing better comes.
@@ -253,7 +259,7 @@
 	defer cancel()
 	r := &run{
 		forwarder: f, catalog: catalog, route: route, request: request, services: f.order(route),
-		tried: map[string]bool{}, attempts: make(chan attempted, max(route.Attempts, 1)),
+		tried: map[string]bool{}, attempts: make(chan attempted, max(route.Attempts, 1)+mostUnreached),
 		clearance: f.clear(ctx, request),
 	}
 	result := r.do(ctx)
@@ -359,6 +365,8 @@
 	r.pending--
 	r.result.recordEnd(done.backend.ID, done.attempt)
 	switch done.attempt.Outcome {
+	case NotSent:
+		r.unreached++
 	case Answered:
 		r.result.MayHaveRun = true
 		if r.route.Kind == routing.Repeatable && done.attempt.Response.Status >= http.StatusInternalServerError {
@@ -393,7 +401,7 @@
 
 // start sends the request to one more backend, and tells whether there is one.
 func (r *run) start(ctx context.Context) bool {
-	if r.result.Attempts >= max(r.route.Attempts, 1) || r.request.remaining() <= 0 || !r.mayStart() {
+	if r.result.Attempts-min(r.unreached, mostUnreached) >= max(r.route.Attempts, 1) || r.request.remaining() <= 0 || !r.mayStart() {
 		return false
 	}
 	backend, ok := r.forwarder.choose(r.catalog, r.services, r.tried)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -267,3 +267,27 @@
 	}
 	require.GreaterOrEqual(t, len(busy), 9)
 }
+
+// TestUnreachedBackendsUseNoAttempts: a request that can be sent to no more than one backend is
+// served by the one that is left, where others cannot be reached; it is never sent to more.
+func TestUnreachedBackendsUseNoAttempts(t *testing.T) {
+	for _, kind := range []routing.Kind{routing.Repeatable, routing.Unrepeatable} {
+		client := &scripted{answers: map[string]func(context.Context) Attempt{
+			"a": outcome(NotSent), "b": outcome(NotSent), "c": outcome(NotSent), "d": status(200),
+		}}
+		result := New(client, "z", noSuspects()).Do(context.Background(), catalogOf(backend("a"), backend("b"), backend("c"), backend("d")),
+			route(kind, 1), &Request{Deadline: time.Now().Add(time.Minute)})
+		require.NotNil(t, result.Response)
+	}
+	sent := map[string]func(context.Context) Attempt{}
+	var backends []directory.Backend
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		sent[id] = outcome(NotSent)
+		backends = append(backends, backend(id))
+	}
+	client := &scripted{answers: sent}
+	result := New(client, "z", noSuspects()).Do(context.Background(), catalogOf(backends...), route(routing.Repeatable, 1), &Request{Deadline: time.Now().Add(time.Minute)})
+	require.Nil(t, result.Response)
+	require.False(t, result.MayHaveRun)
+	require.Len(t, client.asked, 1+mostUnreached)
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -49,6 +49,8 @@
 	sink      Sink
 	begun     bool
 	last      string
+	// unreached counts the attempts that reached no backend.
+	unreached int
 	result    Result
 	clearance
 }
@@ -63,7 +65,7 @@
 	s := &stream{forwarder: f, request: request, route: route, sink: sink, clearance: f.clear(ctx, request)}
 	services := f.order(route)
 	tried := map[string]bool{}
-	for s.result.Attempts < max(route.Attempts, 1) && ctx.Err() == nil && request.remaining() > 0 {
+	for s.result.Attempts-min(s.unreached, mostUnreached) < max(route.Attempts, 1) && ctx.Err() == nil && request.remaining() > 0 {
 		if !s.mayStart() {
 			return s.end(Quarantined)
 		}
@@ -119,8 +121,11 @@
 	s.result.recordEnd(backend.ID, ended)
 	s.forwarder.learn(parent, s.verdict, backend, s.request, ended)
 	s.forwarder.note(backend, Attempt{Outcome: outcome}, time.Since(started), parent.Err() != nil)
-	if outcome == Answered || outcome == Lost {
+	switch outcome {
+	case Answered, Lost:
 		s.result.MayHaveRun = true
+	case NotSent:
+		s.unreached++
 	}
 	if outcome == Answered {
 		s.result.Backend, s.result.Service = backend.ID, backend.Service
