--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -28,6 +28,8 @@
 	// Interrupted: the process that held the stream was lost, which tells nothing of
 	// the engine; what came may be continued.
 	Interrupted
+	// Crashed: the stream broke off since the engine has ended; what came may be continued.
+	Crashed
 )
 
 // RunEnded takes in the end of a run. It tells whether the run was the task's
@@ -59,11 +61,11 @@
 		task.State = Finished
 	case Rejected:
 		known.reject(now)
-	case Broken, Unreachable, Elsewhere:
+	case Broken, Crashed, Unreachable, Elsewhere:
 		if !task.moving {
 			known.fail(now)
 		}
-		if end == Broken {
+		if end == Broken || end == Crashed {
 			s.noteBroken(task)
 		}
 	}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -53,14 +53,18 @@
 // Fingerprint tells the sample from others wherever it comes again. It is computed once.
 func (task *Task) Fingerprint() quarantine.Fingerprint {
 	if task.fingerprint == "" {
-		task.fingerprint = quarantine.Content{
-			ID: task.Sample.ID, Tenant: task.Step.Tenant, Method: http.MethodPost, Host: task.Step.Host,
-			Target: task.Sample.Path, Body: task.Sample.Body,
-		}.Fingerprint()
+		task.fingerprint = FingerprintOf(task.Step.Host, task.Step.Tenant, task.Sample)
 	}
 	return task.fingerprint
 }
 
+// FingerprintOf returns the fingerprint of a sample that goes to the host for the tenant.
+func FingerprintOf(host, tenant string, sample *ledger.Sample) quarantine.Fingerprint {
+	return quarantine.Content{
+		ID: sample.ID, Tenant: tenant, Method: http.MethodPost, Host: host, Target: sample.Path, Body: sample.Body,
+	}.Fingerprint()
+}
+
 // Task is one sample on its way.
 type Task struct {
 	Step   *ledger.Step
--- a/server/followed_run.go
+++ b/server/followed_run.go
@@ -79,13 +79,14 @@
 	return end, text, f.version
 }
 
-// learn takes in what the run's end tells of its sample. A run that was given up tells nothing.
+// learn takes in what the run's end tells of its sample. The runner tells of a crash, too; what
+// is told twice counts once, and this leader knows before the sample waits again.
 func (f *followedRun) learn(end scheduler.RunEnd) {
 	guard, backend := f.tenure.guard, f.assignment.Backend
 	switch {
 	case end == scheduler.Complete:
 		guard.NoteAnswer(quarantine.Verdict{Fingerprint: f.fingerprint, Known: f.known})
-	case end == scheduler.Broken && f.context.Err() == nil && f.tenure.forwarder.HasEnded(f.tenure.context, backend):
+	case end == scheduler.Crashed:
 		guard.NoteCrash(f.fingerprint, backend.ID, f.known)
 	}
 }
--- a/server/held_sample.go
+++ b/server/held_sample.go
@@ -1,8 +1,12 @@
 package server
 
 import (
+	"context"
+
+	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/quarantine"
+	"github.com/dillchute/dillchute/runner"
 	"github.com/dillchute/dillchute/scheduler"
 )
 
@@ -41,3 +45,23 @@
 	t.guard.UsePermit(fingerprint)
 	return fingerprint, t.guard.Judge(fingerprint).Known
 }
+
+// guardedEngine runs samples and learns which of them crash the engines that run them. It
+// belongs to the runner, which is not lost with the leader.
+type guardedEngine struct {
+	engine   runner.Engine
+	guard    *quarantine.Guard
+	hasEnded func(ctx context.Context, backend directory.Backend) bool
+}
+
+// Run implements runner.Engine. A run that breaks off by the engine's end has crashed.
+func (g *guardedEngine) Run(ctx context.Context, request runner.Request, each func(runner.Event)) scheduler.RunEnd {
+	fingerprint := scheduler.FingerprintOf(request.Host, request.Tenant, request.Sample)
+	known := g.guard.Judge(fingerprint).Known
+	end := g.engine.Run(ctx, request, each)
+	if end != scheduler.Broken || ctx.Err() != nil || !g.hasEnded(ctx, request.Backend) {
+		return end
+	}
+	g.guard.NoteCrash(fingerprint, request.Backend.ID, known)
+	return scheduler.Crashed
+}
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -53,10 +53,11 @@
 	l := &Ledger{
 		settings: settings, logger: logger, machine: ledger.NewMachine(),
 		watcher:  NewWatcher(seeds, spread(settings.Name), logger),
-		identity: replica.NewIdentity(), runs: runner.NewServer(engines, logger),
+		identity: replica.NewIdentity(),
 	}
 	l.metrics = newLedgerMetrics()
 	l.executor = newExecutor(settings, l.watcher, engines, backends, l.metrics, logger)
+	l.runs = runner.NewServer(&guardedEngine{engine: engines, guard: l.executor.guard, hasEnded: l.executor.forwarder.HasEnded}, logger)
 	return l
 }
 
@@ -83,7 +84,10 @@
 	go l.maintain(watchContext, opened)
 	go tellCrashes(watchContext, l.executor.guard, l.watcher)
 	go l.executor.run(watchContext, opened, l.machine)
-	return opened.Run(ctx)
+	err = opened.Run(ctx)
+	// The stop's own context has ended.
+	tellNews(context.WithoutCancel(ctx), l.executor.guard, l.watcher)
+	return err
 }
 
 // Status returns the replica's status, or nil before it has one.
--- a/server/process.go
+++ b/server/process.go
@@ -109,6 +109,7 @@
 	event.GatewayStopping.On(logger).Int("in_flight", gateway.InFlight()).Send()
 	gateway.drain(settings.Grace)
 	gateway.usage.finish(background)
+	tellNews(background, gateway.guard, gateway.watcher)
 	event.GatewayStopped.On(logger).Int("in_flight", gateway.InFlight()).Send()
 	return callerServer.Close()
 }
--- a/server/quarantine.go
+++ b/server/quarantine.go
@@ -55,21 +55,29 @@
 		case <-guard.Told:
 		}
 		sleep(ctx, crashGather)
-		news := guard.TakeNews()
-		if news.IsEmpty() {
-			continue
-		}
-		limited, cancel := context.WithTimeout(ctx, crashTimeout)
-		_, err := watcher.call(limited, directoryCall{Quarantine: &quarantineCall{Crashes: news.Crashes, Answered: news.Answered}})
-		cancel()
-		if err != nil {
-			event.CrashesUntold.On(watcher.logger).Uint("crashes", uint64(len(news.Crashes))).Err(err).Send()
-			guard.ReturnNews(news)
+		if !tellNews(ctx, guard, watcher) {
 			sleep(ctx, crashRetry)
 		}
 	}
 }
 
+// tellNews tells the directory what there is to tell, and whether it was taken. It is also what
+// a process does last at a planned stop.
+func tellNews(ctx context.Context, guard *quarantine.Guard, watcher *Watcher) bool {
+	news := guard.TakeNews()
+	if news.IsEmpty() {
+		return true
+	}
+	limited, cancel := context.WithTimeout(ctx, crashTimeout)
+	defer cancel()
+	_, err := watcher.call(limited, directoryCall{Quarantine: &quarantineCall{Crashes: news.Crashes, Answered: news.Answered}})
+	if err != nil {
+		event.CrashesUntold.On(watcher.logger).Uint("crashes", uint64(len(news.Crashes))).Err(err).Send()
+		guard.ReturnNews(news)
+	}
+	return err == nil
+}
+
 // handleQuarantine carries out a call about suspects, on the directory's leader.
 func (d *Directory) handleQuarantine(ctx context.Context, call *quarantineCall, answer *directoryAnswer) error {
 	result, err := d.execute(ctx, directory.Command{Crashes: call.Crashes, Answered: call.Answered, TakeTrial: call.TakeTrial})
