--- a/bench/simulate/fault.go
+++ b/bench/simulate/fault.go
@@ -146,24 +146,20 @@
 }
 
 func (cl *cluster) freeze(kind FaultKind, target *process, duration int64) {
-	if !target.alive || target.frozen {
-		return
-	}
-	cl.world.fault(string(kind), "%s for %d", target.name, duration)
-	target.freeze()
-	cl.thawAfter(target, duration)
+	cl.stopFor(kind, target, duration, target.freeze)
 }
 
 func (cl *cluster) suspend(kind FaultKind, target *process, duration int64) {
+	cl.stopFor(kind, target, duration, target.suspend)
+}
+
+// stopFor has a process that runs stand still for the duration.
+func (cl *cluster) stopFor(kind FaultKind, target *process, duration int64, stop func()) {
 	if !target.alive || target.frozen {
 		return
 	}
 	cl.world.fault(string(kind), "%s for %d", target.name, duration)
-	target.suspend()
-	cl.thawAfter(target, duration)
-}
-
-func (cl *cluster) thawAfter(target *process, duration int64) {
+	stop()
 	life := target.life
 	cl.world.schedule(duration, func() {
 		if target.life == life && target.alive {
--- a/server/role_metrics.go
+++ b/server/role_metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/dillchute/dillchute/forward"
+	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/replica"
 )
 
@@ -125,6 +126,15 @@
 	gauge(emit, "directory_watches", "Watches that are held.", float64(d.watches.count()))
 	d.replica.Do(func() {
 		gauge(emit, "directory_usage_untold", "Windows of usage that are fixed and were not taken yet.", float64(len(d.machine.Usage().Untold)))
+		suspects, held := 0, 0
+		d.machine.Suspects(func(suspect quarantine.Suspect, _ uint64) {
+			suspects++
+			if suspect.IsHeld() {
+				held++
+			}
+		})
+		gauge(emit, "directory_suspects", "Requests under which a backend has ended and that none has answered since.", float64(suspects))
+		gauge(emit, "directory_requests_held", "Requests that are held back since they crash backends.", float64(held))
 	})
 }
 
