A trial that has not run is still to come; trials of requests that fell together do not meet

Cause, from its log: both trials came after 5 s, the sound one met the engine that the other had just ended, had not run, and its permit was used up. Change: a trial whose attempt was refused, misdirected or reached nobody goes on; waits differ by up to half, by the fingerprint. Ruled out: time (the test waits a minute).

--- a/forward/clearance.go
+++ b/forward/clearance.go
@@ -56,6 +56,13 @@
 	return mayStart
 }
 
+// noteEnd takes in the end of an attempt: the trial of a request that did not run goes on.
+func (c *clearance) noteEnd(outcome Outcome) {
+	if outcome == NotSent || outcome == Refused || outcome == Misdirected {
+		c.sent = false
+	}
+}
+
 // mayHedge tells whether the request may run at two backends side by side: one under which a
 // backend has ended could end both.
 func (c *clearance) mayHedge() bool {
@@ -74,7 +81,9 @@
 func (f *Forwarder) learn(ctx context.Context, verdict quarantine.Verdict, backend directory.Backend, request *Request, attempt Attempt) {
 	switch {
 	case attempt.Outcome == Answered && attempt.Response.Status < http.StatusInternalServerError:
-		f.guard.NoteAnswer(verdict)
+		if !f.guard.IsIdle() {
+			f.guard.NoteAnswer(request.Content().Fingerprint())
+		}
 	case attempt.Outcome == Lost && attempt.Broken && f.HasEnded(ctx, backend):
 		f.guard.NoteCrash(request.Content().Fingerprint(), backend.ID, verdict.Known)
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -364,6 +364,7 @@
 func (r *run) take(done attempted) bool {
 	r.pending--
 	r.result.recordEnd(done.backend.ID, done.attempt)
+	r.noteEnd(done.attempt.Outcome)
 	switch done.attempt.Outcome {
 	case NotSent:
 		r.unreached++
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -119,6 +119,7 @@
 	}
 	outcome := ended.Outcome
 	s.result.recordEnd(backend.ID, ended)
+	s.noteEnd(outcome)
 	s.forwarder.learn(parent, s.verdict, backend, s.request, ended)
 	s.forwarder.note(backend, Attempt{Outcome: outcome}, time.Since(started), parent.Err() != nil)
 	switch outcome {
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"encoding/hex"
 	"hash"
+	"hash/fnv"
+	"math"
 )
 
 // Fingerprint tells requests of the same content apart from others, in hexadecimal digits. A
@@ -15,6 +17,14 @@
 // not meet by chance.
 const fingerprintBytes = 16
 
+// fraction returns a number of 0 to 1 that differs between fingerprints.
+func (f Fingerprint) fraction() float64 {
+	sum := fnv.New32a()
+	// A hash takes in all that it is given.
+	_, _ = sum.Write([]byte(f))
+	return float64(sum.Sum32()) / math.MaxUint32
+}
+
 // Content is what makes two requests the same.
 type Content struct {
 	// ID is what the sender calls the request each time, "" where it comes under another ID.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -148,16 +148,16 @@
 	return next.Crashes
 }
 
-// NoteAnswer takes in that a backend has answered the request that was judged so.
-func (g *Guard) NoteAnswer(verdict Verdict) {
-	if verdict.Known == 0 {
+// NoteAnswer takes in that a backend has answered the request, which ends any suspicion.
+func (g *Guard) NoteAnswer(fingerprint Fingerprint) {
+	if g.Judge(fingerprint).Known == 0 {
 		return
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	delete(g.local, verdict.Fingerprint)
+	delete(g.local, fingerprint)
 	if len(g.news.Answered) < mostNews {
-		g.news.Answered = append(g.news.Answered, verdict.Fingerprint)
+		g.news.Answered = append(g.news.Answered, fingerprint)
 	}
 	g.wake()
 }
@@ -198,11 +198,14 @@
 			g.local[crash.Fingerprint] = local
 		}
 	}
-	g.news.Crashes = append(news.Crashes, g.news.Crashes...)
-	g.news.Answered = append(news.Answered, g.news.Answered...)
+	g.news.Crashes = earliest(append(news.Crashes, g.news.Crashes...))
+	g.news.Answered = earliest(append(news.Answered, g.news.Answered...))
 	g.wake()
 }
 
+// earliest returns as many of the news as are kept.
+func earliest[T any](news []T) []T { return news[:min(len(news), mostNews)] }
+
 // wake says that there are news.
 func (g *Guard) wake() {
 	select {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -35,6 +35,8 @@
 	// the second trial.
 	rareTrial = 10 * time.Minute
 	lastTrial = 24 * time.Hour
+	// trialSpread is the part by which the waits of requests differ at the most.
+	trialSpread = 0.5
 	// RetryAfter is what callers are told whose request is held back.
 	RetryAfter = firstTrial
 	// ForgetAfter is how long a suspect that is not held back is remembered after its last
@@ -95,7 +97,8 @@
 	return s
 }
 
-// TrialWait returns how long after the last change the request is to be tried again.
+// TrialWait returns how long after the last change the request is to be tried again. Requests
+// that fell together wait for different times, so that a sound one does not meet the other again.
 func (s Suspect) TrialWait() time.Duration {
 	wait := lastTrial
 	switch s.Trials {
@@ -107,5 +110,5 @@
 	if len(s.Ended) >= mostEnded {
 		wait = max(wait, rareTrial)
 	}
-	return wait
+	return wait + time.Duration(float64(wait)*trialSpread*s.Fingerprint.fraction())
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -34,9 +34,9 @@
 	// silentTicks is how long a voter is silent before a learner replaces it.
 	silentTicks    = 30
 	maxAppendBytes = 1 << 20
-	// standstill is how long a tick must be late to be told of: half an election, in which
-	// others may have taken over.
-	standstill = electionTicks / 2 * TickInterval
+	// standstill is how long a tick must be late to be told of: an election, in which others
+	// may have taken over.
+	standstill = electionTicks * TickInterval
 	// joinInterval is the time between requests for admission. A process that
 	// has asked for joinPatience in vain stands by, and asks each standbyInterval.
 	joinInterval    = 300 * time.Millisecond
--- a/server/followed_run.go
+++ b/server/followed_run.go
@@ -20,9 +20,10 @@
 	// silence gives the run up if its engine sends nothing for stall.
 	silence *time.Timer
 	stall   time.Duration
-	// fingerprint and known are the sample's, and the crashes that were known of it as its run began.
-	fingerprint quarantine.Fingerprint
-	known       int
+	// known is the number of crashes that were known of the sample as its run began, and trial
+	// is set if the run used a permit.
+	known int
+	trial bool
 
 	// mutex holds back parts that come while the run is given up.
 	mutex sync.Mutex
@@ -46,9 +47,9 @@
 	if t.scheduler.Loading(assignment.Backend.ID, task.Step.Model) {
 		stall = loadStall
 	}
-	fingerprint, known := t.clearedFor(task)
+	known, trial := t.clearedFor(task)
 	return &followedRun{
-		fingerprint: fingerprint, known: known, tenure: t, assignment: assignment, context: ctx, cancel: cancel, progress: progress,
+		known: known, trial: trial, tenure: t, assignment: assignment, context: ctx, cancel: cancel, progress: progress,
 		silence: time.AfterFunc(stall, cancel), stall: stall,
 	}
 }
@@ -82,12 +83,18 @@
 // learn takes in what the run's end tells of its sample. The runner tells of a crash, too; what
 // is told twice counts once, and this leader knows before the sample waits again.
 func (f *followedRun) learn(end scheduler.RunEnd) {
-	guard, backend := f.tenure.guard, f.assignment.Backend
+	guard, task := f.tenure.guard, f.assignment.Task
+	fingerprint := func() quarantine.Fingerprint {
+		return scheduler.FingerprintOf(task.Step.Host, task.Step.Tenant, task.Sample)
+	}
 	switch {
-	case end == scheduler.Complete:
-		guard.NoteAnswer(quarantine.Verdict{Fingerprint: f.fingerprint, Known: f.known})
+	case end == scheduler.Complete && !guard.IsIdle():
+		guard.NoteAnswer(fingerprint())
+	case f.trial && (end == scheduler.Rejected || end == scheduler.Elsewhere || end == scheduler.Unreachable):
+		// It has not run: the trial is still to come.
+		guard.Permit(fingerprint())
 	case end == scheduler.Crashed:
-		guard.NoteCrash(f.fingerprint, backend.ID, f.known)
+		guard.NoteCrash(fingerprint(), f.assignment.Backend.ID, f.known)
 	}
 }
 
--- a/server/held_sample.go
+++ b/server/held_sample.go
@@ -38,12 +38,15 @@
 	t.loop.Call(func() { delete(t.asking, fingerprint) })
 }
 
-// clearedFor returns the fingerprint of a sample whose run begins, and the crashes that are
-// known of it. A permit is used up.
-func (t *tenure) clearedFor(task *scheduler.Task) (quarantine.Fingerprint, int) {
+// clearedFor returns the number of crashes that are known of a sample whose run begins, and
+// whether the run is a trial: a permit is used up.
+func (t *tenure) clearedFor(task *scheduler.Task) (known int, trial bool) {
+	if t.guard.IsIdle() {
+		return 0, false
+	}
 	fingerprint := task.Fingerprint()
-	t.guard.UsePermit(fingerprint)
-	return fingerprint, t.guard.Judge(fingerprint).Known
+	trial = t.guard.UsePermit(fingerprint)
+	return t.guard.Judge(fingerprint).Known, trial
 }
 
 // guardedEngine runs samples and learns which of them crash the engines that run them. It
@@ -56,12 +59,14 @@
 
 // Run implements runner.Engine. A run that breaks off by the engine's end has crashed.
 func (g *guardedEngine) Run(ctx context.Context, request runner.Request, each func(runner.Event)) scheduler.RunEnd {
-	fingerprint := scheduler.FingerprintOf(request.Host, request.Tenant, request.Sample)
-	known := g.guard.Judge(fingerprint).Known
+	known := 0
+	if !g.guard.IsIdle() {
+		known = g.guard.Judge(scheduler.FingerprintOf(request.Host, request.Tenant, request.Sample)).Known
+	}
 	end := g.engine.Run(ctx, request, each)
 	if end != scheduler.Broken || ctx.Err() != nil || !g.hasEnded(ctx, request.Backend) {
 		return end
 	}
-	g.guard.NoteCrash(fingerprint, request.Backend.ID, known)
+	g.guard.NoteCrash(scheduler.FingerprintOf(request.Host, request.Tenant, request.Sample), request.Backend.ID, known)
 	return scheduler.Crashed
 }
