A gateway passes nothing on after the last request that its planned stop waited for

Cause: once nothing was in flight the gateway told its usage and closed its server; what came meanwhile on open connections was passed on and cut by the process's end. Ruled out: load as the cause (the window is there at each stop).

--- a/server/gateway.go
+++ b/server/gateway.go
@@ -52,7 +52,9 @@
 	// startedAt is when the gateway began to follow the directory.
 	startedAt time.Time
 	stopping  atomic.Bool
-	inFlight  atomic.Int64
+	// closed is set once nothing more is taken.
+	closed   atomic.Bool
+	inFlight atomic.Int64
 	// bodyBytes are the bytes of bodies in memory.
 	bodyBytes atomic.Int64
 }
