Roles catch hang-ups before they read their settings

Cause: the signal was caught only once the settings had been read. Change: a role catches it first; one that comes before the settings are followed has them read again. The soak sends signals once a process serves its metrics: what comes before Go's own start has ended cannot be caught by it.

--- a/server/seeds.go
+++ b/server/seeds.go
@@ -62,10 +62,17 @@
 	event.SettingsTaken.On(s.logger).Str("peers", strings.Join(addresses, " ")).Send()
 }
 
-// FollowSignals reads the settings again whenever a hang-up signal arrives.
-func (s *Seeds) FollowSignals(ctx context.Context) {
+// CatchHangUps returns the process's hang-up signals, which end it until this is called: it is
+// what a role does first, before it reads its settings.
+func CatchHangUps() chan os.Signal {
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP)
+	return hangUps
+}
+
+// FollowSignals reads the settings again whenever a hang-up signal arrives, or one has since the
+// signals are caught.
+func (s *Seeds) FollowSignals(ctx context.Context, hangUps chan os.Signal) {
 	go func() {
 		defer signal.Stop(hangUps)
 		for {
--- a/server/seeds_test.go
+++ b/server/seeds_test.go
@@ -38,7 +38,7 @@
 	}, &logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	seeds.FollowSignals(ctx)
+	seeds.FollowSignals(ctx, CatchHangUps())
 	require.Equal(t, []string{"10.0.0.1:7000"}, seeds.Addresses())
 
 	write(gatewaySettings + `peers: ["10.0.0.2:80", "10.0.0.3:80"]`)
