Sight: a replica says that nobody lets it in, and a leader what voters its group lacks

Change: 1017 each 3 s of a replica that asks in vain, with whom it asks; 1018 and 1019 of a leader whose group lacks voters; the gauge dillchute_replica_missing_voters. The pauses of admission are counted on the clock that counts suspensions, so the list of steady readings has three fewer. No decision changes.

--- a/clock/usage_test.go
+++ b/clock/usage_test.go
@@ -26,7 +26,7 @@
 	"forward/choose.go":          {4, "how long a backend is avoided"},
 	"forward/forward.go":         {2, "a backend's latency, in which this machine's suspension must not count"},
 	"forward/stream.go":          {2, "a backend's latency, in which this machine's suspension must not count"},
-	"replica/admission.go":       {5, "pauses between requests for admission, and the wait of a planned stop"},
+	"replica/admission.go":       {2, "the wait of a planned stop"},
 	"runner/serverlink.go":       {4, "pauses between reports, and deadlines that interrupt a connection"},
 	"server/callers.go":          {2, "a write's deadline, and the time of day that callers stamp requests with"},
 	"server/checkpoint.go":       {2, "pauses between checkpoints"},
--- a/event/event.go
+++ b/event/event.go
@@ -31,6 +31,9 @@
 	StorageAccepts      = Event{1014, zerolog.InfoLevel, "storage takes writes again"}
 	SnapshotSent        = Event{1015, zerolog.InfoLevel, "a snapshot was sent to a replica"}
 	SnapshotUnsent      = Event{1016, zerolog.WarnLevel, "a snapshot could not be sent to a replica"}
+	StaysOutside        = Event{1017, zerolog.WarnLevel, "this replica asks in vain to be let into the group"}
+	VotersMissing       = Event{1018, zerolog.WarnLevel, "the group lacks voters"}
+	VotersComplete      = Event{1019, zerolog.InfoLevel, "the group has all its voters"}
 
 	NodeStarted       = Event{2001, zerolog.InfoLevel, "node started"}
 	NodeDraining      = Event{2002, zerolog.InfoLevel, "node is draining"}
@@ -119,7 +122,7 @@
 // All lists the events in the order of their numbers.
 var All = []Event{
 	ControlStarted, ControlStopping, LeadershipGained, LeadershipLost, SnapshotSaved,
-	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged, StorageRefused, StorageAccepts, SnapshotSent, SnapshotUnsent,
+	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged, StorageRefused, StorageAccepts, SnapshotSent, SnapshotUnsent, StaysOutside, VotersMissing, VotersComplete,
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused, ProcessStoodStill, NoBootClock,
--- a/replica/admission.go
+++ b/replica/admission.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
+	"github.com/dillchute/dillchute/clock"
+	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/eventloop"
 	"github.com/dillchute/dillchute/protocol"
 )
@@ -20,17 +23,28 @@
 	}
 }
 
+// outsideTold is the time between two lines of a replica that nobody lets in. With it the users'
+// bound for making a lost machine good (4 s and more) shows in the logs before it is over.
+const outsideTold = 3 * time.Second
+
 // askToJoin asks whoever may be a member for admission, while this replica is
 // not a member or hears no leader for long: it may have been replaced while it
 // was away.
 func (r *Replica) askToJoin(ctx context.Context) {
-	insideAt := time.Now()
+	insideAt := clock.Now()
+	toldAt := insideAt
 	for ctx.Err() == nil {
 		pause := joinInterval
+		if clock.Since(toldAt) > outsideTold {
+			toldAt = clock.Now()
+			event.StaysOutside.On(r.logger).Int("ms", clock.Since(insideAt).Milliseconds()).
+				Str("asked", strings.Join(r.settings.Contacts(), " ")).Send()
+		}
 		switch {
 		case !r.outside():
-			insideAt = time.Now()
-		case time.Since(insideAt) > joinPatience:
+			insideAt = clock.Now()
+			toldAt = insideAt
+		case clock.Since(insideAt) > joinPatience:
 			pause = standbyInterval
 			fallthrough
 		default:
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -83,6 +83,21 @@
 	return count
 }
 
+// MissingVoters returns, on a leader, how many voters the group lacks that have answered within
+// the time after which a learner takes their place.
+func (c *Core) MissingVoters() int {
+	if !c.Leading() {
+		return 0
+	}
+	alive := 0
+	for _, member := range c.raft.Membership().Members {
+		if _, silent := c.raft.Match(member.ID); member.Voter && (member.ID == c.raft.ID() || silent <= c.config.SilentTicks) {
+			alive++
+		}
+	}
+	return max(c.config.Voters-alive, 0)
+}
+
 func (c *Core) viewMembership() membershipView {
 	var view membershipView
 	for _, member := range c.raft.Membership().Members {
--- a/replica/status.go
+++ b/replica/status.go
@@ -25,6 +25,8 @@
 	// SilentVoters is, on a leader, the number of voters that have not replied
 	// for an election timeout: how much of the group's redundancy is gone.
 	SilentVoters int
+	// MissingVoters is, on a leader, how many voters the group lacks that answer.
+	MissingVoters int
 }
 
 // Voters returns the number of members with a vote.
@@ -40,13 +42,14 @@
 		ID: raft.ID(), Leading: r.core.Leading(), Serving: r.core.Serving(), Heard: raft.Leader() != consensus.None,
 		Leader: r.core.LeaderAddress(), Term: raft.Term(), Commit: raft.Commit(), LogSize: raft.LogSize(),
 		Members: raft.Membership().Members, MembersCommitted: raft.MembershipCommitted(),
-		SilentVoters: r.core.SilentVoters(),
+		SilentVoters: r.core.SilentVoters(), MissingVoters: r.core.MissingVoters(),
 	}
 	if previous.same(status) {
 		return
 	}
 	r.status.Store(status)
 	r.logLeadership(previous, status)
+	r.logRedundancy(previous, status)
 	if previous.Serving != status.Serving {
 		r.signal()
 	}
@@ -55,7 +58,7 @@
 func (s *Status) same(other *Status) bool {
 	return s.Leading == other.Leading && s.Serving == other.Serving && s.Heard == other.Heard && s.Leader == other.Leader &&
 		s.Term == other.Term && s.Commit == other.Commit && s.MembersCommitted == other.MembersCommitted &&
-		s.SilentVoters == other.SilentVoters && s.LogSize == other.LogSize && slices.Equal(s.Members, other.Members)
+		s.SilentVoters == other.SilentVoters && s.MissingVoters == other.MissingVoters && s.LogSize == other.LogSize && slices.Equal(s.Members, other.Members)
 }
 
 func (r *Replica) logLeadership(previous, status *Status) {
@@ -71,3 +74,18 @@
 		event.MembershipChanged.On(r.logger).Uint("members", uint64(len(status.Members))).Send()
 	}
 }
+
+// logRedundancy says on a leader how many voters are missing whenever that changes: a group
+// that has lost voters serves as ever, and only the next losses show it.
+func (r *Replica) logRedundancy(previous, status *Status) {
+	if previous.MissingVoters == status.MissingVoters || !status.Leading {
+		return
+	}
+	voters := uint64(r.settings.Voters - status.MissingVoters)
+	if status.MissingVoters == 0 {
+		event.VotersComplete.On(r.logger).Uint("voters", voters).Send()
+		return
+	}
+	event.VotersMissing.On(r.logger).Uint("voters", voters).Uint("wanted", uint64(r.settings.Voters)).
+		Uint("members", uint64(len(status.Members))).Send()
+}
--- a/server/role_metrics.go
+++ b/server/role_metrics.go
@@ -118,6 +118,7 @@
 	gauge(emit, "replica_members", "Members of the group.", float64(len(status.Members)))
 	gauge(emit, "replica_voters", "Members of the group with a vote.", float64(status.Voters()))
 	gauge(emit, "replica_silent_voters", "On a leader, voters that have not replied for an election timeout.", float64(status.SilentVoters))
+	gauge(emit, "replica_missing_voters", "On a leader, voters that the group lacks or that are silent for long.", float64(status.MissingVoters))
 }
 
 func (d *Directory) collect(emit chan<- prometheus.Metric) {
