--- a/bench/command/command.go
+++ b/bench/command/command.go
@@ -30,6 +30,7 @@
 	Fleet       fleetCommand       `cmd:"" help:"Run a whole deployment on this machine and report on it."`
 	Simulate    simulateCommand    `cmd:"" help:"Run deployments in virtual time under faults."`
 	Experiment  experimentCommand  `cmd:"" help:"Compare variants of a deployment in virtual time."`
+	Plays       playsCommand       `cmd:"" help:"Days by design for the users' bench, and checks of their logs."`
 }
 
 // Main runs the command line and returns the exit code.
--- /dev/null
+++ b/bench/command/plays.go
@@ -0,0 +1,151 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+
+	"github.com/dillchute/dillchute/bench/plays"
+	"github.com/dillchute/dillchute/command"
+)
+
+type playsCommand struct {
+	List  playsListCommand  `cmd:"" help:"Print the plays of a site, and on how many commits each has been made."`
+	Write playsWriteCommand `cmd:"" help:"Write the days of a site's plays."`
+	Check playsCheckCommand `cmd:"" help:"Check the logs of plays."`
+	Run   playsRunCommand   `cmd:"" help:"Make the next plays on the users' bench and enter them in the table."`
+}
+
+type playsListCommand struct {
+	Site  string `required:"" type:"existingfile" help:"The site file."`
+	Table string `default:"bench/plays/played.csv" type:"path" help:"The table of plays."`
+}
+
+// Run prints the plays.
+func (c *playsListCommand) Run(streams command.Streams) error {
+	site, err := plays.LoadSite(c.Site)
+	if err != nil {
+		return err
+	}
+	table, err := plays.LoadTable(c.Table)
+	if err != nil {
+		return err
+	}
+	out := tabwriter.NewWriter(streams.Out, 0, 0, 2, ' ', 0)
+	made, all := 0, plays.Generate(site)
+	for _, play := range all {
+		commits := 0
+		for _, row := range table.Rows {
+			if row.Site == site.Name && row.Play == play.Name {
+				commits++
+			}
+		}
+		made += min(commits, 1)
+		fmt.Fprintf(out, "%s\tseed %d\t%d commits\n", play.Name, play.Seed, commits)
+	}
+	fmt.Fprintf(out, "%d of %d plays made\n", made, len(all))
+	return out.Flush()
+}
+
+type playsWriteCommand struct {
+	Site   string `required:"" type:"existingfile" help:"The site file."`
+	Folder string `required:"" type:"path" help:"Folder for the days."`
+	Name   string `help:"What the names of the plays must hold."`
+}
+
+// Run writes the days.
+func (c *playsWriteCommand) Run(streams command.Streams) error {
+	site, err := plays.LoadSite(c.Site)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(c.Folder, 0o755); err != nil {
+		return command.ErrFailed.Wrap(err, "make the folder")
+	}
+	written := 0
+	for _, play := range plays.Generate(site) {
+		if !play.Matches(c.Name) {
+			continue
+		}
+		day, err := play.Day(site)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(c.Folder, site.Name+"-"+play.Name+".toml"), day, 0o644); err != nil {
+			return command.ErrFailed.Wrap(err, "write the day")
+		}
+		written++
+	}
+	fmt.Fprintf(streams.Out, "%d days written\n", written)
+	return nil
+}
+
+type playsCheckCommand struct {
+	Site string   `required:"" type:"existingfile" help:"The site file."`
+	Logs []string `arg:"" type:"existingfile" help:"What the bench printed of plays with --log all."`
+}
+
+// Run prints what the checks find.
+func (c *playsCheckCommand) Run(streams command.Streams) error {
+	site, err := plays.LoadSite(c.Site)
+	if err != nil {
+		return err
+	}
+	found := 0
+	for _, path := range c.Logs {
+		findings, err := checkFile(path, site)
+		if err != nil {
+			return err
+		}
+		for _, finding := range findings {
+			fmt.Fprintf(streams.Out, "%s: %s\n", filepath.Base(path), finding.String())
+		}
+		found += len(findings)
+	}
+	if found > 0 {
+		return command.ErrFailed.New("checks fired %d times", found)
+	}
+	return nil
+}
+
+func checkFile(path string, site *plays.Site) ([]plays.Finding, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, command.ErrFailed.Wrap(err, "open the log")
+	}
+	defer file.Close()
+	log, err := plays.ReadLog(file)
+	if err != nil {
+		return nil, err
+	}
+	return plays.Find(log, site.Bounds()), nil
+}
+
+type playsRunCommand struct {
+	Program    string   `required:"" type:"existingfile" help:"The users' bench."`
+	Sites      []string `arg:"" type:"existingfile" help:"Site files, played in turn."`
+	Repository string   `default:"." type:"existingdir" help:"The checkout that is played; nothing may change in it meanwhile."`
+	Table      string   `default:"bench/plays/played.csv" type:"path" help:"The table of plays."`
+	Folder     string   `default:"data/plays" type:"path" help:"Folder for the days and logs of plays that find something."`
+	Count      int      `default:"10" help:"How many plays to make."`
+	Again      bool     `help:"Make plays that stand in the table for other commits, instead of new ones."`
+	Name       string   `help:"What the names of the plays must hold."`
+	Jobs       int      `default:"3" help:"Plays at the same time."`
+	Why        string   `required:"" help:"What is looked for, for the journal."`
+}
+
+// Run makes the plays.
+func (c *playsRunCommand) Run(ctx context.Context, streams command.Streams) error {
+	driver := &plays.Driver{Program: c.Program, Repository: c.Repository, Sites: c.Sites, TableFile: c.Table,
+		Folder: c.Folder, Jobs: c.Jobs, Why: c.Why, Out: streams.Out}
+	found, err := driver.Play(ctx, plays.Choice{Count: c.Count, Again: c.Again, Name: c.Name})
+	if err != nil {
+		return err
+	}
+	if found > 0 {
+		return command.ErrFailed.New("rules were broken or checks fired in %d plays", found)
+	}
+	return nil
+}
