--- a/bench/command/plays.go
+++ b/bench/command/plays.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"text/tabwriter"
+	"time"
 
 	"github.com/dillchute/dillchute/bench/plays"
 	"github.com/dillchute/dillchute/command"
@@ -124,23 +125,24 @@
 }
 
 type playsRunCommand struct {
-	Program    string   `required:"" type:"existingfile" help:"The users' bench."`
-	Sites      []string `arg:"" type:"existingfile" help:"Site files, played in turn."`
-	Repository string   `default:"." type:"existingdir" help:"The checkout that is played; nothing may change in it meanwhile."`
-	Table      string   `default:"bench/plays/played.csv" type:"path" help:"The table of plays."`
-	Folder     string   `default:"data/plays" type:"path" help:"Folder for the days and logs of plays that find something."`
-	Count      int      `default:"10" help:"How many plays to make."`
-	Again      bool     `help:"Make plays that stand in the table for other commits, instead of new ones."`
-	Name       string   `help:"What the names of the plays must hold."`
-	Jobs       int      `default:"3" help:"Plays at the same time."`
-	Why        string   `required:"" help:"What is looked for, for the journal."`
+	Program    string        `required:"" type:"existingfile" help:"The users' bench."`
+	Sites      []string      `arg:"" type:"existingfile" help:"Site files, played in turn."`
+	Repository string        `default:"." type:"existingdir" help:"The checkout that is played; nothing may change in it meanwhile."`
+	Table      string        `default:"bench/plays/played.csv" type:"path" help:"The table of plays."`
+	Folder     string        `default:"data/plays" type:"path" help:"Folder for the days and logs of plays that find something."`
+	Count      int           `default:"10" help:"How many plays to make."`
+	Again      bool          `help:"Make plays that stand in the table for other commits, instead of new ones."`
+	Name       string        `help:"What the names of the plays must hold."`
+	Jobs       int           `default:"3" help:"Plays at the same time."`
+	Limit      time.Duration `help:"Time after which no further play begins."`
+	Why        string        `required:"" help:"What is looked for, for the journal."`
 }
 
 // Run makes the plays.
 func (c *playsRunCommand) Run(ctx context.Context, streams command.Streams) error {
 	driver := &plays.Driver{Program: c.Program, Repository: c.Repository, Sites: c.Sites, TableFile: c.Table,
 		Folder: c.Folder, Jobs: c.Jobs, Why: c.Why, Out: streams.Out}
-	found, err := driver.Play(ctx, plays.Choice{Count: c.Count, Again: c.Again, Name: c.Name})
+	found, err := driver.Play(ctx, plays.Choice{Count: c.Count, Again: c.Again, Name: c.Name, Limit: c.Limit})
 	if err != nil {
 		return err
 	}
--- a/bench/plays/drive.go
+++ b/bench/plays/drive.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Driver makes plays on the users' bench and keeps the table.
@@ -48,6 +49,8 @@
 	Again bool
 	// Name is what the names of the plays hold; empty for all.
 	Name string
+	// Limit is the time after which no further play begins; 0 for none.
+	Limit time.Duration
 }
 
 // job is one play of one site.
@@ -67,12 +70,13 @@
 	if err != nil {
 		return 0, err
 	}
+	began := time.Now()
 	free := make(chan struct{}, max(d.Jobs, 1))
 	var group sync.WaitGroup
 	var failed error
 	for _, one := range jobs {
 		free <- struct{}{}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || choice.Limit > 0 && time.Since(began) > choice.Limit {
 			break
 		}
 		group.Go(func() {
@@ -182,12 +186,31 @@
 	}
 	findings := Find(log, one.site.Bounds())
 	row.Worth, row.Broken, row.Found = log.Worth, log.Broken, namesOf(findings)
+	row.Struck = one.play.struck(log)
 	if log.Worth == "" {
 		row.Unplayed = reason(output, runErr)
 	}
 	return row, errors.Join(d.keep(row, stem, output, findings), d.enter(row))
 }
 
+// struck returns how many of the play's faults struck, of how many. The faults of
+// a day differ from its planned work, which always happens.
+func (p *Play) struck(log *Log) string {
+	wanted, happened := map[string]int{}, map[string]int{}
+	for _, entry := range p.faults {
+		kind, _ := entry["kind"].(string)
+		wanted[kind]++
+	}
+	for _, one := range log.Disruptions {
+		happened[one.Kind]++
+	}
+	struck := 0
+	for kind, count := range wanted {
+		struck += min(count, happened[kind])
+	}
+	return fmt.Sprintf("%d/%d", struck, len(p.faults))
+}
+
 // run has the bench play the day. It ends with a failure when a rule is broken, so
 // only a missing result is an error.
 func (d *Driver) run(ctx context.Context, one job, day string) ([]byte, error) {
@@ -223,8 +246,8 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.table.Add(row)
-	fmt.Fprintf(d.Out, "%s %s seed %d: worth %s, broken: %s, found: %s %s\n", row.Site, row.Play, row.Seed,
-		row.Worth, orNone(row.Broken), orNone(row.Found), row.Unplayed)
+	fmt.Fprintf(d.Out, "%s %s seed %d: worth %s, struck %s, broken: %s, found: %s %s\n", row.Site, row.Play, row.Seed,
+		row.Worth, row.Struck, orNone(row.Broken), orNone(row.Found), row.Unplayed)
 	return d.table.Write(d.TableFile)
 }
 
--- a/bench/plays/drive_test.go
+++ b/bench/plays/drive_test.go
@@ -32,7 +32,7 @@
 
 func TestTableOfAnotherFormIsRefused(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "played.csv")
-	require.NoError(t, os.WriteFile(path, []byte("a,b,c,d,e,f,g,h\n"), 0o600))
+	require.NoError(t, os.WriteFile(path, []byte("a,b,c,d,e,f,g,h,i\n"), 0o600))
 	_, err := LoadTable(path)
 	require.Error(t, err)
 }
@@ -41,7 +41,7 @@
 // replica stays outside.
 const fakeBench = `#!/bin/sh
 case "$3" in
-*series-wipe*) echo '10.0 core-a-1 {"event":1010,"replica":7}'; echo '40.0 core-a-1 {"event":5017}'; echo 'rules broken: CONFIG 3' ;;
+*series-wipe*) echo '    3.0 s to     5.5 s  after_ack_wipe core-b-1'; echo '10.0 core-a-1 {"event":1010,"replica":7}'; echo '40.0 core-a-1 {"event":5017}'; echo 'rules broken: CONFIG 3' ;;
 *series-replace*) echo 'too busy'; exit 3 ;;
 esac
 echo 'worth 0.900 = whole day 0.9 (weight 1)'
@@ -88,6 +88,7 @@
 	require.Equal(t, "CONFIG 3", last.Broken)
 	require.Equal(t, "replica-outside 1", last.Found)
 	require.Equal(t, "0.900", last.Worth)
+	require.Equal(t, "1/4", last.Struck)
 }
 
 func TestDriverDoesNotPlayTwiceOnOneCommit(t *testing.T) {
--- a/bench/plays/generate.go
+++ b/bench/plays/generate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -49,7 +50,7 @@
 	room = 4.0
 	// longestSeries is how often in a row the same is lost.
 	longestSeries = 4
-	// shuffleSeed orders the plays of pairs, so that any first part of them holds all kinds.
+	// shuffleSeed, with the site's name, orders the plays.
 	shuffleSeed = 37
 )
 
@@ -67,13 +68,38 @@
 }
 
 // Generate returns all plays of the site in the order in which they are best
-// made: the series of losses, and then the pairs in an order that a seed draws.
-// The same site file always gives the same plays.
+// made: series of losses and pairs by turns, the longest series of lost disks
+// first, and the rest in an order that a seed draws for each site, so that a first
+// part of the plays of all sites holds as much as it can. The same site file always
+// gives the same plays.
 func Generate(site *Site) []Play {
-	pairs := generatePairs(site)
-	random := rand.New(rand.NewPCG(shuffleSeed, shuffleSeed))
-	random.Shuffle(len(pairs), func(i, j int) { pairs[i], pairs[j] = pairs[j], pairs[i] })
-	return append(generateSeries(site), pairs...)
+	series, pairs := generateSeries(site), generatePairs(site)
+	hash := fnv.New64a()
+	hash.Write([]byte(site.Name))
+	random := rand.New(rand.NewPCG(shuffleSeed, hash.Sum64()))
+	shuffle(random, pairs)
+	first := slices.IndexFunc(series, func(play Play) bool { return !play.Matches("series-wipe-") })
+	shuffle(random, series[max(first, 0):])
+	return byTurns(series, pairs)
+}
+
+func shuffle(random *rand.Rand, plays []Play) {
+	random.Shuffle(len(plays), func(i, j int) { plays[i], plays[j] = plays[j], plays[i] })
+}
+
+// byTurns returns one play of each list after the other, and the rest of the
+// longer one at the end.
+func byTurns(one, other []Play) []Play {
+	var all []Play
+	for position := range max(len(one), len(other)) {
+		if position < len(one) {
+			all = append(all, one[position])
+		}
+		if position < len(other) {
+			all = append(all, other[position])
+		}
+	}
+	return all
 }
 
 // generateSeries returns the days on which the same kind of loss strikes the same
--- a/bench/plays/table.go
+++ b/bench/plays/table.go
@@ -18,6 +18,9 @@
 	Commit string
 	// Worth is what the day was worth, as the bench told it; empty if it gave no result.
 	Worth string
+	// Struck says how many of the day's faults struck, of how many: "3/4". The bench leaves
+	// out what would lose more than may be lost, or finds no place for it.
+	Struck string
 	// Broken are the rules that the bench saw broken.
 	Broken string
 	// Found are the checks that fired, each once.
@@ -29,7 +32,7 @@
 // Table is the plays that have been made.
 type Table struct{ Rows []Row }
 
-var columns = []string{"site", "play", "seed", "commit", "worth", "broken", "found", "unplayed"}
+var columns = []string{"site", "play", "seed", "commit", "worth", "struck", "broken", "found", "unplayed"}
 
 // LoadTable reads the table; one that does not exist yet is empty.
 func LoadTable(path string) (*Table, error) {
@@ -57,7 +60,7 @@
 			return nil, ErrInvalid.Wrap(err, "seed of %s", record[1])
 		}
 		table.Rows = append(table.Rows, Row{Site: record[0], Play: record[1], Seed: seed, Commit: record[3],
-			Worth: record[4], Broken: record[5], Found: record[6], Unplayed: record[7]})
+			Worth: record[4], Struck: record[5], Broken: record[6], Found: record[7], Unplayed: record[8]})
 	}
 	return table, nil
 }
@@ -92,7 +95,7 @@
 	writer := csv.NewWriter(file)
 	records := [][]string{columns}
 	for _, row := range t.Rows {
-		records = append(records, []string{row.Site, row.Play, strconv.Itoa(row.Seed), row.Commit, row.Worth, row.Broken, row.Found, row.Unplayed})
+		records = append(records, []string{row.Site, row.Play, strconv.Itoa(row.Seed), row.Commit, row.Worth, row.Struck, row.Broken, row.Found, row.Unplayed})
 	}
 	if err := errors.Join(writer.WriteAll(records), file.Close(), os.Rename(temporary, path)); err != nil {
 		return ErrInvalid.Wrap(err, "write the table of plays")
