--- a/bench/command/plays.go
+++ b/bench/command/plays.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -13,7 +14,7 @@
 )
 
 type playsCommand struct {
-	List  playsListCommand  `cmd:"" help:"Print the plays of a site, and on how many commits each has been made."`
+	List  playsListCommand  `cmd:"" help:"Print the plays of a site, and on which commits each has been made."`
 	Write playsWriteCommand `cmd:"" help:"Write the days of a site's plays."`
 	Check playsCheckCommand `cmd:"" help:"Check the logs of plays."`
 	Run   playsRunCommand   `cmd:"" help:"Make the next plays on the users' bench and enter them in the table."`
@@ -37,14 +38,9 @@
 	out := tabwriter.NewWriter(streams.Out, 0, 0, 2, ' ', 0)
 	made, all := 0, plays.Generate(site)
 	for _, play := range all {
-		commits := 0
-		for _, row := range table.Rows {
-			if row.Site == site.Name && row.Play == play.Name {
-				commits++
-			}
-		}
-		made += min(commits, 1)
-		fmt.Fprintf(out, "%s\tseed %d\t%d commits\n", play.Name, play.Seed, commits)
+		commits := table.Commits(site.Name, play.Name)
+		made += min(len(commits), 1)
+		fmt.Fprintf(out, "%s\tseed %d\t%s\n", play.Name, play.Seed, strings.Join(commits, " "))
 	}
 	fmt.Fprintf(out, "%d of %d plays made\n", made, len(all))
 	return out.Flush()
--- a/bench/plays/log.go
+++ b/bench/plays/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"io"
 	"regexp"
@@ -70,11 +71,11 @@
 
 var (
 	loggedLine  = regexp.MustCompile(`^\s*(-?\d+\.\d+) (\S+) (\{.*\})\s*$`)
-	happenedRow = regexp.MustCompile(`^\s*(-?[\d.]+) s to\s+(-?[\d.]+) s\s+(\S+)\s*(.*)$`)
+	happenedRow = regexp.MustCompile(`^\s*(-?\d+(?:\.\d+)?) s to\s+(-?\d+(?:\.\d+)?) s\s+(\S+)\s*(.*)$`)
 	unstableRow = regexp.MustCompile(`^the core was not stable: (.*)$`)
 	brokenRow   = regexp.MustCompile(`^rules broken: (.*)$`)
-	worthRow    = regexp.MustCompile(`^worth (-?[\d.]+) = `)
-	unstableOne = regexp.MustCompile(`(-?[\d.]+) to (-?[\d.]+)`)
+	worthRow    = regexp.MustCompile(`^worth (-?\d+\.\d+) = `)
+	unstableOne = regexp.MustCompile(`(-?\d+\.\d+) to (-?\d+\.\d+)`)
 	machineName = regexp.MustCompile(`\b[a-z]+-[a-z0-9-]*-\d+\b`)
 	furtherMore = regexp.MustCompile(`\band \d+ more\b`)
 )
@@ -95,20 +96,10 @@
 	if err := lines.Err(); err != nil {
 		return nil, ErrInvalid.Wrap(err, "read the log of a play")
 	}
-	slices.SortStableFunc(log.Lines, func(a, b Line) int { return compare(a.At, b.At) })
+	slices.SortStableFunc(log.Lines, func(a, b Line) int { return cmp.Compare(a.At, b.At) })
 	return log, nil
 }
 
-func compare(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func (l *Log) read(line string) error {
 	if match := loggedLine.FindStringSubmatch(line); match != nil {
 		return l.readEvent(match)
@@ -143,9 +134,12 @@
 	return nil
 }
 
-// seconds reads a number that an expression above has matched.
+// seconds reads a number that one of the expressions above has matched.
 func seconds(text string) float64 {
-	value, _ := strconv.ParseFloat(text, 64)
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		panic("plays: an expression matches what is no number: " + err.Error())
+	}
 	return value
 }
 
@@ -198,7 +192,7 @@
 // covers.
 func (s Span) longest(excused []Span) float64 {
 	longest, from := 0.0, s.From
-	sorted := slices.SortedFunc(slices.Values(excused), func(a, b Span) int { return compare(a.From, b.From) })
+	sorted := slices.SortedFunc(slices.Values(excused), func(a, b Span) int { return cmp.Compare(a.From, b.From) })
 	for _, one := range sorted {
 		if one.To <= from || one.From >= s.To {
 			continue
--- a/bench/plays/table.go
+++ b/bench/plays/table.go
@@ -80,9 +80,22 @@
 // Played tells whether the site's play has been made on the commit, or on any for
 // an empty one.
 func (t *Table) Played(site, play, commit string) bool {
-	return slices.ContainsFunc(t.Rows, func(row Row) bool {
-		return row.Site == site && row.Play == play && (commit == "" || row.Commit == commit)
-	})
+	commits := t.Commits(site, play)
+	if commit == "" {
+		return len(commits) > 0
+	}
+	return slices.Contains(commits, commit)
+}
+
+// Commits returns the commits on which the site's play has been made.
+func (t *Table) Commits(site, play string) []string {
+	var commits []string
+	for _, row := range t.Rows {
+		if row.Site == site && row.Play == play && !slices.Contains(commits, row.Commit) {
+			commits = append(commits, row.Commit)
+		}
+	}
+	return commits
 }
 
 // Write writes the table, in order.
