--- a/bench/plays/drive.go
+++ b/bench/plays/drive.go
@@ -44,8 +44,8 @@
 type Choice struct {
 	// Count is how many at the most, all of the sites together.
 	Count int
-	// Again: those that stand in the table, but not for the present commit; else those
-	// that do not stand there.
+	// Again: those that stand in the table, but not for the present commit, and of them first
+	// those that found something; else those that do not stand there.
 	Again bool
 	// Name is what the names of the plays hold; empty for all.
 	Name string
@@ -137,6 +137,9 @@
 				chosen = append(chosen, job{path, site, play})
 			}
 		}
+		if choice.Again {
+			slices.SortStableFunc(chosen, d.findingsFirst)
+		}
 		sites = append(sites, chosen)
 	}
 	var jobs []job
@@ -154,6 +157,17 @@
 	return jobs, nil
 }
 
+// findingsFirst puts the plays that have found something before the others.
+func (d *Driver) findingsFirst(a, b job) int {
+	rank := func(one job) int {
+		if d.table.Found(one.site.Name, one.play.Name) {
+			return 0
+		}
+		return 1
+	}
+	return rank(a) - rank(b)
+}
+
 func (d *Driver) wanted(choice Choice, site *Site, play Play) bool {
 	if !play.Matches(choice.Name) {
 		return false
--- a/bench/plays/drive_test.go
+++ b/bench/plays/drive_test.go
@@ -113,3 +113,25 @@
 	require.NoError(t, err)
 	require.Equal(t, "exit status 3: too busy", driver.table.Rows[0].Unplayed)
 }
+
+// TestDriverRepeatsFindingsFirst: on another commit, the plays that found
+// something come first.
+func TestDriverRepeatsFindingsFirst(t *testing.T) {
+	var out bytes.Buffer
+	driver := newTestDriver(t, &out)
+	driver.Jobs = 1
+	_, err := driver.Play(context.Background(), Choice{Count: 3, Name: "series-power-core-power-x"})
+	require.NoError(t, err)
+	_, err = driver.Play(context.Background(), Choice{Count: 1, Name: "series-wipe-store-x4"})
+	require.NoError(t, err)
+	commit := []string{"-C", driver.Repository, "-c", "user.name=a", "-c", "user.email=a@b", "commit", "-q", "--allow-empty", "-m", "second"}
+	require.NoError(t, exec.Command("git", commit...).Run())
+	require.NoError(t, os.WriteFile(filepath.Join(driver.Repository, "source"), nil, 0o600))
+	require.NoError(t, exec.Command("git", "-C", driver.Repository, "add", "source").Run())
+	require.NoError(t, exec.Command("git", commit...).Run())
+	out.Reset()
+	found, err := driver.Play(context.Background(), Choice{Count: 1, Again: true})
+	require.NoError(t, err)
+	require.Equal(t, 1, found)
+	require.Contains(t, out.String(), "series-wipe-store-x4")
+}
--- a/bench/plays/table.go
+++ b/bench/plays/table.go
@@ -98,6 +98,13 @@
 	return commits
 }
 
+// Found tells whether the site's play has found something on any commit.
+func (t *Table) Found(site, play string) bool {
+	return slices.ContainsFunc(t.Rows, func(row Row) bool {
+		return row.Site == site && row.Play == play && (row.Broken != "" || row.Found != "")
+	})
+}
+
 // Write writes the table, in order.
 func (t *Table) Write(path string) error {
 	temporary := path + ".new"
