A replica that does not lead passes on that another one asks to be let in

Class: a question that only one process can answer is put to a fixed few, who do not pass it on. Change: whoever does not lead passes the question to the leader, once; a replica outside also asks the members that it remembers, and the seeds as the settings name them now; one that stands by asks one contact a second in place of all. The same in the first design's control. Ruled out: the membership loop itself (with all machines as seeds it keeps five voters), the disks.

--- a/control/core.go
+++ b/control/core.go
@@ -174,13 +174,23 @@
 	case message.Propose != nil:
 		c.propose(message.Propose.Command, requester{address: message.From, id: message.Propose.ID})
 	case message.Join != nil:
-		c.raft.ProposeMembership(consensus.MembershipChange{
-			Action: consensus.AddLearner, ID: message.Join.ID, Address: message.Join.Address,
-		})
+		c.receiveJoin(*message.Join)
 	}
 	c.noticeLeadership()
 }
 
+// receiveJoin takes a replica into the group as a learner. A replica that does not lead passes the
+// question on, once: whoever asks may know no leader's address.
+func (c *Core) receiveJoin(join protocol.Join) {
+	switch {
+	case c.leading():
+		c.raft.ProposeMembership(consensus.MembershipChange{Action: consensus.AddLearner, ID: join.ID, Address: join.Address})
+	case !join.PassedOn && c.raft.Leader() != consensus.None:
+		join.PassedOn = true
+		c.send(c.LeaderAddress(), protocol.Message{Join: &join})
+	}
+}
+
 // Propose asks for a command to be committed; the reply carries the ID.
 func (c *Core) Propose(clock Clock, id uint64, command state.Command) {
 	c.clock = clock
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -34,6 +34,8 @@
 type Join struct {
 	ID      consensus.ReplicaID `cbor:"1,keyasint"`
 	Address string              `cbor:"2,keyasint"`
+	// PassedOn is set once a replica that does not lead has passed the question to the leader.
+	PassedOn bool `cbor:"3,keyasint,omitempty"`
 }
 
 // PoolSummary is a node's free capacity for one engine group.
--- a/replica/admission_test.go
+++ b/replica/admission_test.go
@@ -5,6 +5,9 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/protocol"
 )
 
 // What was seen: a directory of six replicas took no change any more after two of its machines had
@@ -107,3 +110,39 @@
 	}
 	return drawn
 }
+
+// TestAdmissionIsPassedOnOnce: replicas that take each other for the leader do not send a question
+// around.
+func TestAdmissionIsPassedOnOnce(t *testing.T) {
+	g := newSeededGroup(t)
+	var follower *process
+	for _, p := range g.processes {
+		if p != g.leader() {
+			follower = p
+		}
+	}
+	ask := func(passedOn bool) []Outgoing {
+		follower.core.Receive(protocol.Message{From: "new", Join: &protocol.Join{ID: 900, Address: "new", PassedOn: passedOn}})
+		return follower.core.TakeMessages()
+	}
+	first := ask(false)
+	require.Len(t, first, 1)
+	require.Equal(t, g.leader().address, first[0].Address)
+	require.Equal(t, &protocol.Join{ID: 900, Address: "new", PassedOn: true}, first[0].Message.Join)
+	require.Empty(t, ask(true))
+}
+
+// TestWhomToAsk: a replica outside asks the addresses of its settings and the members that it
+// remembers, and while it stands by one after the other.
+func TestWhomToAsk(t *testing.T) {
+	r := &Replica{settings: Settings{Address: "own", Contacts: func() []string { return []string{"seed", "both", "own"} }}}
+	r.status.Store(&Status{Members: []consensus.Member{{ID: 1, Address: "both"}, {ID: 2, Address: "member"}, {ID: 3, Address: "own"}}})
+	contacts := r.contacts()
+	require.Equal(t, []string{"both", "member", "seed"}, contacts)
+	var asked []string
+	for round := range 4 {
+		asked = append(asked, oneOf(contacts, round)...)
+	}
+	require.Equal(t, []string{"both", "member", "seed", "both"}, asked)
+	require.Empty(t, oneOf(nil, 1))
+}
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -18,6 +18,7 @@
 // address under another identity has lost its disk: it never comes back.
 func (c *Core) receiveJoin(join protocol.Join) {
 	if !c.Leading() {
+		c.passOnJoin(join)
 		return
 	}
 	membership := c.raft.Membership()
@@ -34,6 +35,18 @@
 	})
 }
 
+// passOnJoin sends the question of a replica outside to the leader. Such a replica knows only the
+// few addresses of its settings; if it were let in by a leader alone, it would stay outside while
+// none of them leads, and the group would be a voter short without anybody's notice. It is passed on
+// once, so that replicas that take each other for the leader do not send it around.
+func (c *Core) passOnJoin(join protocol.Join) {
+	if join.PassedOn || c.raft.Leader() == consensus.None {
+		return
+	}
+	join.PassedOn = true
+	c.send(c.LeaderAddress(), protocol.Message{Join: &join})
+}
+
 // hasStandby tells whether there are as many learners alive as are wanted, to
 // become voters that are missing and to stand by. Further ones would cost every
 // commit a copy.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -78,7 +78,8 @@
 	Founders consensus.Membership
 	// Replica is the identity for an empty folder.
 	Replica consensus.ReplicaID
-	// Contacts returns addresses of processes that may be members.
+	// Contacts returns addresses of processes that may be members. It is called again and
+	// again while the replica is outside of the group.
 	Contacts func() []string
 }
 
--- a/server/directory.go
+++ b/server/directory.go
@@ -84,7 +84,7 @@
 	opened, err := replica.Open(replica.Settings{
 		Cluster: settings.Cluster + "-directory", Address: settings.InternalAddress, DataFolder: settings.DataFolder,
 		Voters: config.Voters(settings.ToleratedLosses), Founders: founders, Replica: identity,
-		Contacts: seeds.Addresses,
+		Contacts: seeds.Current,
 	}, machine, logger)
 	if err != nil {
 		return nil, err
--- a/server/seeds.go
+++ b/server/seeds.go
@@ -39,6 +39,13 @@
 // Addresses returns the newest addresses.
 func (s *Seeds) Addresses() []string { return *s.addresses.Load() }
 
+// Current returns the newest addresses after a Refresh, for a process that gets no answer at those
+// that it knows.
+func (s *Seeds) Current() []string {
+	s.Refresh()
+	return s.Addresses()
+}
+
 // Refresh reads the settings again unless that has been done shortly before. A
 // file that is wrong changes nothing.
 func (s *Seeds) Refresh() {
--- a/server/seeds_test.go
+++ b/server/seeds_test.go
@@ -51,3 +51,12 @@
 	seeds.Refresh()
 	require.Equal(t, []string{"10.0.0.2:7000", "10.0.0.3:7000"}, seeds.Addresses())
 }
+
+// TestCurrentSeedsAreRead: a process that gets no answer learns of other seeds without a signal.
+func TestCurrentSeedsAreRead(t *testing.T) {
+	logger := zerolog.Nop()
+	read := config.Process{Peers: []string{"10.0.0.2:80"}, PeerPort: 7000}
+	seeds := NewSeeds(config.Process{Peers: []string{"10.0.0.1:80"}, PeerPort: 7000}, func() (config.Process, error) { return read, nil }, &logger)
+	require.Equal(t, []string{"10.0.0.1:7000"}, seeds.Addresses())
+	require.Equal(t, []string{"10.0.0.2:7000"}, seeds.Current())
+}
