A hang-up during a planned stop does not end the process

Cause: the goroutine that reads the settings again gives the hang-up signals back once its context ends, and that context ends with SIGTERM. From then on SIGHUP has its default action, which is to end the process, with all that the planned stop still waits for. All three roles are concerned. Change: the signals stay caught. TestSignalsDuringAStop failed with "signal: hangup" and passes; it also sends a second SIGTERM, which has no effect (the context's signals stay caught until the command line returns), as it should: whoever stops the process has SIGKILL.

--- a/server/seeds.go
+++ b/server/seeds.go
@@ -71,10 +71,10 @@
 }
 
 // FollowSignals reads the settings again whenever a hang-up signal arrives, or one has since the
-// signals are caught.
+// signals are caught, until the context ends. The signals stay caught after that: given back, one
+// that comes during a planned stop would end the process with all that it still does.
 func (s *Seeds) FollowSignals(ctx context.Context, hangUps chan os.Signal) {
 	go func() {
-		defer signal.Stop(hangUps)
 		for {
 			select {
 			case <-ctx.Done():
