A stopping gateway takes only what it can end, and answers what it cannot

Under steady load it is never empty, took requests until 0.7 s before the end of the grace, told usage (up to 2 s) and crashes (up to 1 s) while they ran, and cut them with its connections. What ran longer than the stop ended without an answer, too. Change: a stop has a plan (server/stop.go), by package clock. For 3 s, in which the entry and the callers cannot know of it, everything is taken; then what has to end before the last moment for work, by its own deadline or the route's; the rest is refused as not run. Deadlines are bounded by that moment, waits for results are shortened to it, calls to the ledger that may outlive it are refused. At that moment what still runs is answered as expired (504). Then connections are shut down, and last, when no request can be missed, usage and crashes are told, bounded by the grace. Weighed: refusing everything after the entry's delay (simpler; refuses while workers are free, which has a price); refusing what does not fit from SIGTERM on (the entry goes on sending for 2 to 3 s, and a stream with 12 s would be refused although most end in 3). Tests changed: drain_test.go follows the signature (the stop's time is given where it begins; its checks are the same); the list of steady readings in clock/usage_test.go loses server/process.go.

--- a/clock/usage_test.go
+++ b/clock/usage_test.go
@@ -41,7 +41,6 @@
 	"server/moves.go":            {2, "pauses between looks"},
 	"server/node.go":             {2, "the wait of a planned stop"},
 	"server/paces.go":            {2, "pauses between records"},
-	"server/process.go":          {6, "the wait of a planned stop"},
 	"server/record.go":           {5, "pauses between records, and a metric"},
 	"server/seeds.go":            {2, "pauses between looks at the settings"},
 	"server/tenure.go":           {4, "pauses between looks"},
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -115,6 +115,8 @@
 	NoAnswer Reason = "no_answer"
 	// Abandoned: the caller has left.
 	Abandoned Reason = "abandoned"
+	// Stopping: the process ends before the request could.
+	Stopping Reason = "stopping"
 	// Quarantined: the request has crashed the backends that ran it, and is held back.
 	Quarantined Reason = "quarantined"
 )
@@ -302,8 +304,9 @@
 	}
 }
 
+// reasonOf goes by the cause: a process that has no more time ends a request as its deadline does.
 func reasonOf(ctx context.Context) Reason {
-	if ctx.Err() == context.DeadlineExceeded {
+	if context.Cause(ctx) == context.DeadlineExceeded {
 		return Expired
 	}
 	return Abandoned
--- a/server/drain_test.go
+++ b/server/drain_test.go
@@ -30,12 +30,13 @@
 	go func() { first <- ask() }()
 	<-entered
 	require.Equal(t, int64(1), gateway.InFlight())
+	gateway.Stop(time.Minute)
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
-		gateway.drain(time.Now().Add(time.Minute))
+		gateway.drain()
 	}()
-	require.Eventually(t, gateway.Stopping, time.Minute, time.Millisecond)
+	require.True(t, gateway.Stopping())
 	close(release)
 	require.Equal(t, http.StatusOK, (<-first).Code)
 	<-drained
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -51,9 +51,12 @@
 
 	// startedAt is when the gateway began to follow the directory.
 	startedAt time.Time
-	stopping  atomic.Bool
-	// closed is set once nothing more is taken.
+	// plan is set once a planned stop has begun, and closed once nothing more is taken. work
+	// ends when what still runs has to; endWork ends it.
+	plan     atomic.Pointer[stopPlan]
 	closed   atomic.Bool
+	work     context.Context
+	endWork  context.CancelFunc
 	inFlight atomic.Int64
 	// bodyBytes are the bytes of bodies in memory.
 	bodyBytes atomic.Int64
@@ -63,7 +66,9 @@
 func NewGateway(settings config.Gateway, seeds *Seeds, backends forward.Client, logger *zerolog.Logger) *Gateway {
 	watcher := NewWatcher(seeds, spread(settings.Name), logger)
 	guard := newGuard(watcher)
+	work, endWork := context.WithCancel(context.Background())
 	return &Gateway{
+		work: work, endWork: endWork,
 		settings: settings, logger: logger, watcher: watcher, guard: guard,
 		forwarder: forward.New(backends, settings.Zone, guard), ledger: newLedgerClient(watcher, settings.Zone, logger),
 		metrics: newGatewayMetrics(), usage: newUsageTeller(settings.Name, watcher), startedAt: time.Now(),
@@ -85,12 +90,6 @@
 	}
 }
 
-// Stop has the gateway call itself not ready from now on.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
-
-// Stopping tells whether a planned stop has begun.
-func (g *Gateway) Stopping() bool { return g.stopping.Load() }
-
 // Ready tells whether the gateway should get new connections.
 func (g *Gateway) Ready() bool { return !g.Stopping() && g.watcher.Catalog().Version > 0 }
 
@@ -154,7 +153,12 @@
 func (g *Gateway) Forward(ctx context.Context, catalog *directory.Catalog, route routing.Route, request *forward.Request) forward.Result {
 	started := clock.Now()
 	limitDeadline(request, route, started)
-	result := g.forwarder.Do(ctx, catalog, route, request)
+	result := refuseStopping()
+	if g.take(request) {
+		limited, cancel := g.untilWorkEnds(ctx)
+		defer cancel()
+		result = g.forwarder.Do(limited, catalog, route, request)
+	}
 	g.noteRequest(catalog, route, request, result, started)
 	return result
 }
@@ -163,7 +167,12 @@
 func (g *Gateway) Stream(ctx context.Context, catalog *directory.Catalog, route routing.Route, request *forward.Request, sink forward.Sink) forward.Result {
 	started := clock.Now()
 	limitDeadline(request, route, started)
-	result := g.forwarder.Stream(ctx, catalog, route, request, sink)
+	result := refuseStopping()
+	if g.take(request) {
+		limited, cancel := g.untilWorkEnds(ctx)
+		defer cancel()
+		result = g.forwarder.Stream(limited, catalog, route, request, sink)
+	}
 	g.noteRequest(catalog, route, request, result, started)
 	return result
 }
@@ -225,7 +234,7 @@
 // Submit hands a step to the ledger. Its due and give-up times are given
 // relative to now.
 func (g *Gateway) Submit(ctx context.Context, step *ledger.Step) SubmitOutcome {
-	answer, reached, err := g.ledger.call(ctx, ledgerCall{Submit: step}, 0)
+	answer, reached, err := g.callLedger(ctx, ledgerCall{Submit: step})
 	outcome := SubmitTaken
 	switch {
 	case err != nil && !reached:
@@ -240,6 +249,17 @@
 	return outcome
 }
 
+// callLedger makes a call for which the ledger does not wait. It tells whether a leader may have
+// carried it out.
+func (g *Gateway) callLedger(ctx context.Context, call ledgerCall) (answer ledgerAnswer, reached bool, err error) {
+	limited, cancel, wait, err := g.ledgerTime(ctx, 0)
+	if err != nil {
+		return answer, false, err
+	}
+	defer cancel()
+	return g.ledger.call(limited, call, wait)
+}
+
 // Results returns a step's number of samples and its results from the position
 // on; it waits for one that long. The key is the caller's; here and below, the step of
 // another tenant does not exist for it.
@@ -248,7 +268,12 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	answer, _, err := g.ledger.results(ctx, resultsCall{Step: step, After: after, Wait: wait, Tenant: tenant})
+	limited, cancel, wait, err := g.ledgerTime(ctx, wait)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer cancel()
+	answer, _, err := g.ledger.results(limited, resultsCall{Step: step, After: after, Wait: wait, Tenant: tenant})
 	if err == nil && !answer.Found {
 		err = ErrNotFound.New("no step %q", step)
 	}
@@ -261,7 +286,7 @@
 	if err != nil {
 		return nil, err
 	}
-	answer, _, err := g.ledger.call(ctx, ledgerCall{Sample: &sampleCall{Step: step, ID: sample, Tenant: tenant}}, 0)
+	answer, _, err := g.callLedger(ctx, ledgerCall{Sample: &sampleCall{Step: step, ID: sample, Tenant: tenant}})
 	if err == nil && !answer.Found {
 		err = ErrNotFound.New("no sample %q of step %q", sample, step)
 	}
@@ -274,7 +299,7 @@
 	if err != nil {
 		return err
 	}
-	answer, _, err := g.ledger.call(ctx, ledgerCall{End: &endCall{Step: step, Tenant: tenant}}, 0)
+	answer, _, err := g.callLedger(ctx, ledgerCall{End: &endCall{Step: step, Tenant: tenant}})
 	if err == nil && !answer.Found {
 		err = ErrNotFound.New("no step %q", step)
 	}
--- a/server/process.go
+++ b/server/process.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"strconv"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -20,11 +19,6 @@
 const (
 	// callerIdleTimeout is how long a caller's connection may rest.
 	callerIdleTimeout = 60 * time.Second
-	// entryDelay is how long after a planned stop has begun new connections may
-	// still arrive.
-	entryDelay = 3500 * time.Millisecond
-	// exitMargin is kept of the grace for the process's own end.
-	exitMargin = 700 * time.Millisecond
 	// memoryShare is the part of a limit that the collector keeps to, and
 	// collectPercent how much the heap may grow between collections.
 	memoryShare    = 0.8
@@ -108,63 +102,12 @@
 	event.GatewayStarted.On(logger).Str("name", settings.Name).Str("address", settings.CallerAddress).Send()
 	<-ctx.Done()
 	event.GatewayStopping.On(logger).Int("in_flight", gateway.InFlight()).Send()
-	stopBy := time.Now().Add(settings.Grace - exitMargin)
-	gateway.drain(stopBy)
-	gateway.usage.finish(background)
-	tellNews(background, gateway.guard, gateway.watcher)
+	gateway.Stop(settings.Grace)
+	gateway.drain()
+	err := shutDown(callerServer, gateway.closingTime())
+	gateway.tellLast()
 	event.GatewayStopped.On(logger).Int("in_flight", gateway.InFlight()).Send()
-	return shutDown(callerServer, stopBy)
-}
-
-// closeTime is what a server has at least for the last answers, which are ready, to be written.
-const closeTime = 200 * time.Millisecond
-
-// shutDown ends the server's connections, each after the answer that is being written. What is
-// left when the time is over is cut.
-func shutDown(server *http.Server, stopBy time.Time) error {
-	limited, cancel := context.WithTimeout(context.Background(), max(time.Until(stopBy), closeTime))
-	defer cancel()
-	if server.Shutdown(limited) == nil {
-		return nil
-	}
-	return server.Close()
-}
-
-// closeConnections ends a connection after its answer while a planned stop is
-// under way, and after a chunked request: the library lets chunks win over a
-// length that stands beside them, so nothing that follows is believed.
-//
-// A request that comes after the last one was waited for is refused: it must not be passed on
-// and then be cut by the process's end. It is counted before that is looked at, so that none
-// slips between.
-func (g *Gateway) closeConnections(callers http.Handler) http.Handler {
-	return http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
-		defer g.Begin()()
-		if g.closed.Load() {
-			response.Header().Set("Connection", "close")
-			response.Header().Set("Retry-After", strconv.FormatFloat(RetryAfter.Seconds(), 'f', -1, 64))
-			response.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		if g.Stopping() || len(request.TransferEncoding) > 0 {
-			response.Header().Set("Connection", "close")
-		}
-		callers.ServeHTTP(response, request)
-	})
-}
-
-// drain takes what still comes until the entry sends no more, and waits for what runs, until
-// the time at the latest. After that nothing more is taken.
-func (g *Gateway) drain(stopBy time.Time) {
-	g.Stop()
-	entryEnds := time.Now().Add(entryDelay)
-	for time.Now().Before(stopBy) && (time.Now().Before(entryEnds) || g.InFlight() > 0) {
-		time.Sleep(drainPoll)
-	}
-	g.closed.Store(true)
-	for time.Now().Before(stopBy) && g.InFlight() > 0 {
-		time.Sleep(drainPoll)
-	}
+	return err
 }
 
 // RunDirectory serves operators and backends until the context ends.
--- /dev/null
+++ b/server/stop_test.go
@@ -0,0 +1,106 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dillchute/dillchute/clock"
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/forward"
+	"github.com/dillchute/dillchute/replica"
+	"github.com/dillchute/dillchute/routing"
+)
+
+// testGrace is what the stops here may take.
+const testGrace = 8 * time.Second
+
+// stoppingGateway returns a gateway whose planned stop began so long ago.
+func stoppingGateway(ago time.Duration) *Gateway {
+	gateway := newTestGateway(time.Now())
+	gateway.plan.Store(newStopPlan(clock.Now().Add(-ago), testGrace))
+	return gateway
+}
+
+// TestStopTakesWhatFits: right after its begin a stop takes everything, later what has to end in
+// time, and in the end nothing that may last.
+func TestStopTakesWhatFits(t *testing.T) {
+	running := newTestGateway(time.Now())
+	require.True(t, running.mayTake(clock.Now().Add(time.Hour)))
+	for _, one := range []struct {
+		ago, left time.Duration
+		taken     bool
+	}{
+		{0, time.Hour, true},
+		{noticeTime / 2, time.Hour, true},
+		{noticeTime, time.Second, true},
+		{noticeTime, time.Hour, false},
+		{testGrace - exitMargin - time.Second, time.Second / 2, true},
+		{testGrace - exitMargin - time.Second, 2 * time.Second, false},
+		{testGrace, time.Second, false},
+	} {
+		require.Equal(t, one.taken, stoppingGateway(one.ago).mayTake(clock.Now().Add(one.left)), one)
+	}
+}
+
+// TestStopBoundsDeadlines: backends are not given more time than the process has.
+func TestStopBoundsDeadlines(t *testing.T) {
+	gateway := stoppingGateway(0)
+	long, short := clock.Now().Add(time.Hour), clock.Now().Add(time.Second)
+	request := &forward.Request{Deadline: long}
+	require.True(t, gateway.take(request))
+	require.Equal(t, gateway.plan.Load().workEnds, request.Deadline)
+	request.Deadline = short
+	require.True(t, gateway.take(request))
+	require.Equal(t, short, request.Deadline)
+}
+
+// TestStopRefusesAsNotRun: what does not fit reaches no backend, and is said not to have run.
+func TestStopRefusesAsNotRun(t *testing.T) {
+	gateway := stoppingGateway(noticeTime)
+	route := routing.Route{Name: "r", TimeoutMillis: time.Hour.Milliseconds(), Attempts: 1}
+	catalog := directory.NewCatalog()
+	for _, result := range []forward.Result{
+		gateway.Forward(context.Background(), catalog, route, &forward.Request{Method: http.MethodPost}),
+		gateway.Stream(context.Background(), catalog, route, &forward.Request{Method: http.MethodPost}, nil),
+	} {
+		require.Equal(t, forward.Stopping, result.Reason)
+		require.False(t, result.MayHaveRun)
+		require.Empty(t, result.History)
+	}
+}
+
+// TestStopShortensWaits: a call for results waits no longer than a stop leaves time for, and a
+// call to the ledger that may outlive the process is refused.
+func TestStopShortensWaits(t *testing.T) {
+	_, cancel, wait, err := stoppingGateway(noticeTime).ledgerTime(context.Background(), time.Hour)
+	require.NoError(t, err)
+	cancel()
+	require.Less(t, wait, testGrace)
+	_, cancel, wait, err = stoppingGateway(testGrace-exitMargin-ledgerCallTimeout-maxResultWait/2).ledgerTime(context.Background(), maxResultWait)
+	require.NoError(t, err)
+	cancel()
+	require.Less(t, wait, maxResultWait)
+	_, _, _, err = stoppingGateway(testGrace-exitMargin-ledgerCallTimeout/2).ledgerTime(context.Background(), 0)
+	require.True(t, errorx.IsOfType(err, replica.ErrUnavailable))
+}
+
+// TestStopCountsASuspension: who ends the process in the end does not wait for a machine that was
+// suspended, so what fitted before does not fit after it.
+func TestStopCountsASuspension(t *testing.T) {
+	source := &clock.Suspendable{}
+	defer clock.Use(source)()
+	gateway := newTestGateway(time.Now())
+	gateway.Stop(time.Hour)
+	defer gateway.Begin()()
+	require.True(t, gateway.mayTake(clock.Now().Add(time.Minute)))
+	source.Suspend(time.Hour)
+	require.False(t, gateway.mayTake(clock.Now().Add(time.Minute)))
+	// It waits no longer for what runs.
+	gateway.drain()
+	require.Error(t, gateway.work.Err())
+}
