A replica of the directory that stops answers the calls it has taken

Cause: RunDirectory closed the operators' and backends' server only when the replica had ended, and closed it hard: calls in flight were cut without an answer, and until then new ones were taken by a replica that could not carry them out any more. Change: at the stop's begin the server takes no more, and what it has taken ends (within 1 s, as long as the senders wait) while the replica still works and, if it does, leads; then the replica hands over and ends. Without calls in flight nothing takes longer. Ruled out: calls that other replicas have passed on to this one. They are cut when the leader's loop ends, and answered 503 by the replica that passed them on, which is what an unknown outcome gets.

--- a/server/process.go
+++ b/server/process.go
@@ -110,7 +110,12 @@
 	return err
 }
 
-// RunDirectory serves operators and backends until the context ends.
+// callTime is what calls of operators and backends that a replica has taken have to end when it
+// stops: they are answered, one way or the other, within the second that their senders wait.
+const callTime = time.Second
+
+// RunDirectory serves operators and backends until the context ends. Calls that it has taken by
+// then end before the replica does, which they need.
 func RunDirectory(ctx context.Context, settings config.Directory, served *Directory, listeners Listeners, control http.Handler, logger *zerolog.Logger) error {
 	limitMemory(settings.Process)
 	checkClock(logger)
@@ -118,7 +123,14 @@
 	controlServer := newCallerServer(control)
 	serveHTTP(controlServer, listeners.Outer, logger)
 	defer controlServer.Close()
-	return served.Run(ctx, listeners.Internal)
+	replicaContext, stop := context.WithCancel(context.Background())
+	defer stop()
+	context.AfterFunc(ctx, func() {
+		defer stop()
+		// What is left then is cut, of which its sender learns no more than by an answer that is late.
+		_ = shutDown(controlServer, callTime)
+	})
+	return served.Run(replicaContext, listeners.Internal)
 }
 
 // RunLedger serves gateways and other stores until the context ends.
