--- a/server/ledger.go
+++ b/server/ledger.go
@@ -79,17 +79,21 @@
 	router.Handle(runner.Path, l.runs).Methods(http.MethodPost)
 	httpServer := newHTTPServer(router)
 	serveHTTP(httpServer, internal, l.logger)
-	defer l.runs.Close()
-	defer httpServer.Close()
 	go l.maintain(watchContext, opened)
 	go tellCrashes(watchContext, l.executor.guard, l.watcher)
 	go l.executor.run(watchContext, opened, l.machine)
 	err = opened.Run(ctx)
-	// The stop's own context has ended.
-	tellNews(context.WithoutCancel(ctx), l.executor.guard, l.watcher)
+	l.finish(httpServer)
 	return err
 }
 
+// finish ends what the store does for others, and tells what it has learnt of crashes.
+func (l *Ledger) finish(httpServer *http.Server) {
+	tellNews(context.Background(), l.executor.guard, l.watcher)
+	httpServer.Close()
+	l.runs.Close()
+}
+
 // Status returns the replica's status, or nil before it has one.
 func (l *Ledger) Status() *replica.Status {
 	l.mutex.Lock()
--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dillchute/dillchute/clock"
+	"github.com/dillchute/dillchute/config"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/forward"
 	"github.com/dillchute/dillchute/replica"
@@ -104,3 +108,36 @@
 	gateway.drain()
 	require.Error(t, gateway.work.Err())
 }
+
+// TestStoreTakesNothingWhileItTells: a store that stops tells what it has learnt once it serves
+// nobody any more: a run that began meanwhile would end with the process.
+func TestStoreTakesNothingWhileItTells(t *testing.T) {
+	served := listenLoopback(t)
+	reachable := make(chan bool, 1)
+	told := httptest.NewServer(http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+		var call directoryCall
+		if !readCBOR(response, request, &call) || call.Quarantine == nil {
+			return
+		}
+		connection, err := net.Dial("tcp", served.Addr().String())
+		if err == nil {
+			connection.Close()
+		}
+		reachable <- err == nil
+		writeCBOR(response, directoryAnswer{})
+	}))
+	defer told.Close()
+	settings := config.DefaultLedger()
+	settings.Peers = []string{told.Listener.Addr().String()}
+	logger := zerolog.Nop()
+	seeds := NewSeeds(settings.Process, func() (config.Process, error) { return settings.Process, nil }, &logger)
+	store := NewLedger(settings, seeds, nil, nil, &logger)
+	httpServer := newHTTPServer(store.runs)
+	serveHTTP(httpServer, served, &logger)
+	response, err := http.Get("http://" + served.Addr().String())
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	store.executor.guard.NoteCrash("content", "backend", 0)
+	store.finish(httpServer)
+	require.False(t, <-reachable)
+}
