A store that stops serves nobody while it tells of crashes

Cause: the last thing before a store's end is to tell of crashes, for up to 1 s. Its server was closed only after that, and took links of leaders, whose runs then ended with the process. Change: links and runs end first. The leader learns of the end at once, by the links, and goes on with the runs elsewhere.

--- a/server/ledger.go
+++ b/server/ledger.go
@@ -87,11 +87,13 @@
 	return err
 }
 
-// finish ends what the store does for others, and tells what it has learnt of crashes.
+// finish ends what the store does for others, and tells what it has learnt of crashes. Telling
+// comes last: what is taken meanwhile would end with the process, and what ends with the links may
+// be news.
 func (l *Ledger) finish(httpServer *http.Server) {
-	tellNews(context.Background(), l.executor.guard, l.watcher)
 	httpServer.Close()
 	l.runs.Close()
+	tellNews(context.Background(), l.executor.guard, l.watcher)
 }
 
 // Status returns the replica's status, or nil before it has one.
