--- a/server/ledger.go
+++ b/server/ledger.go
@@ -79,17 +79,23 @@
 	router.Handle(runner.Path, l.runs).Methods(http.MethodPost)
 	httpServer := newHTTPServer(router)
 	serveHTTP(httpServer, internal, l.logger)
-	defer l.runs.Close()
-	defer httpServer.Close()
 	go l.maintain(watchContext, opened)
 	go tellCrashes(watchContext, l.executor.guard, l.watcher)
 	go l.executor.run(watchContext, opened, l.machine)
 	err = opened.Run(ctx)
-	// The stop's own context has ended.
-	tellNews(context.WithoutCancel(ctx), l.executor.guard, l.watcher)
+	l.finish(httpServer)
 	return err
 }
 
+// finish ends what the store does for others, and tells what it has learnt of crashes. Telling
+// comes last: what is taken meanwhile would end with the process, and what ends with the links may
+// be news.
+func (l *Ledger) finish(httpServer *http.Server) {
+	httpServer.Close()
+	l.runs.Close()
+	tellNews(context.Background(), l.executor.guard, l.watcher)
+}
+
 // Status returns the replica's status, or nil before it has one.
 func (l *Ledger) Status() *replica.Status {
 	l.mutex.Lock()
