A replica says that nothing has changed only with a quorum's proof

Mend: while a replica is watched it asks the leader each 0.4 s, one question for all watches, which revision a quorum has confirmed. Without an answer that it holds for 0.7 s it lets its watches go (503), and refuses further ones at once until it holds everything. The question takes along the heartbeats that the replica tells the leader each 0.25 s anyway, so that it replaces calls rather than adding to them. Asked once a second, the bound would be 1.3 s, which is more than half of the users' 2 s. Watchers pause 0.2 s after all replicas have failed, so that they do not spin.

Ruled out: the age of the leader's heartbeats as proof (a leader that is cut off sends them until it notices, and a follower that trails gets them, too); a question for each watch.

Before: TestTrailingReplicaLetsWatchersGo and TestUnconfirmedLeaderProvesNothing fail, run on the code before with the tests copied there ("unchanged" from a replica that trails). After: green.

--- a/event/event.go
+++ b/event/event.go
@@ -77,6 +77,9 @@
 	TrialTaken    = Event{5021, zerolog.InfoLevel, "a request that is held back is tried again"}
 	CrashesUntold = Event{5022, zerolog.WarnLevel, "crashes under requests could not be told"}
 	ReviewFailed  = Event{5023, zerolog.WarnLevel, "a decision of the directory's leader could not be recorded"}
+	// WatchesLetGo: the replica may trail.
+	WatchesLetGo = Event{5030, zerolog.WarnLevel, "this replica cannot prove that it holds everything; its watchers ask others"}
+	WatchesHeld  = Event{5031, zerolog.InfoLevel, "this replica holds everything again, and watches"}
 
 	StepTaken         = Event{6001, zerolog.InfoLevel, "a step was handed in"}
 	StepKnown         = Event{6002, zerolog.InfoLevel, "a step was handed in again"}
@@ -123,7 +126,7 @@
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused, ProcessStoodStill, NoBootClock,
-	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed, UsageReported, UsageUnfixed, UsageUntold, AddressContested, CrashTold, TrialOffered, TrialTaken, CrashesUntold, ReviewFailed,
+	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed, UsageReported, UsageUnfixed, UsageUntold, AddressContested, CrashTold, TrialOffered, TrialTaken, CrashesUntold, ReviewFailed, WatchesLetGo, WatchesHeld,
 	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkEnded, RunnerFound, RunnerLost, RunsUnclaimed, RunAdopted, SampleHeldBack, FailuresKept,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, NearStoreAvoided, RequestHeldBack,
 }
--- a/server/directory.go
+++ b/server/directory.go
@@ -57,7 +57,7 @@
 	machine  *directory.Machine
 	replica  *replica.Replica
 	client   *http.Client
-	watches  *watchCounter
+	evidence *evidence
 	metrics  directoryMetrics
 	// view is the machine's state, a little late.
 	view       atomic.Pointer[directory.Catalog]
@@ -91,7 +91,7 @@
 	}
 	d := &Directory{
 		settings: settings, logger: logger, machine: machine, replica: opened,
-		client: replica.NewInternalClient(), watches: &watchCounter{}, metrics: newDirectoryMetrics(), heartbeats: newHeartbeats(),
+		client: replica.NewInternalClient(), evidence: newEvidence(), metrics: newDirectoryMetrics(), heartbeats: newHeartbeats(),
 	}
 	d.usage = &usageKeeper{
 		settings: settings, replica: opened, machine: machine, client: client, clock: usage.NewClock(), acts: duty.NewWatch(),
@@ -132,6 +132,7 @@
 	defer httpServer.Close()
 	go d.review(ctx)
 	go d.followMachine(ctx)
+	go d.keepEvidence(ctx)
 	return d.replica.Run(ctx)
 }
 
--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -11,8 +11,8 @@
 	"github.com/dillchute/dillchute/replica"
 )
 
-// directoryCall is a call to the directory's leader. Exactly one field is set, or Clock
-// with Heard.
+// directoryCall is a call to the directory's leader. Exactly one field is set; Heard comes
+// with Clock or Newest.
 type directoryCall struct {
 	Heartbeat *Heartbeat                  `cbor:"1,keyasint,omitempty"`
 	Leave     string                      `cbor:"2,keyasint,omitempty"`
@@ -130,12 +130,12 @@
 }
 
 func (d *Directory) carryOut(ctx context.Context, call directoryCall, answer *directoryAnswer) error {
+	d.heartbeats.noteHeard(clock.Now(), call.Heard)
 	var err error
 	switch {
 	case call.Heartbeat != nil:
 		err = d.handleHeartbeat(ctx, *call.Heartbeat)
 	case call.Clock != nil:
-		d.heartbeats.noteHeard(clock.Now(), call.Heard)
 		d.usage.noteClock(call.Clock.Machine, call.Clock.Millis)
 	case call.Usage != nil:
 		answer.Usage, err = d.usage.take(ctx, call.Usage)
--- a/server/directory_watch.go
+++ b/server/directory_watch.go
@@ -4,29 +4,19 @@
 	"context"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/directory"
 )
 
-// watchCounter counts the watches that are held.
-type watchCounter struct {
-	mutex sync.Mutex
-	held  int
-}
-
-func (w *watchCounter) add(change int) {
-	w.mutex.Lock()
-	w.held += change
-	w.mutex.Unlock()
-}
-
 // confirmTimeout bounds the question which revision is the newest.
 const confirmTimeout = 800 * time.Millisecond
 
 // serveWatch answers with what changed after a revision, as soon as there is
-// something. A replica that hears no leader answers nothing: it may be cut off.
+// something. A replica that hears no leader answers nothing: it may be cut off. One
+// without a proof that it holds everything lets its watchers go, so that they ask
+// another one.
 // A watcher that knows nothing is told nothing older than what a quorum has
 // confirmed after its question, so that a restarted process never acts on a
 // state that has passed; later answers cannot go back.
@@ -36,8 +26,8 @@
 		http.Error(response, "since: must be a number", http.StatusBadRequest)
 		return
 	}
-	d.watches.add(1)
-	defer d.watches.add(-1)
+	d.evidence.beginWatch(clock.Now())
+	defer func() { d.evidence.endWatch(clock.Now()) }()
 	least := since + 1
 	if since == 0 {
 		newest, err := d.newestRevision(request.Context())
@@ -54,8 +44,7 @@
 func (d *Directory) newestRevision(ctx context.Context) (uint64, error) {
 	limited, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	answer, err := d.call(limited, directoryCall{Newest: true})
-	return answer.Revision, err
+	return d.confirmedRevision(limited, directoryCall{Newest: true})
 }
 
 // answerWatch waits until the machine has reached the least revision, and
@@ -63,6 +52,7 @@
 func (d *Directory) answerWatch(response http.ResponseWriter, request *http.Request, since, least uint64) {
 	timeout := time.NewTimer(watchWait)
 	defer timeout.Stop()
+	lapsed := d.evidence.Lapsed()
 	for {
 		changed := d.replica.Changed()
 		var delta directory.Delta
@@ -84,15 +74,18 @@
 		case <-changed:
 		case <-request.Context().Done():
 			return
+		case <-lapsed:
+			http.Error(response, "this replica trails", http.StatusServiceUnavailable)
+			return
 		case <-timeout.C:
-			d.answerUnchanged(response, since, revision == since)
+			d.answerUnchanged(response, since, revision == since && d.evidence.proves(clock.Now()))
 			return
 		}
 	}
 }
 
-// answerUnchanged answers that nothing has changed, which a replica that trails
-// cannot say.
+// answerUnchanged answers that nothing has changed, which only a replica can say that
+// is certain to hold everything.
 func (d *Directory) answerUnchanged(response http.ResponseWriter, since uint64, certain bool) {
 	if !certain {
 		http.Error(response, "this replica trails", http.StatusServiceUnavailable)
--- a/server/directory_watch_test.go
+++ b/server/directory_watch_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -39,8 +40,12 @@
 	id       consensus.ReplicaID
 	sender   *transport.Transport
 	revision atomic.Uint64
-	// asked is set once the leader has been asked for the newest revision.
-	asked atomic.Bool
+	// asked is set once the leader has been asked for the newest revision, and questions
+	// counts how often.
+	asked     atomic.Bool
+	questions atomic.Int64
+	// unconfirmed has the leader say that no quorum confirms it.
+	unconfirmed atomic.Bool
 }
 
 func listenLoopback(t *testing.T) net.Listener {
@@ -62,6 +67,11 @@
 		var call directoryCall
 		if readCBOR(response, request, &call) && call.Newest {
 			leader.asked.Store(true)
+			leader.questions.Add(1)
+		}
+		if leader.unconfirmed.Load() {
+			http.Error(response, "no quorum", http.StatusServiceUnavailable)
+			return
 		}
 		writeCBOR(response, directoryAnswer{Leader: leader.address, Revision: leader.revision.Load()})
 	})
@@ -171,3 +181,89 @@
 		}
 	}
 }
+
+// lead sends the entries again and again until the test ends, which keeps the follower from
+// standing for election.
+func (l *scriptedLeader) lead(t *testing.T, commands ...directory.Command) {
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(watchInterval)
+		defer ticker.Stop()
+		for {
+			l.send(firstIndex, firstIndex+uint64(len(commands))-1, commands...)
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+	})
+}
+
+// followedReplica runs a replica that holds one configuration and whose leader's later entries
+// never come, and returns its address, its leader and the revision that it holds.
+func followedReplica(t *testing.T) (string, *scriptedLeader, uint64) {
+	logger := zerolog.Nop()
+	internal, leaderListener := listenLoopback(t), listenLoopback(t)
+	leader := newScriptedLeader(t, leaderListener, internal.Addr().String(), &logger)
+	startFollower(t, internal, leader.address, &logger)
+	machine := directory.NewMachine()
+	machine.Apply(putVersion(1).Encode())
+	leader.revision.Store(machine.Revision())
+	leader.lead(t, putVersion(1))
+	address := internal.Addr().String()
+	holds := func() bool {
+		delta := watch(t, address, 0)
+		return delta != nil && delta.Revision == machine.Revision()
+	}
+	require.Eventually(t, holds, watchSoon, watchInterval)
+	return address, leader, machine.Revision()
+}
+
+// TestTrailingReplicaLetsWatchersGo: a replica that hears its leader, but does not get what that
+// has acknowledged, does not say that nothing has changed.
+func TestTrailingReplicaLetsWatchersGo(t *testing.T) {
+	address, leader, revision := followedReplica(t)
+	unchanged := func() bool { return watch(t, address, revision) != nil }
+	require.Eventually(t, unchanged, watchSoon, watchInterval, "a replica that holds everything says so")
+	leader.revision.Store(revision + 1)
+	// The question before the change may have been answered just now.
+	watch(t, address, revision)
+	for range 3 {
+		require.Nil(t, watch(t, address, revision), "a replica that trails")
+	}
+	leader.revision.Store(revision)
+	require.Eventually(t, unchanged, watchSoon, watchInterval, "it holds everything again")
+}
+
+// TestUnconfirmedLeaderProvesNothing: what no quorum confirms is no proof that nothing has
+// changed.
+func TestUnconfirmedLeaderProvesNothing(t *testing.T) {
+	address, leader, revision := followedReplica(t)
+	leader.unconfirmed.Store(true)
+	watch(t, address, revision)
+	for range 3 {
+		require.Nil(t, watch(t, address, revision))
+	}
+}
+
+// TestOneQuestionServesAllWatches: the leader is asked no more often for many watches than for
+// one.
+func TestOneQuestionServesAllWatches(t *testing.T) {
+	address, leader, revision := followedReplica(t)
+	const watchers = 50
+	asked := leader.questions.Load()
+	var held sync.WaitGroup
+	for range watchers {
+		held.Go(func() { watch(t, address, revision) })
+	}
+	held.Wait()
+	most := int64(watchWait/evidenceInterval) + 2
+	require.LessOrEqual(t, leader.questions.Load()-asked, most)
+}
--- a/server/role_metrics.go
+++ b/server/role_metrics.go
@@ -123,7 +123,7 @@
 func (d *Directory) collect(emit chan<- prometheus.Metric) {
 	collectReplica(emit, d.replica.Status())
 	collectTransport(emit, d.replica.Counts())
-	gauge(emit, "directory_watches", "Watches that are held.", float64(d.watches.count()))
+	gauge(emit, "directory_watches", "Watches that are held.", float64(d.evidence.watches()))
 	d.replica.Do(func() {
 		gauge(emit, "directory_usage_untold", "Windows of usage that are fixed and were not taken yet.", float64(len(d.machine.Usage().Untold)))
 		suspects, held := 0, 0
@@ -138,12 +138,6 @@
 	})
 }
 
-func (w *watchCounter) count() int {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.held
-}
-
 func (l *Ledger) collect(emit chan<- prometheus.Metric) {
 	l.watcher.collect(emit)
 	if status := l.Status(); status != nil {
--- a/server/watch.go
+++ b/server/watch.go
@@ -19,8 +19,12 @@
 
 const (
 	// watchSlack is how much longer than watchWait an answer may take.
-	watchSlack   = 500 * time.Millisecond
+	watchSlack = 500 * time.Millisecond
+	// watchBackoff is the pause before the next replica is asked, and watchRest that after all
+	// of them have failed: hundreds of watchers must not keep a directory busy that has no
+	// leader, and a change that it then takes is still in force within half a second.
 	watchBackoff = 50 * time.Millisecond
+	watchRest    = 200 * time.Millisecond
 )
 
 // Watcher keeps a copy of the directory up to date.
@@ -84,10 +88,12 @@
 	if failures == addresses && ctx.Err() == nil {
 		event.DirectoryUnreachable.On(w.logger).Uint("revision", w.Catalog().Revision).Err(err).Send()
 	}
+	pause := watchBackoff
 	if failures%addresses == 0 {
 		w.seeds.Refresh()
+		pause = watchRest
 	}
-	sleep(ctx, watchBackoff)
+	sleep(ctx, pause)
 }
 
 // addresses returns the replicas known, the members first.
