A watcher learns of members that have taken the places of others

Cause: Watcher.take took an answer with the same revision and the same number of members for no news, so that the addresses of members replaced one by one stayed old for as long as the directory did not change: in the end none of the known members is there any more.

--- a/server/watch.go
+++ b/server/watch.go
@@ -141,7 +141,7 @@
 
 func (w *Watcher) take(catalog *directory.Catalog, delta directory.Delta) {
 	w.syncedAt.Store(nowMillis())
-	if delta.Revision == catalog.Revision && len(delta.Replicas) == len(catalog.Replicas) {
+	if delta.Revision == catalog.Revision && slices.Equal(delta.Replicas, catalog.Replicas) {
 		return
 	}
 	if delta.Revision == catalog.Revision {
