A watcher leaves a replica that has gone dark within 0.7 s

Cause: a poll of a replica that had gone dark lasted 2.5 s (the hold and its slack), and the next one could be dark, too: 5 s with two of six, twice what the users allow.

Mend: a replica says by one byte each 0.3 s that a watch is held, beginning at once. A watcher leaves one that is silent for 0.7 s, or for 0.3 s at the beginning (longer after each round of all replicas in vain, so that slow ones are reached). With two dark replicas that is 1.1 s, which TestTwoReplicasGoDark counts by hand-driven timers, with listeners that accept and never answer. Since the lines tell that nothing is new, a watch is held for 10 s instead of 2, and ends at the next line when the watcher knows other members than the replica. A watcher that does not ask for lines is answered as before.

Ruled out: shorter holds (each costs a whole request and answer; the same 0.7 s would take some 350 bytes of headers where a line takes 6); keep-alives of the kernel (a process that stands still keeps them up); a second watch elsewhere (the two may be the two that go dark).

On the code before, time is not to be driven by hand: its bound is that of its constants, 2 x 2.5 s.

--- a/server/directory.go
+++ b/server/directory.go
@@ -24,7 +24,7 @@
 const (
 	directoryCallPath  = "/internal/directory/call"
 	directoryWatchPath = "/internal/directory/watch"
-	// watchWait is how long a watch is held while nothing changes.
+	// watchWait is how long a watch without lines is held while nothing changes.
 	watchWait = 2 * time.Second
 	// reviewInterval is the time between the leader's reviews of what is silent.
 	reviewInterval = 250 * time.Millisecond
--- a/server/directory_watch.go
+++ b/server/directory_watch.go
@@ -8,10 +8,11 @@
 
 	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/replica"
 )
 
-// confirmTimeout bounds the question which revision is the newest.
-const confirmTimeout = 800 * time.Millisecond
+// confirmTimeout bounds the question which revision is the newest, for which no lines are sent.
+const confirmTimeout = 600 * time.Millisecond
 
 // serveWatch answers with what changed after a revision, as soon as there is
 // something. A replica that hears no leader answers nothing: it may be cut off. One
@@ -28,16 +29,28 @@
 	}
 	d.evidence.beginWatch(clock.Now())
 	defer func() { d.evidence.endWatch(clock.Now()) }()
+	answer := &watchAnswer{response: response, members: request.URL.Query().Get(watchMembersParameter)}
 	least := since + 1
 	if since == 0 {
-		newest, err := d.newestRevision(request.Context())
+		newest, err := d.firstRevision(request.Context(), answer)
 		if err != nil {
-			http.Error(response, err.Error(), http.StatusServiceUnavailable)
+			answer.refuse(err.Error())
 			return
 		}
 		least = max(least, newest)
 	}
-	d.answerWatch(response, request, since, least)
+	d.answerWatch(request.Context(), answer, since, least)
+}
+
+// firstRevision returns the revision that a watcher is to be told that knows nothing.
+func (d *Directory) firstRevision(ctx context.Context, answer *watchAnswer) (uint64, error) {
+	if !d.replica.Status().Heard {
+		return 0, replica.ErrUnavailable.New("no leader is known")
+	}
+	if !answer.hold() {
+		return 0, replica.ErrUnavailable.New("the watcher is gone")
+	}
+	return d.newestRevision(ctx)
 }
 
 // newestRevision returns the revision that a quorum has confirmed.
@@ -47,51 +60,118 @@
 	return d.confirmedRevision(limited, directoryCall{Newest: true})
 }
 
-// answerWatch waits until the machine has reached the least revision, and
-// answers with what changed since.
-func (d *Directory) answerWatch(response http.ResponseWriter, request *http.Request, since, least uint64) {
-	timeout := time.NewTimer(watchWait)
+// answerWatch waits until the machine has reached the least revision, and answers with what
+// changed since.
+func (d *Directory) answerWatch(ctx context.Context, answer *watchAnswer, since, least uint64) {
+	hold := watchWait
+	if answer.members != "" {
+		hold = watchHold
+	}
+	timeout := time.NewTimer(hold)
 	defer timeout.Stop()
+	line := time.NewTicker(watchLineInterval)
+	defer line.Stop()
 	lapsed := d.evidence.Lapsed()
 	for {
 		changed := d.replica.Changed()
-		var delta directory.Delta
-		var revision uint64
-		if !d.replica.Status().Heard || !d.replica.Do(func() {
-			if revision = d.machine.Revision(); revision >= least {
-				delta = d.machine.DeltaSince(since)
-			}
-		}) {
-			http.Error(response, "no leader is known", http.StatusServiceUnavailable)
+		delta, known := d.deltaSince(since, least)
+		if !known {
+			answer.refuse("no leader is known")
 			return
 		}
-		if revision >= least {
-			delta.Replicas = d.replica.Status().Members
-			writeCBOR(response, delta)
+		if delta.Revision >= least {
+			answer.give(delta)
 			return
 		}
-		select {
-		case <-changed:
-		case <-request.Context().Done():
+		if !answer.begun && !answer.hold() {
 			return
-		case <-lapsed:
-			http.Error(response, "this replica trails", http.StatusServiceUnavailable)
+		}
+		switch d.awaitChange(ctx, answer, watchSignals{changed: changed, lapsed: lapsed, timeout: timeout.C, line: line.C}) {
+		case watchGoesOn:
+		case watchEnds:
 			return
-		case <-timeout.C:
-			d.answerUnchanged(response, since, revision == since && d.evidence.proves(clock.Now()))
+		case watchRefused:
+			answer.refuse("this replica trails")
+			return
+		case watchTimesOut:
+			d.answerUnchanged(answer, since, delta.Revision == since)
 			return
 		}
 	}
 }
 
+// deltaSince returns what changed since the revision if the machine has reached the least one,
+// and otherwise only its own revision. It returns false if the replica hears no leader.
+func (d *Directory) deltaSince(since, least uint64) (directory.Delta, bool) {
+	var delta directory.Delta
+	if !d.replica.Status().Heard {
+		return delta, false
+	}
+	read := d.replica.Do(func() {
+		delta.Revision = d.machine.Revision()
+		if delta.Revision >= least {
+			delta = d.machine.DeltaSince(since)
+		}
+	})
+	delta.Replicas = d.replica.Status().Members
+	return delta, read
+}
+
+// watchSignals are what a watch waits for.
+type watchSignals struct {
+	changed, lapsed <-chan struct{}
+	timeout, line   <-chan time.Time
+}
+
+// watchStep tells how a watch goes on.
+type watchStep uint8
+
+const (
+	// watchGoesOn: there may be news.
+	watchGoesOn watchStep = iota
+	// watchEnds: nobody waits any more.
+	watchEnds
+	// watchRefused: this replica may trail.
+	watchRefused
+	// watchTimesOut: the watch has been held for long enough, or the watcher knows other members.
+	watchTimesOut
+)
+
+// awaitChange waits for the machine's next change.
+func (d *Directory) awaitChange(ctx context.Context, answer *watchAnswer, signals watchSignals) watchStep {
+	for {
+		select {
+		case <-signals.changed:
+			return watchGoesOn
+		case <-ctx.Done():
+			return watchEnds
+		case <-signals.lapsed:
+			return watchRefused
+		case <-signals.timeout:
+			return watchTimesOut
+		case <-signals.line:
+			switch {
+			case d.hasOtherMembers(answer):
+				return watchTimesOut
+			case !answer.hold():
+				return watchEnds
+			}
+		}
+	}
+}
+
+// hasOtherMembers tells whether the watcher knows other members than this replica, which is
+// certain of its own.
+func (d *Directory) hasOtherMembers(answer *watchAnswer) bool {
+	return answer.members != "" && answer.members != membersDigest(d.replica.Status().Members) && d.evidence.proves(clock.Now())
+}
+
 // answerUnchanged answers that nothing has changed, which only a replica can say that
 // is certain to hold everything.
-func (d *Directory) answerUnchanged(response http.ResponseWriter, since uint64, certain bool) {
-	if !certain {
-		http.Error(response, "this replica trails", http.StatusServiceUnavailable)
+func (d *Directory) answerUnchanged(answer *watchAnswer, since uint64, current bool) {
+	if !current || !d.evidence.proves(clock.Now()) {
+		answer.refuse("this replica trails")
 		return
 	}
-	writeCBOR(response, directory.Delta{
-		Revision: since, Version: 0, Replicas: d.replica.Status().Members,
-	})
+	answer.give(directory.Delta{Revision: since, Version: 0, Replicas: d.replica.Status().Members})
 }
--- a/server/directory_watch_test.go
+++ b/server/directory_watch_test.go
@@ -1,7 +1,9 @@
 package server
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -267,3 +269,42 @@
 	most := int64(watchWait/evidenceInterval) + 2
 	require.LessOrEqual(t, leader.questions.Load()-asked, most)
 }
+
+// linesAndAnswer returns how many lines an answer to a watch has, and what comes after them.
+func linesAndAnswer(t *testing.T, address string, since uint64, members string) (int, []byte) {
+	response, err := http.Get(watchURL(address, since, members))
+	require.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	content := bytes.TrimLeft(body, string(watchLine))
+	return len(body) - len(content), content
+}
+
+// TestHeldWatchHasLines: a watcher that asks for it is told that its watch is held, and then what
+// has changed; a replica that trails ends the watch without an answer.
+func TestHeldWatchHasLines(t *testing.T) {
+	address, leader, revision := followedReplica(t)
+	var members string
+	knewOthers := func() bool {
+		lines, content := linesAndAnswer(t, address, revision, "other")
+		var delta directory.Delta
+		if len(content) == 0 || decodeInternal(content, &delta) != nil {
+			return false
+		}
+		require.Positive(t, lines)
+		require.Equal(t, revision, delta.Revision)
+		require.Len(t, delta.Replicas, 2)
+		members = membersDigest(delta.Replicas)
+		return true
+	}
+	require.Eventually(t, knewOthers, watchSoon, watchInterval, "a watcher that knows other members is told")
+	leader.revision.Store(revision + 1)
+	linesAndAnswer(t, address, revision, members)
+	_, content := linesAndAnswer(t, address, revision, members)
+	require.Empty(t, content)
+}
+
+func watchURL(address string, since uint64, members string) string {
+	return "http://" + address + directoryWatchPath + "?since=" + strconv.FormatUint(since, 10) + "&" + watchMembersParameter + "=" + members
+}
--- a/server/watch.go
+++ b/server/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -18,8 +19,6 @@
 )
 
 const (
-	// watchSlack is how much longer than watchWait an answer may take.
-	watchSlack = 500 * time.Millisecond
 	// watchBackoff is the pause before the next replica is asked, and watchRest that after all
 	// of them have failed: hundreds of watchers must not keep a directory busy that has no
 	// leader, and a change that it then takes is still in force within half a second.
@@ -27,6 +26,12 @@
 	watchRest    = 200 * time.Millisecond
 )
 
+// alarm is a timer that can be put off. A time.Timer is one.
+type alarm interface {
+	Stop() bool
+	Reset(wait time.Duration) bool
+}
+
 // Watcher keeps a copy of the directory up to date.
 type Watcher struct {
 	logger *zerolog.Logger
@@ -34,6 +39,8 @@
 	seeds  *Seeds
 	// start spreads processes over the replicas.
 	start int
+	// after calls the function once the time has passed.
+	after func(wait time.Duration, function func()) alarm
 
 	catalog  atomic.Pointer[directory.Catalog]
 	syncedAt atomic.Int64
@@ -47,6 +54,7 @@
 func NewWatcher(seeds *Seeds, start int, logger *zerolog.Logger) *Watcher {
 	w := &Watcher{
 		logger: logger, client: replica.NewInternalClient(), seeds: seeds, start: start, changed: make(chan struct{}),
+		after: func(wait time.Duration, function func()) alarm { return time.AfterFunc(wait, function) },
 	}
 	w.catalog.Store(directory.NewCatalog())
 	return w
@@ -68,7 +76,7 @@
 	for position := w.start; ctx.Err() == nil; {
 		addresses := w.addresses()
 		address := addresses[position%len(addresses)]
-		err := w.poll(ctx, address)
+		err := w.poll(ctx, address, firstLinePatience(failures/len(addresses)))
 		if err == nil {
 			if failures >= len(addresses) {
 				event.DirectoryReachable.On(w.logger).Str("replica", address).Uint("revision", w.Catalog().Revision).Send()
@@ -93,7 +101,28 @@
 		w.seeds.Refresh()
 		pause = watchRest
 	}
-	sleep(ctx, pause)
+	w.sleep(ctx, pause)
+}
+
+// firstLinePatience returns how long a replica's first line may take after so many rounds in
+// vain.
+func firstLinePatience(rounds int) time.Duration {
+	patience := watchFirstLine
+	for range rounds {
+		patience = min(2*patience, watchPatience)
+	}
+	return patience
+}
+
+// sleep waits for the time, or until the context ends.
+func (w *Watcher) sleep(ctx context.Context, pause time.Duration) {
+	over := make(chan struct{})
+	timer := w.after(pause, func() { close(over) })
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-over:
+	}
 }
 
 // addresses returns the replicas known, the members first.
@@ -110,12 +139,28 @@
 	return addresses
 }
 
-func (w *Watcher) poll(ctx context.Context, address string) error {
-	limited, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-	defer cancel()
+// poll asks one replica for what is newer than the copy. A replica that says nothing for too
+// long is left: it, or the way to it, has gone dark.
+func (w *Watcher) poll(ctx context.Context, address string, patience time.Duration) error {
+	limited, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := w.after(patience, func() { cancel(replica.ErrUnavailable.New("%s is silent", address)) })
+	defer silence.Stop()
+	err := w.pollWithin(limited, address, silence)
+	if err != nil && limited.Err() != nil && ctx.Err() == nil {
+		// Others of the connections that are kept may be as silent.
+		w.client.CloseIdleConnections()
+		return context.Cause(limited)
+	}
+	return err
+}
+
+// pollWithin puts the alarm off with whatever comes.
+func (w *Watcher) pollWithin(ctx context.Context, address string, silence alarm) error {
 	catalog := w.Catalog()
-	url := fmt.Sprintf("http://%s%s?since=%d", address, directoryWatchPath, catalog.Revision)
-	request, err := http.NewRequestWithContext(limited, http.MethodGet, url, nil)
+	url := fmt.Sprintf("http://%s%s?since=%d&%s=%s", address, directoryWatchPath, catalog.Revision,
+		watchMembersParameter, membersDigest(catalog.Replicas))
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
@@ -124,13 +169,20 @@
 		return err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxInternalBytes))
-	if err != nil {
-		return err
-	}
 	if response.StatusCode != http.StatusOK {
 		return replica.ErrUnavailable.New("%s answered %d", address, response.StatusCode)
 	}
+	silence.Reset(watchSilence)
+	body, err := readWatch(response.Body, func() {
+		silence.Reset(watchSilence)
+		w.syncedAt.Store(nowMillis())
+	})
+	if errors.Is(err, io.EOF) {
+		return replica.ErrUnavailable.New("%s holds no watch", address)
+	}
+	if err != nil {
+		return err
+	}
 	var delta directory.Delta
 	if err := decodeInternal(body, &delta); err != nil {
 		return err
--- a/server/watch_test.go
+++ b/server/watch_test.go
@@ -1,7 +1,16 @@
 package server
 
 import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -45,3 +54,227 @@
 	default:
 	}
 }
+
+// manualTimers are alarms that go off when the test says so.
+type manualTimers struct {
+	mutex  sync.Mutex
+	armed  *sync.Cond
+	now    time.Duration
+	alarms []*manualAlarm
+}
+
+type manualAlarm struct {
+	timers   *manualTimers
+	due      time.Duration
+	function func()
+}
+
+func newManualTimers() *manualTimers {
+	m := &manualTimers{}
+	m.armed = sync.NewCond(&m.mutex)
+	return m
+}
+
+func (m *manualTimers) after(wait time.Duration, function func()) alarm {
+	one := &manualAlarm{timers: m, function: function}
+	one.Reset(wait)
+	return one
+}
+
+// Stop disarms the alarm.
+func (a *manualAlarm) Stop() bool {
+	a.timers.mutex.Lock()
+	defer a.timers.mutex.Unlock()
+	return a.disarm()
+}
+
+func (a *manualAlarm) disarm() bool {
+	before := len(a.timers.alarms)
+	a.timers.alarms = slices.DeleteFunc(a.timers.alarms, func(one *manualAlarm) bool { return one == a })
+	return len(a.timers.alarms) < before
+}
+
+// Reset arms the alarm anew.
+func (a *manualAlarm) Reset(wait time.Duration) bool {
+	a.timers.mutex.Lock()
+	defer a.timers.mutex.Unlock()
+	armed := a.disarm()
+	a.due = a.timers.now + wait
+	a.timers.alarms = append(a.timers.alarms, a)
+	a.timers.armed.Broadcast()
+	return armed
+}
+
+// pass waits until an alarm is armed for exactly the time from now, and lets that time pass.
+func (m *manualTimers) pass(wait time.Duration) {
+	m.mutex.Lock()
+	var next *manualAlarm
+	for next == nil {
+		for _, one := range m.alarms {
+			if one.due == m.now+wait {
+				next = one
+			}
+		}
+		if next == nil {
+			m.armed.Wait()
+		}
+	}
+	next.disarm()
+	m.now = next.due
+	m.mutex.Unlock()
+	next.function()
+}
+
+// awaitAlarm waits until an alarm is armed for exactly the time from now.
+func (m *manualTimers) awaitAlarm(wait time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for !slices.ContainsFunc(m.alarms, func(one *manualAlarm) bool { return one.due == m.now+wait }) {
+		m.armed.Wait()
+	}
+}
+
+// advance lets time pass in which no alarm goes off.
+func (m *manualTimers) advance(wait time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.now += wait
+}
+
+// darkReplica accepts connections and never answers. The channel tells of each connection.
+func darkReplica(t *testing.T) (string, <-chan struct{}) {
+	listener := listenLoopback(t)
+	accepted := make(chan struct{}, 100)
+	var connections []net.Conn
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections = append(connections, connection)
+			accepted <- struct{}{}
+		}
+	}()
+	t.Cleanup(func() {
+		listener.Close()
+		<-ended
+		for _, connection := range connections {
+			connection.Close()
+		}
+	})
+	return listener.Addr().String(), accepted
+}
+
+// servedReplica answers watches by the function.
+func servedReplica(t *testing.T, serve func(answer *watchAnswer, request *http.Request)) string {
+	server := httptest.NewServer(http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+		serve(&watchAnswer{response: response, members: request.URL.Query().Get(watchMembersParameter)}, request)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func runWatcher(t *testing.T, w *Watcher) {
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+	})
+}
+
+// TestTwoReplicasGoDark: a watcher whose replica falls silent under a watch, and for which the
+// next one is dark, too, has the newest configuration within 1.2 s, about half of the least time
+// that users allow.
+func TestTwoReplicasGoDark(t *testing.T) {
+	held, over := make(chan struct{}, 1), make(chan struct{})
+	defer close(over)
+	silent := servedReplica(t, func(answer *watchAnswer, _ *http.Request) {
+		answer.hold()
+		held <- struct{}{}
+		<-over
+	})
+	dark, reached := darkReplica(t)
+	live := servedReplica(t, func(answer *watchAnswer, request *http.Request) {
+		if request.URL.Query().Get("since") == "0" {
+			answer.give(directory.Delta{Revision: 7, Full: true, Version: 3})
+			return
+		}
+		<-over
+	})
+	w := newTestWatcher(t, silent, dark, live)
+	timers := newManualTimers()
+	w.after = timers.after
+	changed := w.Changed()
+	runWatcher(t, w)
+	<-held
+	timers.pass(watchSilence)
+	timers.pass(watchBackoff)
+	<-reached
+	timers.pass(watchFirstLine)
+	timers.pass(watchBackoff)
+	<-changed
+	require.Equal(t, uint64(3), w.Catalog().Version)
+	require.LessOrEqual(t, timers.now, 1200*time.Millisecond)
+	require.Empty(t, reached, "it was asked once")
+}
+
+// TestLinesKeepAWatch: a watch goes on as long as lines come.
+func TestLinesKeepAWatch(t *testing.T) {
+	var asked atomic.Int64
+	lines, over := make(chan struct{}), make(chan struct{})
+	defer close(over)
+	address := servedReplica(t, func(answer *watchAnswer, request *http.Request) {
+		asked.Add(1)
+		for range lines {
+			answer.hold()
+		}
+		if request.URL.Query().Get("since") == "0" {
+			answer.give(directory.Delta{Revision: 7, Full: true, Version: 3})
+			return
+		}
+		<-over
+	})
+	w := newTestWatcher(t, address)
+	timers := newManualTimers()
+	w.after = timers.after
+	changed := w.Changed()
+	runWatcher(t, w)
+	for range 10 {
+		lines <- struct{}{}
+		timers.awaitAlarm(watchSilence)
+		timers.advance(watchSilence - 1)
+	}
+	require.Equal(t, int64(1), asked.Load())
+	close(lines)
+	<-changed
+	require.Equal(t, uint64(3), w.Catalog().Version)
+}
+
+// TestWatcherRests: a watcher that no replica serves pauses longer after each round, and gives
+// slow replicas more time.
+func TestWatcherRests(t *testing.T) {
+	first, reachedFirst := darkReplica(t)
+	second, reachedSecond := darkReplica(t)
+	w := newTestWatcher(t, first, second)
+	timers := newManualTimers()
+	w.after = timers.after
+	runWatcher(t, w)
+	patience := watchFirstLine
+	for range 5 {
+		<-reachedFirst
+		timers.pass(patience)
+		timers.pass(watchBackoff)
+		<-reachedSecond
+		timers.pass(patience)
+		timers.pass(watchRest)
+		patience = min(2*patience, watchPatience)
+	}
+}
