Calls reach the directory's leader by any of its replicas, and leave dark ones in time

Cause: a replica that does not lead refused calls of other processes. One that knows only the seeds of its settings (a store that starts anew, a gateway before its first configuration) could not call while none of them led. And a call began with the replica that led last, for up to 1 s, which is all the time that counts of usage, crashes and trials have: while that one accepted connections and said nothing, none of these calls ever reached another.

Mend: a replica that does not lead passes a call on, once. An attempt takes at most half of the time that is left, and a replica that did not answer is no longer taken for the leader and is called last.

Looked at, and in order: a process whose known members are all gone and whose seeds were turned over reads its settings again after a round in vain (now TestSeedsAreTurnedOver).

--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -31,6 +31,8 @@
 	// Clock is what the machine of a replica that does not lead shows; it comes with Heard.
 	Clock      *clockReading   `cbor:"13,keyasint,omitempty"`
 	Quarantine *quarantineCall `cbor:"14,keyasint,omitempty"`
+	// Passed is set on a call that another replica passes on, which is not passed on again.
+	Passed bool `cbor:"15,keyasint,omitempty"`
 }
 
 // clockReading is a machine's time of day in milliseconds since 1970.
@@ -90,6 +92,7 @@
 	if status.Leader == "" {
 		return directoryAnswer{}, replica.ErrUnavailable.New("no leader is known")
 	}
+	call.Passed = true
 	return callDirectory(ctx, d.client, status.Leader, call)
 }
 
@@ -103,16 +106,18 @@
 	return answer, decodeInternal(data, &answer)
 }
 
+// serveCall serves a call of another process. A replica that does not lead passes it on: who
+// calls may know no other replica.
 func (d *Directory) serveCall(response http.ResponseWriter, request *http.Request) {
 	var call directoryCall
 	if !readCBOR(response, request, &call) {
 		return
 	}
-	if !d.replica.Status().Leading {
+	if call.Passed && !d.replica.Status().Leading {
 		http.Error(response, "not the leader", http.StatusServiceUnavailable)
 		return
 	}
-	answer, err := d.handle(request.Context(), call)
+	answer, err := d.pass(request.Context(), call)
 	if err != nil {
 		http.Error(response, err.Error(), http.StatusServiceUnavailable)
 		return
--- a/server/watch.go
+++ b/server/watch.go
@@ -46,7 +46,9 @@
 	syncedAt atomic.Int64
 	mutex    sync.Mutex
 	changed  chan struct{}
-	leader   string
+	// leader is the address of the replica that led last, and unanswered that of the last one
+	// that did not answer a call.
+	leader, unanswered string
 }
 
 // NewWatcher returns a watcher that asks the seeds first, and later the members
@@ -210,30 +212,74 @@
 	w.mutex.Unlock()
 }
 
-// call has the directory's leader carry out the call, trying each replica.
+// callTimeout bounds the call of one replica.
+const callTimeout = time.Second
+
+// call has the directory's leader carry out the call, trying each replica: one that does not lead
+// passes it on. An attempt takes at most half of the time that is left, so that a replica that
+// has gone dark leaves some for the next.
 func (w *Watcher) call(ctx context.Context, call directoryCall) (directoryAnswer, error) {
-	w.mutex.Lock()
-	addresses := w.addresses()
-	if position := slices.Index(addresses, w.leader); position > 0 {
-		addresses[0], addresses[position] = addresses[position], addresses[0]
-	}
-	w.mutex.Unlock()
 	var answer directoryAnswer
 	err := error(replica.ErrUnavailable.New("no replica of the directory is known"))
-	for _, address := range addresses {
-		limited, cancel := context.WithTimeout(ctx, time.Second)
-		answer, err = callDirectory(limited, w.client, address, call)
-		cancel()
+	for _, address := range w.callAddresses() {
+		answer, err = w.callWithin(ctx, attemptTimeout(ctx), address, call)
 		if err == nil {
-			w.mutex.Lock()
-			w.leader = address
-			w.mutex.Unlock()
+			w.noteAnswered(answer.Leader)
 			return answer, nil
 		}
+		w.noteUnanswered(address)
 	}
 	return answer, err
 }
 
+// attemptTimeout returns how long one replica is waited for.
+func attemptTimeout(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return callTimeout
+	}
+	return min(callTimeout, time.Until(deadline)/2)
+}
+
+func (w *Watcher) callWithin(ctx context.Context, timeout time.Duration, address string, call directoryCall) (directoryAnswer, error) {
+	limited, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return callDirectory(limited, w.client, address, call)
+}
+
+// callAddresses returns the replicas in the order in which they are called: the last leader first,
+// and last the one that has failed most recently.
+func (w *Watcher) callAddresses() []string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	addresses := w.addresses()
+	if position := slices.Index(addresses, w.unanswered); position >= 0 {
+		addresses = append(slices.Delete(addresses, position, position+1), w.unanswered)
+	}
+	if position := slices.Index(addresses, w.leader); position > 0 {
+		addresses[0], addresses[position] = addresses[position], addresses[0]
+	}
+	return addresses
+}
+
+func (w *Watcher) noteAnswered(leader string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.leader = leader
+	if w.unanswered == leader {
+		w.unanswered = ""
+	}
+}
+
+func (w *Watcher) noteUnanswered(address string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.unanswered = address
+	if w.leader == address {
+		w.leader = ""
+	}
+}
+
 // ageSeconds returns the time since the directory last answered.
 func (w *Watcher) ageSeconds() float64 {
 	return float64(nowMillis()-w.syncedAt.Load()) / millisPerSecond
--- a/server/watch_test.go
+++ b/server/watch_test.go
@@ -278,3 +278,76 @@
 		patience = min(2*patience, watchPatience)
 	}
 }
+
+// TestCallByAReplicaThatDoesNotLead: a process that knows only a replica that does not lead
+// reaches the leader, and goes to it directly from then on.
+func TestCallByAReplicaThatDoesNotLead(t *testing.T) {
+	address, leader, revision := followedReplica(t)
+	w := newTestWatcher(t, address)
+	answered := func() bool {
+		answer, err := w.call(t.Context(), directoryCall{Newest: true})
+		return err == nil && answer.Revision == revision
+	}
+	require.Eventually(t, answered, watchSoon, watchInterval)
+	require.Equal(t, leader.address, w.leader)
+}
+
+// TestCallIsPassedOnOnce: a replica that is taken for the leader and does not lead refuses what
+// was passed on to it.
+func TestCallIsPassedOnOnce(t *testing.T) {
+	address, _, _ := followedReplica(t)
+	w := newTestWatcher(t, address)
+	_, err := w.call(t.Context(), directoryCall{Newest: true, Passed: true})
+	require.Error(t, err)
+}
+
+// TestCallLeavesASilentLeader: a call whose replica accepts connections and says nothing has time
+// left for the next one, and the next calls do not begin with it.
+func TestCallLeavesASilentLeader(t *testing.T) {
+	dark, reached := darkReplica(t)
+	live := httptest.NewServer(http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+		var call directoryCall
+		if readCBOR(response, request, &call) {
+			writeCBOR(response, directoryAnswer{Leader: request.Host, Revision: 3})
+		}
+	}))
+	t.Cleanup(live.Close)
+	address := strings.TrimPrefix(live.URL, "http://")
+	w := newTestWatcher(t, dark, address)
+	w.leader = dark
+	for range 3 {
+		limited, cancel := context.WithTimeout(t.Context(), crashTimeout)
+		answer, err := w.call(limited, directoryCall{Newest: true})
+		cancel()
+		require.NoError(t, err)
+		require.Equal(t, uint64(3), answer.Revision)
+	}
+	require.Len(t, reached, 1)
+	require.Equal(t, address, w.leader)
+}
+
+// TestSeedsAreTurnedOver: a watcher whose known replicas are all gone asks those that its settings
+// name by then.
+func TestSeedsAreTurnedOver(t *testing.T) {
+	gone := listenLoopback(t)
+	require.NoError(t, gone.Close())
+	over := make(chan struct{})
+	defer close(over)
+	live := servedReplica(t, func(answer *watchAnswer, request *http.Request) {
+		if request.URL.Query().Get("since") == "5" {
+			answer.give(directory.Delta{Revision: 7, Version: 3})
+			return
+		}
+		<-over
+	})
+	w := newTestWatcher(t, gone.Addr().String())
+	w.seeds.load = func() (config.Process, error) { return config.Process{Peers: []string{live}}, nil }
+	w.take(w.Catalog(), directory.Delta{Revision: 5, Full: true, Version: 2, Replicas: membersAt(gone.Addr().String())})
+	changed := w.Changed()
+	runWatcher(t, w)
+	<-changed
+	require.Equal(t, uint64(3), w.Catalog().Version)
+	answer, err := w.call(t.Context(), directoryCall{Newest: true})
+	require.Error(t, err, "%v: it serves watches only", answer)
+	require.Contains(t, w.callAddresses(), live)
+}
