A store that is outside asks wherever its group may have moved

Cause: a store that has lost its disk, or was replaced while it was away, asked only the members of the group that its copy of the directory names. How old that is nobody looks at: as old as the last word of the directory. While that is out of reach all members may be replaced, and a store that starts then knows none at all, though it has members on its own disk.

Mend: it asks the directory's members first, then all other stores that are not retired (whoever has joined has registered before), then the members that it knew last itself.

Left as it is: the directory hears of new members from the ledger's leader, which tries each 0.2 s; a report with a lower number than the one held changes nothing (directory.Machine.reportGroup).

Before: the function returned the group's members only; the test's expectations of c:70 and e:70 had nothing to meet them (the test calls a new function and does not compile on the code before).

--- a/server/ledger.go
+++ b/server/ledger.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -178,11 +180,33 @@
 	return err == nil
 }
 
-// contacts returns the addresses of the group's members.
-func (l *Ledger) contacts() []string {
+// contacts returns addresses of processes that may be members.
+func (l *Ledger) contacts() []string { return contactsOf(l.watcher.Catalog(), l.Status()) }
+
+// contactsOf returns the addresses of the group's members as the directory knows them, of the
+// other stores, and of the members that the replica knew last, which may be nil. The directory may
+// be out of reach while all members are replaced, one by one: by stores that have registered with
+// it before.
+func contactsOf(catalog *directory.Catalog, status *replica.Status) []string {
 	var addresses []string
-	for _, member := range l.watcher.Catalog().Group.Members {
-		addresses = append(addresses, member.Address)
+	add := func(address string) {
+		if !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	for _, member := range catalog.Group.Members {
+		add(member.Address)
+	}
+	for _, name := range slices.Sorted(maps.Keys(catalog.Stores)) {
+		if store := catalog.Stores[name]; !store.Retired {
+			add(store.Address)
+		}
+	}
+	if status == nil {
+		return addresses
+	}
+	for _, member := range status.Members {
+		add(member.Address)
 	}
 	return addresses
 }
--- a/server/ledger_test.go
+++ b/server/ledger_test.go
@@ -7,6 +7,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dillchute/dillchute/config"
+	"github.com/dillchute/dillchute/consensus"
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/replica"
 )
 
 // TestStoreMayFoundAfterARestart: a store that was started as the first of all,
@@ -33,3 +36,25 @@
 	require.False(t, replaced.fresh)
 	require.NotEqual(t, first.identity, replaced.identity)
 }
+
+// TestContactsOutliveTheGroup: a store that is not in the group asks to be let in wherever the
+// group may have moved while the directory was out of reach, also where it has not been told of
+// the directory's state at all.
+func TestContactsOutliveTheGroup(t *testing.T) {
+	machine := directory.NewMachine()
+	for number, name := range []string{"a", "b", "c", "d"} {
+		machine.Apply(directory.Command{PutStore: &directory.Store{
+			Name: name, Address: name + ":70", Replica: consensus.ReplicaID(number + 1),
+		}}.Encode())
+	}
+	machine.Apply(directory.Command{FormGroup: &directory.Group{Members: membersAt("a:70", "b:70"), Number: 1}}.Encode())
+	machine.Apply(directory.Command{Retire: &directory.Retire{Name: "d", Replicas: 1}}.Encode())
+	machine.Apply(directory.Command{ReportGroup: &directory.Group{Members: membersAt("a:70", "b:70"), Number: 2}}.Encode())
+	catalog := directory.NewCatalog().With(machine.DeltaSince(0))
+	require.True(t, catalog.Stores["d"].Retired)
+	require.Equal(t, []string{"a:70", "b:70", "c:70"}, contactsOf(catalog, nil))
+
+	status := &replica.Status{Members: membersAt("b:70", "e:70")}
+	require.Equal(t, []string{"a:70", "b:70", "c:70", "e:70"}, contactsOf(catalog, status))
+	require.Equal(t, []string{"b:70", "e:70"}, contactsOf(directory.NewCatalog(), status))
+}
