A replica whose calls do not reach the leader takes no heartbeats for it

Cause: any replica that heard a leader answered heartbeats, and told the leader of them now and then; whether that arrived nobody looked at. With a cut one way, the leader took backends for silent after four beats, and took them out after twenty, while they were heard and answered elsewhere.

Mend: a replica takes a heartbeat for the leader only within two beats of the last call in which the leader was told. Otherwise it passes the heartbeat on, and refuses it if that fails, so that the backend goes to another replica before its fourth beat.

Ruled out: telling again what a call lost, later: the leader would take an old heartbeat for a new one.

Before: TestHeartbeatsThatTheLeaderDoesNotLearnOf fails (run without the condition). After: green.

--- a/server/directory.go
+++ b/server/directory.go
@@ -69,6 +69,9 @@
 	// clockTold is when the leader was last told of this machine's clock. It belongs to
 	// the review.
 	clockTold time.Time
+	// toldAt is when the newest call began in which the leader was told whom this replica has
+	// heard, in milliseconds.
+	toldAt atomic.Int64
 
 	mutex   sync.Mutex
 	serving bool
--- a/server/directory_watch_test.go
+++ b/server/directory_watch_test.go
@@ -99,7 +99,7 @@
 }
 
 // startFollower runs a replica that founds a group with the leader at the address.
-func startFollower(t *testing.T, internal net.Listener, leader string, logger *zerolog.Logger) {
+func startFollower(t *testing.T, internal net.Listener, leader string, logger *zerolog.Logger) *Directory {
 	settings := config.DefaultDirectory()
 	settings.InternalAddress = internal.Addr().String()
 	settings.DataFolder = t.TempDir()
@@ -118,6 +118,7 @@
 		stop()
 		<-ended
 	})
+	return d
 }
 
 // watch asks the replica for what is newer than the revision, and returns nil
@@ -211,21 +212,29 @@
 // followedReplica runs a replica that holds one configuration and whose leader's later entries
 // never come, and returns its address, its leader and the revision that it holds.
 func followedReplica(t *testing.T) (string, *scriptedLeader, uint64) {
+	d, leader, revision := followedDirectory(t, putVersion(1))
+	return d.settings.InternalAddress, leader, revision
+}
+
+// followedDirectory runs a replica that holds what the commands do.
+func followedDirectory(t *testing.T, commands ...directory.Command) (*Directory, *scriptedLeader, uint64) {
 	logger := zerolog.Nop()
 	internal, leaderListener := listenLoopback(t), listenLoopback(t)
 	leader := newScriptedLeader(t, leaderListener, internal.Addr().String(), &logger)
-	startFollower(t, internal, leader.address, &logger)
+	d := startFollower(t, internal, leader.address, &logger)
 	machine := directory.NewMachine()
-	machine.Apply(putVersion(1).Encode())
+	for _, command := range commands {
+		machine.Apply(command.Encode())
+	}
 	leader.revision.Store(machine.Revision())
-	leader.lead(t, putVersion(1))
+	leader.lead(t, commands...)
 	address := internal.Addr().String()
 	holds := func() bool {
 		delta := watch(t, address, 0)
 		return delta != nil && delta.Revision == machine.Revision()
 	}
 	require.Eventually(t, holds, watchSoon, watchInterval)
-	return address, leader, machine.Revision()
+	return d, leader, machine.Revision()
 }
 
 // TestTrailingReplicaLetsWatchersGo: a replica that hears its leader, but does not get what that
--- a/server/heartbeat.go
+++ b/server/heartbeat.go
@@ -91,13 +91,13 @@
 
 // Heartbeat takes in what a backend says about itself, and returns the internal
 // address of the replica that is to be told next time. What changes nothing is
-// answered by any replica that hears a leader; the rest is the leader's to commit.
+// answered by any replica that tells the leader; the rest is the leader's to commit.
 func (d *Directory) Heartbeat(ctx context.Context, heartbeat Heartbeat) (string, error) {
 	if !d.replica.Status().Heard {
 		return "", replica.ErrUnavailable.New("no leader is known")
 	}
 	known, registered := d.view.Load().Backend(heartbeat.Backend.ID)
-	if registered && sameRegistration(known, heartbeat.Backend) {
+	if registered && sameRegistration(known, heartbeat.Backend) && d.tellsLeader() {
 		d.heartbeats.note(clock.Now(), heartbeat.Backend.ID, heartbeat.Sequence)
 		return d.settings.InternalAddress, nil
 	}
@@ -105,6 +105,20 @@
 	return d.settings.InternalAddress, err
 }
 
+// tellBeats is the number of heartbeats for which the leader may not have answered a replica that
+// takes them for it. Beyond that a backend has to go to another replica: with silentBeats the leader
+// would take it for silent, though it is heard here.
+const tellBeats = 2
+
+// tellsLeader tells whether this replica leads, or has lately told the leader whom it has heard.
+func (d *Directory) tellsLeader() bool {
+	age := time.Duration(nowMillis()-d.toldAt.Load()) * time.Millisecond
+	return d.replica.Status().Leading || age <= tellBeats*d.settings.HeartbeatInterval
+}
+
+// noteTold notes that the leader has answered a call that began at the time.
+func (d *Directory) noteTold(began int64) { d.toldAt.Store(max(d.toldAt.Load(), began)) }
+
 // handleHeartbeat commits, on the leader, what a heartbeat changes.
 func (d *Directory) handleHeartbeat(ctx context.Context, heartbeat Heartbeat) error {
 	d.noteStandstill()
@@ -145,8 +159,12 @@
 	d.clockTold = time.Now()
 	limited, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
+	began := nowMillis()
 	// What is lost is told again with the next heartbeats.
-	_, _ = d.call(limited, directoryCall{Heard: heard, Clock: &clockReading{Machine: d.settings.Name, Millis: time.Now().UnixMilli()}})
+	_, err := d.call(limited, directoryCall{Heard: heard, Clock: &clockReading{Machine: d.settings.Name, Millis: time.Now().UnixMilli()}})
+	if err == nil {
+		d.noteTold(began)
+	}
 }
 
 // addressBeats is the number of missed heartbeats after which a backend's address may be
--- a/server/heartbeat_test.go
+++ b/server/heartbeat_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/dillchute/dillchute/directory"
 )
 
 // TestHeartbeatsAreGathered: whom a replica hears is told to the leader once, a
@@ -25,3 +27,19 @@
 	leader.reset()
 	require.Zero(t, leader.silence(start.Add(time.Hour), "a"))
 }
+
+// TestHeartbeatsThatTheLeaderDoesNotLearnOf: a replica whose calls do not reach the leader takes
+// no heartbeats for it: it would take the backend for silent, though that is heard.
+func TestHeartbeatsThatTheLeaderDoesNotLearnOf(t *testing.T) {
+	backend := directory.Backend{ID: "b", Service: "s", Address: "10.0.0.1:80", Slots: 1}
+	d, leader, _ := followedDirectory(t, directory.Command{PutBackend: &backend})
+	taken := func() bool {
+		_, err := d.Heartbeat(t.Context(), Heartbeat{Backend: backend})
+		return err == nil
+	}
+	require.Eventually(t, taken, watchSoon, watchInterval)
+	leader.unconfirmed.Store(true)
+	require.Eventually(t, func() bool { return !taken() }, watchSoon, watchInterval)
+	leader.unconfirmed.Store(false)
+	require.Eventually(t, taken, watchSoon, watchInterval)
+}
