The true time is known only from enough machines, and not from the first to tell theirs

Cause: a directory's leader fixes windows of usage by the middle of the clocks that were told to it in the last 5 s. One that had just begun to lead knew only its own, and went by that: with a clock that is wrong by more than 3 s, windows are fixed before their counts have come, for good.

--- a/server/directory.go
+++ b/server/directory.go
@@ -97,7 +97,7 @@
 		client: replica.NewInternalClient(), evidence: newEvidence(), metrics: newDirectoryMetrics(), heartbeats: newHeartbeats(),
 	}
 	d.usage = &usageKeeper{
-		settings: settings, replica: opened, machine: machine, client: client, clock: usage.NewClock(), acts: duty.NewWatch(),
+		settings: settings, replica: opened, machine: machine, client: client, clock: usage.NewClock(settings.ToleratedLosses + 1), acts: duty.NewWatch(),
 		metrics: d.metrics, logger: logger,
 	}
 	d.view.Store(directory.NewCatalog())
--- a/server/usage_keeper.go
+++ b/server/usage_keeper.go
@@ -93,10 +93,10 @@
 // enabled tells whether usage is reported at all.
 func (k *usageKeeper) enabled() bool { return k.settings.Reports() && k.client != nil }
 
-// take keeps a gateway's totals, on the leader. It returns once they are committed.
+// take keeps a gateway's totals, on the leader. It returns once they are committed. While the
+// true time is not known, the answer says nothing of it.
 func (k *usageKeeper) take(ctx context.Context, call *usageCall) (*usageAnswer, error) {
-	now, known := k.now()
-	if !known || !k.enabled() {
+	if !k.enabled() {
 		return &usageAnswer{}, nil
 	}
 	if len(call.Totals) > 0 {
@@ -104,6 +104,10 @@
 			return nil, err
 		}
 	}
+	now, known := k.now()
+	if !known {
+		return &usageAnswer{}, nil
+	}
 	answer := &usageAnswer{Now: now, Window: k.settings.UsageWindow}
 	k.replica.Do(func() { answer.Fixed = k.machine.Usage().Fixed })
 	return answer, nil
