A gateway forgets after a minute that a backend was slow

Cause: a backend's smoothed latency has no age. One that was slow, and is well again, gets no requests while others are quicker, so that nothing ever shows that it is well: for the life of the process.

The short-lived marks (avoided for 0.05 to 1.5 s) have had their end all along.

Before: TestSlownessIsForgotten fails (run with the two looks at the age taken out). After: green.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -9,11 +9,26 @@
 
 // backendState is what this process knows of a backend.
 type backendState struct {
-	inFlight     int
-	latency      time.Duration
+	inFlight int
+	latency  time.Duration
+	// measuredAt is when the latency last took a request in.
+	measuredAt   time.Time
 	avoidedUntil time.Time
 }
 
+// latencyLife is how long a latency counts after its last request. A backend that was slow gets
+// none while others are quicker, so that nothing would ever show that it is well again.
+const latencyLife = time.Minute
+
+// take takes a request's time in.
+func (s *backendState) take(took time.Duration, now time.Time) {
+	if now.Sub(s.measuredAt) > latencyLife {
+		s.latency = 0
+	}
+	s.latency = smoothed(s.latency, took, smoothing)
+	s.measuredAt = now
+}
+
 // order returns the route's services, the one whose turn it is first.
 func (f *Forwarder) order(route routing.Route) []string {
 	services := make([]string, 0, len(route.Shares))
@@ -113,7 +128,7 @@
 func (f *Forwarder) cost(backend directory.Backend, now time.Time) float64 {
 	state := f.state(backend.ID)
 	latency := max(float64(state.latency.Milliseconds()), leastMillis)
-	if state.latency == 0 {
+	if state.latency == 0 || now.Sub(state.measuredAt) > latencyLife {
 		latency = max(float64(f.usual[backend.Service].Milliseconds()), leastMillis) * (1 + firstCost)
 	}
 	cost := latency * float64(state.inFlight+1)
@@ -151,12 +166,12 @@
 		if took > slowFactor*state.latency && took > minHedge {
 			state.avoidedUntil = time.Now().Add(slowPenalty)
 		}
-		state.latency = smoothed(state.latency, took, smoothing)
+		state.take(took, time.Now())
 		return
 	}
 	switch attempt.Outcome {
 	case Answered:
-		state.latency = smoothed(state.latency, took, smoothing)
+		state.take(took, time.Now())
 		f.usual[backend.Service] = smoothed(f.usual[backend.Service], took, usualSmoothing)
 		state.avoidedUntil = time.Time{}
 	case Refused:
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -291,3 +291,20 @@
 	require.False(t, result.MayHaveRun)
 	require.Len(t, client.asked, 1+mostUnreached)
 }
+
+// TestSlownessIsForgotten: a backend that was slow, and has got no requests since, counts as one
+// that was never asked after a while: it may be well again.
+func TestSlownessIsForgotten(t *testing.T) {
+	forwarder := New(&scripted{}, "z", noSuspects())
+	began := time.Now()
+	forwarder.usual["s"] = 20 * time.Millisecond
+	forwarder.state("slow").take(2*time.Second, began)
+	unknown := func(now time.Time) bool {
+		most := float64((20 * time.Millisecond).Milliseconds()) * (1 + firstCost) * (1 + spreadCost)
+		return forwarder.cost(backend("slow"), now) <= most
+	}
+	require.False(t, unknown(began.Add(latencyLife)))
+	require.True(t, unknown(began.Add(latencyLife+1)))
+	forwarder.state("slow").take(20*time.Millisecond, began.Add(latencyLife+1))
+	require.True(t, unknown(began.Add(latencyLife+2)), "what was measured before counts no more")
+}
