--- a/server/watch.go
+++ b/server/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -18,11 +19,19 @@
 )
 
 const (
-	// watchSlack is how much longer than watchWait an answer may take.
-	watchSlack   = 500 * time.Millisecond
+	// watchBackoff is the pause before the next replica is asked, and watchRest that after all
+	// of them have failed: hundreds of watchers must not keep a directory busy that has no
+	// leader, and a change that it then takes is still in force within half a second.
 	watchBackoff = 50 * time.Millisecond
+	watchRest    = 200 * time.Millisecond
 )
 
+// alarm is a timer that can be put off. A time.Timer is one.
+type alarm interface {
+	Stop() bool
+	Reset(wait time.Duration) bool
+}
+
 // Watcher keeps a copy of the directory up to date.
 type Watcher struct {
 	logger *zerolog.Logger
@@ -30,12 +39,16 @@
 	seeds  *Seeds
 	// start spreads processes over the replicas.
 	start int
+	// after calls the function once the time has passed.
+	after func(wait time.Duration, function func()) alarm
 
 	catalog  atomic.Pointer[directory.Catalog]
 	syncedAt atomic.Int64
 	mutex    sync.Mutex
 	changed  chan struct{}
-	leader   string
+	// leader is the address of the replica that led last, and unanswered that of the last one
+	// that did not answer a call.
+	leader, unanswered string
 }
 
 // NewWatcher returns a watcher that asks the seeds first, and later the members
@@ -43,6 +56,7 @@
 func NewWatcher(seeds *Seeds, start int, logger *zerolog.Logger) *Watcher {
 	w := &Watcher{
 		logger: logger, client: replica.NewInternalClient(), seeds: seeds, start: start, changed: make(chan struct{}),
+		after: func(wait time.Duration, function func()) alarm { return time.AfterFunc(wait, function) },
 	}
 	w.catalog.Store(directory.NewCatalog())
 	return w
@@ -64,7 +78,7 @@
 	for position := w.start; ctx.Err() == nil; {
 		addresses := w.addresses()
 		address := addresses[position%len(addresses)]
-		err := w.poll(ctx, address)
+		err := w.poll(ctx, address, firstLinePatience(failures/len(addresses)))
 		if err == nil {
 			if failures >= len(addresses) {
 				event.DirectoryReachable.On(w.logger).Str("replica", address).Uint("revision", w.Catalog().Revision).Send()
@@ -84,10 +98,33 @@
 	if failures == addresses && ctx.Err() == nil {
 		event.DirectoryUnreachable.On(w.logger).Uint("revision", w.Catalog().Revision).Err(err).Send()
 	}
+	pause := watchBackoff
 	if failures%addresses == 0 {
 		w.seeds.Refresh()
+		pause = watchRest
+	}
+	w.sleep(ctx, pause)
+}
+
+// firstLinePatience returns how long a replica's first line may take after so many rounds in
+// vain.
+func firstLinePatience(rounds int) time.Duration {
+	patience := watchFirstLine
+	for range rounds {
+		patience = min(2*patience, watchPatience)
+	}
+	return patience
+}
+
+// sleep waits for the time, or until the context ends.
+func (w *Watcher) sleep(ctx context.Context, pause time.Duration) {
+	over := make(chan struct{})
+	timer := w.after(pause, func() { close(over) })
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-over:
 	}
-	sleep(ctx, watchBackoff)
 }
 
 // addresses returns the replicas known, the members first.
@@ -104,12 +141,28 @@
 	return addresses
 }
 
-func (w *Watcher) poll(ctx context.Context, address string) error {
-	limited, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-	defer cancel()
+// poll asks one replica for what is newer than the copy. A replica that says nothing for too
+// long is left: it, or the way to it, has gone dark.
+func (w *Watcher) poll(ctx context.Context, address string, patience time.Duration) error {
+	limited, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := w.after(patience, func() { cancel(replica.ErrUnavailable.New("%s is silent", address)) })
+	defer silence.Stop()
+	err := w.pollWithin(limited, address, silence)
+	if err != nil && limited.Err() != nil && ctx.Err() == nil {
+		// Others of the connections that are kept may be as silent.
+		w.client.CloseIdleConnections()
+		return context.Cause(limited)
+	}
+	return err
+}
+
+// pollWithin puts the alarm off with whatever comes.
+func (w *Watcher) pollWithin(ctx context.Context, address string, silence alarm) error {
 	catalog := w.Catalog()
-	url := fmt.Sprintf("http://%s%s?since=%d", address, directoryWatchPath, catalog.Revision)
-	request, err := http.NewRequestWithContext(limited, http.MethodGet, url, nil)
+	url := fmt.Sprintf("http://%s%s?since=%d&%s=%s", address, directoryWatchPath, catalog.Revision,
+		watchMembersParameter, membersDigest(catalog.Replicas))
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
@@ -118,13 +171,20 @@
 		return err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxInternalBytes))
-	if err != nil {
-		return err
-	}
 	if response.StatusCode != http.StatusOK {
 		return replica.ErrUnavailable.New("%s answered %d", address, response.StatusCode)
 	}
+	silence.Reset(watchSilence)
+	body, err := readWatch(response.Body, func() {
+		silence.Reset(watchSilence)
+		w.syncedAt.Store(nowMillis())
+	})
+	if errors.Is(err, io.EOF) {
+		return replica.ErrUnavailable.New("%s holds no watch", address)
+	}
+	if err != nil {
+		return err
+	}
 	var delta directory.Delta
 	if err := decodeInternal(body, &delta); err != nil {
 		return err
@@ -135,7 +195,7 @@
 
 func (w *Watcher) take(catalog *directory.Catalog, delta directory.Delta) {
 	w.syncedAt.Store(nowMillis())
-	if delta.Revision == catalog.Revision && len(delta.Replicas) == len(catalog.Replicas) {
+	if delta.Revision == catalog.Revision && slices.Equal(delta.Replicas, catalog.Replicas) {
 		return
 	}
 	if delta.Revision == catalog.Revision {
@@ -152,30 +212,74 @@
 	w.mutex.Unlock()
 }
 
-// call has the directory's leader carry out the call, trying each replica.
+// callTimeout bounds the call of one replica.
+const callTimeout = time.Second
+
+// call has the directory's leader carry out the call, trying each replica: one that does not lead
+// passes it on. An attempt takes at most half of the time that is left, so that a replica that
+// has gone dark leaves some for the next.
 func (w *Watcher) call(ctx context.Context, call directoryCall) (directoryAnswer, error) {
-	w.mutex.Lock()
-	addresses := w.addresses()
-	if position := slices.Index(addresses, w.leader); position > 0 {
-		addresses[0], addresses[position] = addresses[position], addresses[0]
-	}
-	w.mutex.Unlock()
 	var answer directoryAnswer
 	err := error(replica.ErrUnavailable.New("no replica of the directory is known"))
-	for _, address := range addresses {
-		limited, cancel := context.WithTimeout(ctx, time.Second)
-		answer, err = callDirectory(limited, w.client, address, call)
-		cancel()
+	for _, address := range w.callAddresses() {
+		answer, err = w.callWithin(ctx, attemptTimeout(ctx), address, call)
 		if err == nil {
-			w.mutex.Lock()
-			w.leader = address
-			w.mutex.Unlock()
+			w.noteAnswered(answer.Leader)
 			return answer, nil
 		}
+		w.noteUnanswered(address)
 	}
 	return answer, err
 }
 
+// attemptTimeout returns how long one replica is waited for.
+func attemptTimeout(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return callTimeout
+	}
+	return min(callTimeout, time.Until(deadline)/2)
+}
+
+func (w *Watcher) callWithin(ctx context.Context, timeout time.Duration, address string, call directoryCall) (directoryAnswer, error) {
+	limited, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return callDirectory(limited, w.client, address, call)
+}
+
+// callAddresses returns the replicas in the order in which they are called: the last leader first,
+// and last the one that has failed most recently.
+func (w *Watcher) callAddresses() []string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	addresses := w.addresses()
+	if position := slices.Index(addresses, w.unanswered); position >= 0 {
+		addresses = append(slices.Delete(addresses, position, position+1), w.unanswered)
+	}
+	if position := slices.Index(addresses, w.leader); position > 0 {
+		addresses[0], addresses[position] = addresses[position], addresses[0]
+	}
+	return addresses
+}
+
+func (w *Watcher) noteAnswered(leader string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.leader = leader
+	if w.unanswered == leader {
+		w.unanswered = ""
+	}
+}
+
+func (w *Watcher) noteUnanswered(address string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.unanswered = address
+	if w.leader == address {
+		w.leader = ""
+	}
+}
+
 // ageSeconds returns the time since the directory last answered.
 func (w *Watcher) ageSeconds() float64 {
 	return float64(nowMillis()-w.syncedAt.Load()) / millisPerSecond
