--- a/clock/usage_test.go
+++ b/clock/usage_test.go
@@ -23,7 +23,7 @@
 	count  int
 	reason string
 }{
-	"forward/choose.go":          {4, "how long a backend is avoided"},
+	"forward/choose.go":          {2, "how long a backend is avoided, and its latency counts"},
 	"forward/forward.go":         {2, "a backend's latency, in which this machine's suspension must not count"},
 	"forward/stream.go":          {2, "a backend's latency, in which this machine's suspension must not count"},
 	"replica/admission.go":       {2, "the wait of a planned stop"},
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -158,26 +158,27 @@
 func (f *Forwarder) note(backend directory.Backend, attempt Attempt, took time.Duration, cancelled bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	now := time.Now()
 	state := f.state(backend.ID)
 	state.inFlight--
 	f.budget = min(f.budget+budgetShare, budgetBurst)
 	if cancelled && attempt.Outcome != Answered {
 		// It was slower than another backend, or than its caller's patience.
 		if took > slowFactor*state.latency && took > minHedge {
-			state.avoidedUntil = time.Now().Add(slowPenalty)
+			state.avoidedUntil = now.Add(slowPenalty)
 		}
-		state.take(took, time.Now())
+		state.take(took, now)
 		return
 	}
 	switch attempt.Outcome {
 	case Answered:
-		state.take(took, time.Now())
+		state.take(took, now)
 		f.usual[backend.Service] = smoothed(f.usual[backend.Service], took, usualSmoothing)
 		state.avoidedUntil = time.Time{}
 	case Refused:
-		state.avoidedUntil = time.Now().Add(fullPenalty)
+		state.avoidedUntil = now.Add(fullPenalty)
 	default:
-		state.avoidedUntil = time.Now().Add(penalty)
+		state.avoidedUntil = now.Add(penalty)
 	}
 }
 
