The steady reading of a call's attempts is listed with its reason

Cause: clock/usage_test.go refuses unlisted readings, and the merged watcher divides what a context leaves among attempts. Contexts count steadily, so this one must, too; it guards no promise.

--- a/clock/usage_test.go
+++ b/clock/usage_test.go
@@ -43,6 +43,7 @@
 	"server/paces.go":            {2, "pauses between records"},
 	"server/record.go":           {5, "pauses between records, and a metric"},
 	"server/seeds.go":            {2, "pauses between looks at the settings"},
+	"server/watch.go":            {1, "what a context leaves for one of several attempts"},
 	"server/tenure.go":           {4, "pauses between looks"},
 }
 
