Requests of one target that crash what runs them are held back together

Fingerprints hold ID and body, so each of them ended three backends and more by its trials.

Ruled out: counting by batch job (deadly items come in every one, beside sound ones) and by route (a route's sound requests would wait). Now crashes count by kind (tenant, method, host, target), too, with the same record, trials and guard. A kind is held back once two contents of it have crashed backends and three crashes came one after the other; any answer to a request of the kind frees it, so that where all work goes to one target nothing changes but for the time until the next answer.

--- a/directory/suspects_test.go
+++ b/directory/suspects_test.go
@@ -74,3 +74,19 @@
 	_, _, ok = m.Suspect("other-0")
 	require.False(t, ok)
 }
+
+// TestKindsOutliveTheirProcesses: what is known of a kind is in snapshots and reaches watchers.
+func TestKindsOutliveTheirProcesses(t *testing.T) {
+	m := NewMachine()
+	for number := range quarantine.HeldFrom {
+		m.Apply(Command{Crashes: []quarantine.Crash{{
+			Fingerprint: "kind", Backend: fmt.Sprint(number), Known: number, Of: quarantine.Fingerprint(fmt.Sprint("content-", number)),
+		}}}.Encode())
+	}
+	var written bytes.Buffer
+	require.NoError(t, m.Snapshot()(&written))
+	restored := NewMachine()
+	require.NoError(t, restored.Restore(&written))
+	started := NewCatalog().With(restored.DeltaSince(0))
+	require.True(t, started.Suspects["kind"].IsHeld())
+}
--- a/forward/clearance.go
+++ b/forward/clearance.go
@@ -66,7 +66,8 @@
 // mayHedge tells whether the request may run at two backends side by side: one under which a
 // backend has ended could end both.
 func (c *clearance) mayHedge() bool {
-	return !c.trial && c.guard.JudgeContent(c.content).Known == 0
+	verdict := c.guard.JudgeContent(c.content)
+	return !c.trial && verdict.Known == 0 && verdict.KindKnown == 0
 }
 
 // unsent returns why a request was not sent at all.
@@ -82,10 +83,10 @@
 	switch {
 	case attempt.Outcome == Answered && attempt.Response.Status < http.StatusInternalServerError:
 		if !f.guard.IsIdle() {
-			f.guard.NoteAnswer(request.Content().Fingerprint())
+			f.guard.NoteServed(request.Content().Subject())
 		}
 	case attempt.Outcome == Lost && attempt.Broken && f.HasEnded(ctx, backend):
-		f.guard.NoteCrash(request.Content().Fingerprint(), backend.ID, verdict.Known)
+		f.guard.NoteEnd(request.Content().Subject(), backend.ID, verdict)
 	}
 }
 
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -48,6 +48,27 @@
 	return Fingerprint(hex.EncodeToString(sum.Sum(nil)[:fingerprintBytes]))
 }
 
+// kindMark keeps the fingerprints of kinds apart from those of contents.
+const kindMark = "kind"
+
+// Kind returns the fingerprint of all requests of the tenant to the same target, whatever their
+// IDs and bodies.
+func (c Content) Kind() Fingerprint {
+	sum := sha256.New()
+	for _, part := range []string{kindMark, c.Tenant, c.Method, c.Host, c.Target} {
+		writePart(sum, []byte(part))
+	}
+	return Fingerprint(hex.EncodeToString(sum.Sum(nil)[:fingerprintBytes]))
+}
+
+// Subject names a request by its content and by its kind.
+type Subject struct {
+	Content, Kind Fingerprint
+}
+
+// Subject returns what names the request.
+func (c Content) Subject() Subject { return Subject{Content: c.Fingerprint(), Kind: c.Kind()} }
+
 // writePart adds a part with its length before it, so that no two lists of parts look alike.
 func writePart(sum hash.Hash, part []byte) {
 	var length [8]byte
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -18,9 +18,13 @@
 
 // Verdict is what a process knows of a request before it sends it.
 type Verdict struct {
+	Subject Subject
+	// Fingerprint is what a trial is to be asked for: that of the kind if the kind is held back,
+	// and otherwise that of the content.
 	Fingerprint Fingerprint
-	// Known is the number of crashes that are counted, 0 for a request without suspicion.
-	Known int
+	// Known is the number of crashes that are counted, 0 for a request without suspicion, and
+	// KindKnown that of its kind.
+	Known, KindKnown int
 	// Held is set if the request must not be sent, and Offered if a trial of it may be asked for.
 	Held, Offered bool
 }
@@ -102,34 +106,71 @@
 	if g.IsIdle() {
 		return Verdict{}
 	}
-	return g.Judge(content.Fingerprint())
+	return g.JudgeSubject(content.Subject())
 }
 
-// Judge judges a request.
+// JudgeSubject judges a request by its content and its kind. One whose kind is held back waits
+// for the kind's trial only.
+func (g *Guard) JudgeSubject(subject Subject) Verdict {
+	kind := g.Judge(subject.Kind)
+	verdict := g.Judge(subject.Content)
+	verdict.Subject, verdict.KindKnown = subject, kind.Known
+	if kind.Held && !g.isPermitted(subject.Content) {
+		verdict.Held, verdict.Fingerprint, verdict.Offered = true, kind.Fingerprint, kind.Offered
+	}
+	return verdict
+}
+
+func (g *Guard) isPermitted(content Fingerprint) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.permits[content]
+}
+
+// Judge judges by the record of a content or of a kind alone.
 func (g *Guard) Judge(fingerprint Fingerprint) Verdict {
 	shared := g.shared()[fingerprint]
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	known := max(shared.Crashes, g.localCrashes(fingerprint))
+	own := g.own(fingerprint)
 	return Verdict{
-		Fingerprint: fingerprint, Known: known, Offered: shared.Offered,
-		Held: known >= HeldFrom && !g.permits[fingerprint],
+		Fingerprint: fingerprint, Known: max(shared.Crashes, own.Crashes), Offered: shared.Offered,
+		Held: (shared.IsHeld() || own.IsHeld()) && !g.permits[fingerprint],
 	}
 }
 
-// localCrashes returns the number of crashes that this process has counted itself.
-func (g *Guard) localCrashes(fingerprint Fingerprint) int {
+// own returns the suspect as this process has counted its crashes itself.
+func (g *Guard) own(fingerprint Fingerprint) Suspect {
 	local, ok := g.local[fingerprint]
 	if ok && g.now().After(local.until) {
 		delete(g.local, fingerprint)
-		return 0
+		return Suspect{}
 	}
-	return local.suspect.Crashes
+	return local.suspect
+}
+
+// NoteEnd takes in that the backend has ended under the request, which was judged so before it
+// was sent.
+func (g *Guard) NoteEnd(subject Subject, backend string, verdict Verdict) {
+	g.NoteCrash(subject.Content, backend, verdict.Known)
+	g.note(Crash{Fingerprint: subject.Kind, Backend: backend, Known: verdict.KindKnown, Of: subject.Content})
+}
+
+// NoteServed takes in that a backend has answered the request, which ends any suspicion against
+// it and its kind.
+func (g *Guard) NoteServed(subject Subject) {
+	g.NoteAnswer(subject.Content)
+	g.NoteAnswer(subject.Kind)
 }
 
 // NoteCrash takes in that the backend has ended under the request, of which the process knew so
 // many crashes as it sent it. It returns the number of crashes that this process counts now.
 func (g *Guard) NoteCrash(fingerprint Fingerprint, backend string, known int) int {
+	return g.note(Crash{Fingerprint: fingerprint, Backend: backend, Known: known})
+}
+
+func (g *Guard) note(crash Crash) int {
+	fingerprint := crash.Fingerprint
 	shared := g.shared()[fingerprint]
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -137,7 +178,6 @@
 	if shared.Crashes > base.Crashes {
 		base = shared
 	}
-	crash := Crash{Fingerprint: fingerprint, Backend: backend, Known: known}
 	next, news := base.With(crash)
 	if !news || len(g.news.Crashes) >= mostNews {
 		return next.Crashes
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -12,6 +12,12 @@
 // held back is tried again now and then, so that a sound one which was near the crashes of
 // others is served again.
 //
+// Requests of one kind, all that a tenant sends to the same target, are counted together as well:
+// work that is asked for under an ID of its own each time has another content each time, whatever
+// it does to backends. A kind is held back like a content once different contents of it have
+// crashed backends and none of it was answered in between, so that one deadly request among
+// sound ones of its kind never holds these back.
+//
 // The package has no socket or disk, and no clock but the one that it is given.
 package quarantine
 
@@ -23,6 +29,9 @@
 const (
 	// HeldFrom is the number of crashes from which on a request is held back.
 	HeldFrom = 3
+	// kindContents is the number of contents that must have crashed backends before their kind
+	// is held back: one alone is held back for itself.
+	kindContents = 2
 	// mostEnded is the number of backends that may end under a request before it is tried
 	// again only rarely: it leaves the users' bound, three sends after the third crash, whole.
 	mostEnded = 6
@@ -35,6 +44,9 @@
 	// the second trial.
 	rareTrial = 10 * time.Minute
 	lastTrial = 24 * time.Hour
+	// kindTrial is the wait after the second trial of a kind: more depends on it than on one
+	// content, and what crashes backends today may be mended without a change of its target.
+	kindTrial = rareTrial
 	// trialSpread is the part by which the waits of requests differ at the most.
 	trialSpread = 0.5
 	// RetryAfter is what callers are told whose request is held back.
@@ -51,6 +63,8 @@
 	Backend string `cbor:"2,keyasint"`
 	// Known is the number of counted crashes that the sender knew of as it sent the request.
 	Known int `cbor:"3,keyasint"`
+	// Of is the content that crashed the backend where Fingerprint is that of its kind, or "".
+	Of Fingerprint `cbor:"4,keyasint,omitempty"`
 }
 
 // Suspect is a request under which backends have ended. It is never changed.
@@ -63,17 +77,25 @@
 	// Trials counts the trials that were offered, and Offered is set while one may be taken.
 	Trials  int  `cbor:"4,keyasint,omitempty"`
 	Offered bool `cbor:"5,keyasint,omitempty"`
+	// Of are the contents that have crashed backends where this is a kind, kindContents of them
+	// at the most.
+	Of []Fingerprint `cbor:"6,keyasint,omitempty"`
 }
 
+// isKind tells whether this is a kind of requests.
+func (s Suspect) isKind() bool { return len(s.Of) > 0 }
+
 // IsHeld tells whether the request is held back.
-func (s Suspect) IsHeld() bool { return s.Crashes >= HeldFrom }
+func (s Suspect) IsHeld() bool {
+	return s.Crashes >= HeldFrom && (!s.isKind() || len(s.Of) >= kindContents)
+}
 
 // With returns the suspect after the crash, and whether that is news.
 func (s Suspect) With(crash Crash) (Suspect, bool) {
+	next := s.withOf(crash.Of)
 	if slices.Contains(s.Ended, crash.Backend) {
-		return s, false
+		return next, len(next.Of) != len(s.Of)
 	}
-	next := s
 	next.Fingerprint = crash.Fingerprint
 	if crash.Known >= s.Crashes {
 		next.Crashes++
@@ -81,7 +103,15 @@
 	if len(s.Ended) < mostEnded {
 		next.Ended = append(slices.Clone(s.Ended), crash.Backend)
 	}
-	return next, next.Crashes != s.Crashes || len(next.Ended) != len(s.Ended)
+	return next, next.Crashes != s.Crashes || len(next.Ended) != len(s.Ended) || len(next.Of) != len(s.Of)
+}
+
+// withOf returns the suspect after the content has crashed a backend, if it is a kind.
+func (s Suspect) withOf(content Fingerprint) Suspect {
+	if content != "" && len(s.Of) < kindContents && !slices.Contains(s.Of, content) {
+		s.Of = append(slices.Clone(s.Of), content)
+	}
+	return s
 }
 
 // WithOffer returns the suspect with a trial that may be taken.
@@ -101,13 +131,16 @@
 // that fell together wait for different times, so that a sound one does not meet the other again.
 func (s Suspect) TrialWait() time.Duration {
 	wait := lastTrial
+	if s.isKind() {
+		wait = kindTrial
+	}
 	switch s.Trials {
 	case 0:
 		wait = firstTrial
 	case 1:
 		wait = secondTrial
 	}
-	if len(s.Ended) >= mostEnded {
+	if len(s.Ended) >= mostEnded && !s.isKind() {
 		wait = max(wait, rareTrial)
 	}
 	return wait + time.Duration(float64(wait)*trialSpread*s.Fingerprint.fraction())
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -50,19 +50,19 @@
 // as far as they were observed.
 func (task *Task) seen() uint64 { return task.Text.Last + uint64(task.observedEvents) }
 
-// Fingerprint tells the sample from others wherever it comes again. It is computed once.
-func (task *Task) Fingerprint() quarantine.Fingerprint {
-	if task.fingerprint == "" {
-		task.fingerprint = FingerprintOf(task.Step.Host, task.Step.Tenant, task.Sample)
+// Subject tells the sample from others wherever it comes again. It is computed once.
+func (task *Task) Subject() quarantine.Subject {
+	if task.subject.Content == "" {
+		task.subject = SubjectOf(task.Step.Host, task.Step.Tenant, task.Sample)
 	}
-	return task.fingerprint
+	return task.subject
 }
 
-// FingerprintOf returns the fingerprint of a sample that goes to the host for the tenant.
-func FingerprintOf(host, tenant string, sample *ledger.Sample) quarantine.Fingerprint {
+// SubjectOf returns what names a sample that goes to the host for the tenant.
+func SubjectOf(host, tenant string, sample *ledger.Sample) quarantine.Subject {
 	return quarantine.Content{
 		ID: sample.ID, Tenant: tenant, Method: http.MethodPost, Host: host, Target: sample.Path, Body: sample.Body,
-	}.Fingerprint()
+	}.Subject()
 }
 
 // Task is one sample on its way.
@@ -101,8 +101,8 @@
 	superseded bool
 	// takenOver is set on a task that was a run ahead of its step.
 	takenOver bool
-	// fingerprint is that of the sample, once it was asked for.
-	fingerprint quarantine.Fingerprint
+	// subject is what names the sample, once it was asked for.
+	subject quarantine.Subject
 	// startedAt is when the current run began, and from the event it began after.
 	startedAt int64
 	from      uint64
--- a/server/followed_run.go
+++ b/server/followed_run.go
@@ -20,10 +20,10 @@
 	// silence gives the run up if its engine sends nothing for stall.
 	silence *time.Timer
 	stall   time.Duration
-	// known is the number of crashes that were known of the sample as its run began, and trial
-	// is set if the run used a permit.
-	known int
-	trial bool
+	// verdict is what was known of the sample as its run began, and trial is set if the run used
+	// a permit.
+	verdict quarantine.Verdict
+	trial   bool
 
 	// mutex holds back parts that come while the run is given up.
 	mutex sync.Mutex
@@ -47,9 +47,9 @@
 	if t.scheduler.Loading(assignment.Backend.ID, task.Step.Model) {
 		stall = loadStall
 	}
-	known, trial := t.clearedFor(task)
+	verdict, trial := t.clearedFor(task)
 	return &followedRun{
-		known: known, trial: trial, tenure: t, assignment: assignment, context: ctx, cancel: cancel, progress: progress,
+		verdict: verdict, trial: trial, tenure: t, assignment: assignment, context: ctx, cancel: cancel, progress: progress,
 		silence: time.AfterFunc(stall, cancel), stall: stall,
 	}
 }
@@ -84,17 +84,17 @@
 // is told twice counts once, and this leader knows before the sample waits again.
 func (f *followedRun) learn(end scheduler.RunEnd) {
 	guard, task := f.tenure.guard, f.assignment.Task
-	fingerprint := func() quarantine.Fingerprint {
-		return scheduler.FingerprintOf(task.Step.Host, task.Step.Tenant, task.Sample)
+	subject := func() quarantine.Subject {
+		return scheduler.SubjectOf(task.Step.Host, task.Step.Tenant, task.Sample)
 	}
 	switch {
 	case end == scheduler.Complete && !guard.IsIdle():
-		guard.NoteAnswer(fingerprint())
+		guard.NoteServed(subject())
 	case f.trial && (end == scheduler.Rejected || end == scheduler.Elsewhere || end == scheduler.Unreachable):
 		// It has not run: the trial is still to come.
-		guard.Permit(fingerprint())
+		guard.Permit(subject().Content)
 	case end == scheduler.Crashed:
-		guard.NoteCrash(fingerprint(), f.assignment.Backend.ID, f.known)
+		guard.NoteEnd(subject(), f.assignment.Backend.ID, f.verdict)
 	}
 }
 
--- a/server/held_sample.go
+++ b/server/held_sample.go
@@ -16,37 +16,38 @@
 	if t.guard.IsIdle() {
 		return false
 	}
-	verdict := t.guard.Judge(task.Fingerprint())
+	verdict := t.guard.JudgeSubject(task.Subject())
 	if !verdict.Held {
 		return false
 	}
-	if !t.heldBack[verdict.Fingerprint] {
-		t.heldBack[verdict.Fingerprint] = true
+	if !t.heldBack[verdict.Subject.Content] {
+		t.heldBack[verdict.Subject.Content] = true
 		event.SampleHeldBack.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).Str("content", string(verdict.Fingerprint)).Send()
 	}
 	if verdict.Offered && !t.asking[verdict.Fingerprint] {
 		t.asking[verdict.Fingerprint] = true
-		go t.askForTrial(verdict.Fingerprint)
+		go t.askForTrial(verdict)
 	}
 	return true
 }
 
-func (t *tenure) askForTrial(fingerprint quarantine.Fingerprint) {
-	if t.guard.TakeTrial(t.context, fingerprint) {
-		t.guard.Permit(fingerprint)
+// askForTrial asks for a trial, which is the sample's alone also if it is that of its kind.
+func (t *tenure) askForTrial(verdict quarantine.Verdict) {
+	if t.guard.TakeTrial(t.context, verdict.Fingerprint) {
+		t.guard.Permit(verdict.Subject.Content)
 	}
-	t.loop.Call(func() { delete(t.asking, fingerprint) })
+	t.loop.Call(func() { delete(t.asking, verdict.Fingerprint) })
 }
 
-// clearedFor returns the number of crashes that are known of a sample whose run begins, and
-// whether the run is a trial: a permit is used up.
-func (t *tenure) clearedFor(task *scheduler.Task) (known int, trial bool) {
+// clearedFor returns what is known of a sample whose run begins, and whether the run is a trial:
+// a permit is used up.
+func (t *tenure) clearedFor(task *scheduler.Task) (verdict quarantine.Verdict, trial bool) {
 	if t.guard.IsIdle() {
-		return 0, false
+		return quarantine.Verdict{}, false
 	}
-	fingerprint := task.Fingerprint()
-	trial = t.guard.UsePermit(fingerprint)
-	return t.guard.Judge(fingerprint).Known, trial
+	subject := task.Subject()
+	trial = t.guard.UsePermit(subject.Content)
+	return t.guard.JudgeSubject(subject), trial
 }
 
 // guardedEngine runs samples and learns which of them crash the engines that run them. It
@@ -59,14 +60,14 @@
 
 // Run implements runner.Engine. A run that breaks off by the engine's end has crashed.
 func (g *guardedEngine) Run(ctx context.Context, request runner.Request, each func(runner.Event)) scheduler.RunEnd {
-	known := 0
+	var verdict quarantine.Verdict
 	if !g.guard.IsIdle() {
-		known = g.guard.Judge(scheduler.FingerprintOf(request.Host, request.Tenant, request.Sample)).Known
+		verdict = g.guard.JudgeSubject(scheduler.SubjectOf(request.Host, request.Tenant, request.Sample))
 	}
 	end := g.engine.Run(ctx, request, each)
 	if end != scheduler.Broken || ctx.Err() != nil || !g.hasEnded(ctx, request.Backend) {
 		return end
 	}
-	g.guard.NoteCrash(scheduler.FingerprintOf(request.Host, request.Tenant, request.Sample), request.Backend.ID, known)
+	g.guard.NoteEnd(scheduler.SubjectOf(request.Host, request.Tenant, request.Sample), request.Backend.ID, verdict)
 	return scheduler.Crashed
 }
