Suspects run at few backends, and at none while a third of a service is away

Now a request under which a backend has ended, and that none has answered since, is sent only while fewer than a third of its service's backends (one at the least) are away so. What is away comes from the suspects of the directory's log, and from what the process saw itself, so that nothing new is kept: a backend is away while it is listed and a suspect names it. Suspects of one process share few backends, which all processes prefer alike; one that reaches nobody asks no other; a trial is not taken meanwhile; samples wait likewise. All others avoid a backend that is known to have ended. Ruled out: breaking off a hedge under way (its sound mates would lose their answer, too); refusing what is not suspected (sound work of the same target would wait).

--- a/directory/watch.go
+++ b/directory/watch.go
@@ -100,7 +100,9 @@
 	routes    map[string]routing.Route
 	backends  map[string]Backend
 	byService map[string][]Backend
-	tenants   map[string]routing.Tenant
+	// ended are the backends that have ended under the suspects.
+	ended   map[string]bool
+	tenants map[string]routing.Tenant
 	// byKey holds the tenant of each key.
 	byKey map[string]routing.Tenant
 }
@@ -117,6 +119,10 @@
 	return backend, ok
 }
 
+// HasEnded tells whether the backend is known to have ended under a request. It is still
+// listed until it is given up, or another one registers at its address.
+func (c *Catalog) HasEnded(id string) bool { return c.ended[id] }
+
 // HasTenants tells whether requests need a key.
 func (c *Catalog) HasTenants() bool { return len(c.tenants) > 0 }
 
@@ -134,7 +140,7 @@
 	}
 	next := &Catalog{
 		Revision: delta.Revision, Version: delta.Version, Limits: base.Limits, Group: base.Group,
-		Table: base.Table, Replicas: c.Replicas, byService: base.byService, byKey: base.byKey,
+		Table: base.Table, Replicas: c.Replicas, byService: base.byService, byKey: base.byKey, ended: base.ended,
 	}
 	next.routes = merge(base.routes, delta.Routes, routing.Route.Key, delta.removed(KindRoute))
 	next.Services = merge(base.Services, delta.Services, func(s routing.Service) string { return s.Name }, delta.removed(KindService))
@@ -166,6 +172,9 @@
 		c.Table = routing.NewTable(routes)
 	}
 	c.indexBackends(base, delta)
+	if len(delta.Suspects) > 0 || len(delta.removed(KindSuspect)) > 0 {
+		c.ended = endedUnder(c.Suspects)
+	}
 	if delta.Full || len(delta.Tenants) > 0 || len(delta.removed(KindTenant)) > 0 {
 		c.byKey = map[string]routing.Tenant{}
 		for _, tenant := range c.tenants {
@@ -176,6 +185,17 @@
 	}
 }
 
+// endedUnder returns the backends that have ended under the suspects.
+func endedUnder(suspects map[quarantine.Fingerprint]quarantine.Suspect) map[string]bool {
+	ended := map[string]bool{}
+	for _, suspect := range suspects {
+		for _, backend := range suspect.Ended {
+			ended[backend] = true
+		}
+	}
+	return ended
+}
+
 func (d Delta) removed(kind ObjectKind) []string { return removedAs[string](d, kind) }
 
 // removedAs returns the names of the removed objects of the kind.
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -9,7 +9,9 @@
 
 // backendState is what this process knows of a backend.
 type backendState struct {
-	inFlight     int
+	inFlight int
+	// suspects counts those of the requests in flight under which a backend has ended.
+	suspects     int
 	latency      time.Duration
 	avoidedUntil time.Time
 }
@@ -79,7 +81,11 @@
 			if backend.Draining || tried[backend.ID] {
 				continue
 			}
-			if cost := f.cost(backend, now); bestCost < 0 || cost < bestCost {
+			cost := f.cost(backend, now)
+			if f.isAway(catalog, backend) {
+				cost += awayCost
+			}
+			if bestCost < 0 || cost < bestCost {
 				best, bestCost = backend, cost
 			}
 		}
@@ -94,7 +100,9 @@
 const (
 	avoidedCost = 1e6
 	silentCost  = 1e5
-	remoteCost  = 0.3
+	// awayCost is that of a backend which has ended under a request: nobody listens there.
+	awayCost   = 1e6
+	remoteCost = 0.3
 	// spreadCost is the random part of a cost, which spreads equal backends.
 	spreadCost = 0.2
 	// leastMillis is the least latency that is told apart from others.
--- a/forward/clearance.go
+++ b/forward/clearance.go
@@ -30,20 +30,29 @@
 	verdict quarantine.Verdict
 	// trial is set on a request that is held back and may be sent once, and sent once it was.
 	trial, sent bool
-	// refused is set once the request was held back.
-	refused bool
+	// refused is set once the request was held back, and postponed once too many backends were
+	// away for a suspect to be sent.
+	refused, postponed bool
 }
 
 // clear judges a request that has come. The trial of one that is held back is asked for.
-func (f *Forwarder) clear(ctx context.Context, request *Request) clearance {
+func (f *Forwarder) clear(ctx context.Context, catalog *directory.Catalog, services []string, request *Request) clearance {
 	c := clearance{guard: f.guard, content: request.Content()}
 	c.verdict = c.guard.JudgeContent(c.content)
-	if c.verdict.Held && c.verdict.Offered {
+	if c.verdict.Held && c.verdict.Offered && !f.Spares(catalog, services) {
 		c.trial = c.guard.TakeTrial(ctx, c.verdict.Fingerprint)
 	}
 	return c
 }
 
+// isSuspect tells whether a backend has ended under the request as it was judged last, so that it
+// may run at a ward only.
+func (c *clearance) isSuspect() bool { return c.verdict.Known > 0 }
+
+// hasLeft tells whether a suspect has met a backend that cannot be reached: it may have ended
+// under another suspect that nobody has told of yet, so that no other one is asked at once.
+func hasLeft(c *clearance, outcome Outcome) bool { return outcome == NotSent && c.isSuspect() }
+
 // mayStart judges the request anew, and tells whether it may be sent to one more backend.
 func (c *clearance) mayStart() bool {
 	c.verdict = c.guard.JudgeContent(c.content)
@@ -72,8 +81,11 @@
 
 // unsent returns why a request was not sent at all.
 func (c *clearance) unsent() Reason {
-	if c.refused {
+	switch {
+	case c.refused:
 		return Quarantined
+	case c.postponed:
+		return Postponed
 	}
 	return NoBackend
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -117,6 +117,9 @@
 	Abandoned Reason = "abandoned"
 	// Quarantined: the request has crashed the backends that ran it, and is held back.
 	Quarantined Reason = "quarantined"
+	// Postponed: a backend has ended under the request, and too many are away for it to be sent
+	// to another one now.
+	Postponed Reason = "postponed"
 )
 
 // Result is what became of a request.
@@ -257,10 +260,11 @@
 func (f *Forwarder) Do(ctx context.Context, catalog *directory.Catalog, route routing.Route, request *Request) Result {
 	ctx, cancel := context.WithTimeout(ctx, request.remaining())
 	defer cancel()
+	services := f.order(route)
 	r := &run{
-		forwarder: f, catalog: catalog, route: route, request: request, services: f.order(route),
+		forwarder: f, catalog: catalog, route: route, request: request, services: services,
 		tried: map[string]bool{}, attempts: make(chan attempted, max(route.Attempts, 1)+mostUnreached),
-		clearance: f.clear(ctx, request),
+		clearance: f.clear(ctx, catalog, services, request),
 	}
 	result := r.do(ctx)
 	result.recordPending()
@@ -292,7 +296,7 @@
 			if ctx.Err() != nil {
 				return r.endOfTime(ctx)
 			}
-			if r.mayRepeat(done.attempt.Outcome) {
+			if r.mayRepeat(done.attempt.Outcome) && !hasLeft(&r.clearance, done.attempt.Outcome) {
 				r.start(ctx)
 			}
 			if r.pending == 0 {
@@ -316,8 +320,8 @@
 	if r.result.MayHaveRun || last == Lost {
 		return NoAnswer
 	}
-	if r.refused {
-		return Quarantined
+	if reason := r.unsent(); reason != NoBackend {
+		return reason
 	}
 	return Full
 }
@@ -405,7 +409,7 @@
 	if r.result.Attempts-min(r.unreached, mostUnreached) >= max(r.route.Attempts, 1) || r.request.remaining() <= 0 || !r.mayStart() {
 		return false
 	}
-	backend, ok := r.forwarder.choose(r.catalog, r.services, r.tried)
+	backend, ok := r.forwarder.pick(&r.clearance, r.catalog, r.services, r.tried)
 	if !ok {
 		return false
 	}
@@ -419,6 +423,9 @@
 		attempt := r.forwarder.client.Send(ctx, backend, r.request)
 		r.forwarder.learn(ctx, verdict, backend, r.request, attempt)
 		r.forwarder.note(backend, attempt, time.Since(started), ctx.Err() != nil)
+		if verdict.Known > 0 {
+			r.forwarder.leaveWard(backend.ID)
+		}
 		r.attempts <- attempted{attempt: attempt, backend: backend}
 	}()
 	return true
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -62,21 +62,21 @@
 func (f *Forwarder) Stream(ctx context.Context, catalog *directory.Catalog, route routing.Route, request *Request, sink Sink) Result {
 	ctx, cancel := context.WithTimeout(ctx, request.remaining())
 	defer cancel()
-	s := &stream{forwarder: f, request: request, route: route, sink: sink, clearance: f.clear(ctx, request)}
 	services := f.order(route)
+	s := &stream{forwarder: f, request: request, route: route, sink: sink, clearance: f.clear(ctx, catalog, services, request)}
 	tried := map[string]bool{}
 	for s.result.Attempts-min(s.unreached, mostUnreached) < max(route.Attempts, 1) && ctx.Err() == nil && request.remaining() > 0 {
 		if !s.mayStart() {
 			return s.end(Quarantined)
 		}
-		backend, ok := f.choose(catalog, services, tried)
+		backend, ok := f.pick(&s.clearance, catalog, services, tried)
 		if !ok && route.Resumable && s.result.MayHaveRun {
 			// A stream that broke off may go on where it was before.
 			clear(tried)
-			backend, ok = f.choose(catalog, services, tried)
+			backend, ok = f.pick(&s.clearance, catalog, services, tried)
 		}
 		if !ok {
-			return s.end(NoBackend)
+			return s.end(s.unsent())
 		}
 		tried[backend.ID] = true
 		s.result.Attempts++
@@ -122,6 +122,9 @@
 	s.noteEnd(outcome)
 	s.forwarder.learn(parent, s.verdict, backend, s.request, ended)
 	s.forwarder.note(backend, Attempt{Outcome: outcome}, time.Since(started), parent.Err() != nil)
+	if s.verdict.Known > 0 {
+		s.forwarder.leaveWard(backend.ID)
+	}
 	switch outcome {
 	case Answered, Lost:
 		s.result.MayHaveRun = true
@@ -132,6 +135,10 @@
 		s.result.Backend, s.result.Service = backend.ID, backend.Service
 		return true
 	}
+	if hasLeft(&s.clearance, outcome) {
+		s.end(Full)
+		return true
+	}
 	if outcome == Lost && !s.route.Resumable {
 		s.end(NoAnswer)
 		return true
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -66,14 +66,16 @@
 	local map[Fingerprint]localSuspect
 	// permits are the trials that this process has taken and not used.
 	permits map[Fingerprint]bool
-	news    News
+	// ended holds the backends that this process has seen end, and until when it goes by that.
+	ended map[string]time.Time
+	news  News
 }
 
 // NewGuard returns a guard that goes by the shared record and the clock.
 func NewGuard(sharing Sharing, now func() time.Time) *Guard {
 	return &Guard{
 		sharing: sharing, now: now, Told: make(chan struct{}, 1),
-		local: map[Fingerprint]localSuspect{}, permits: map[Fingerprint]bool{},
+		local: map[Fingerprint]localSuspect{}, permits: map[Fingerprint]bool{}, ended: map[string]time.Time{},
 	}
 }
 
@@ -174,6 +176,7 @@
 	shared := g.shared()[fingerprint]
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	g.noteBackend(crash.Backend)
 	base := g.local[fingerprint].suspect
 	if shared.Crashes > base.Crashes {
 		base = shared
@@ -188,6 +191,23 @@
 	return next.Crashes
 }
 
+// noteBackend remembers that the backend has ended. The mutex must be held.
+func (g *Guard) noteBackend(backend string) {
+	now := g.now()
+	maps.DeleteFunc(g.ended, func(_ string, until time.Time) bool { return now.After(until) })
+	if len(g.ended) < mostNews {
+		g.ended[backend] = now.Add(localLife)
+	}
+}
+
+// SawEnd tells whether this process has seen the backend end under a request lately.
+func (g *Guard) SawEnd(backend string) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	until, ok := g.ended[backend]
+	return ok && !g.now().After(until)
+}
+
 // NoteAnswer takes in that a backend has answered the request, which ends any suspicion.
 func (g *Guard) NoteAnswer(fingerprint Fingerprint) {
 	if g.Judge(fingerprint).Known == 0 {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -56,6 +56,14 @@
 	ForgetAfter = 10 * time.Minute
 )
 
+// awayShare of a service's backends may be away at once since they ended under requests before a
+// suspect is sent to one more: what is left must carry the service's sound work.
+const awayShare = 1.0 / 3
+
+// MostAway returns how many of so many backends of a service may be away at once since they ended
+// under requests. One may, however few there are: else no suspect would ever be cleared.
+func MostAway(backends int) int { return max(int(awayShare*float64(backends)), 1) }
+
 // Crash says that a backend has ended while it ran a request.
 type Crash struct {
 	Fingerprint Fingerprint `cbor:"1,keyasint"`
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -267,5 +267,5 @@
 			services = append(services, share.Service)
 		}
 	}
-	return services, true
+	return services, !t.isPostponed(task, services)
 }
