A kind of which two contents have crashed backends is suspected as a whole

Now it is one once two contents of its kind have crashed backends one after the other, and none of it was answered in between. After one crash it is not: a route whose work goes to one target would wait for one deadly request.

--- a/forward/clearance.go
+++ b/forward/clearance.go
@@ -45,9 +45,8 @@
 	return c
 }
 
-// isSuspect tells whether a backend has ended under the request as it was judged last, so that it
-// may run at a ward only.
-func (c *clearance) isSuspect() bool { return c.verdict.Known > 0 }
+// isSuspect tells whether the request may run at a ward only, as it was judged last.
+func (c *clearance) isSuspect() bool { return c.verdict.IsSuspect() }
 
 // hasLeft tells whether a suspect has met a backend that cannot be reached: it may have ended
 // under another suspect that nobody has told of yet, so that no other one is asked at once.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -423,7 +423,7 @@
 		attempt := r.forwarder.client.Send(ctx, backend, r.request)
 		r.forwarder.learn(ctx, verdict, backend, r.request, attempt)
 		r.forwarder.note(backend, attempt, time.Since(started), ctx.Err() != nil)
-		if verdict.Known > 0 {
+		if verdict.IsSuspect() {
 			r.forwarder.leaveWard(backend.ID)
 		}
 		r.attempts <- attempted{attempt: attempt, backend: backend}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -122,7 +122,7 @@
 	s.noteEnd(outcome)
 	s.forwarder.learn(parent, s.verdict, backend, s.request, ended)
 	s.forwarder.note(backend, Attempt{Outcome: outcome}, time.Since(started), parent.Err() != nil)
-	if s.verdict.Known > 0 {
+	if s.isSuspect() {
 		s.forwarder.leaveWard(backend.ID)
 	}
 	switch outcome {
--- a/forward/ward.go
+++ b/forward/ward.go
@@ -7,8 +7,8 @@
 	"github.com/dillchute/dillchute/quarantine"
 )
 
-// A suspect, a request under which a backend has ended and that none has answered since, may end
-// the next one. So suspects run at few backends, the wards, and at none while too many of the
+// A suspect, a request under which a backend has ended and that none has answered since, or one of
+// a kind of which different requests have, may end the next one. So suspects run at few backends, the wards, and at none while too many of the
 // service's are away already. All processes prefer the same wards, without a word between them.
 
 // chooseWard takes a backend for a suspect, of the first service that has one, and counts the
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -27,8 +27,14 @@
 	Known, KindKnown int
 	// Held is set if the request must not be sent, and Offered if a trial of it may be asked for.
 	Held, Offered bool
+	// Doubted is set if different requests of its kind have crashed backends.
+	Doubted bool
 }
 
+// IsSuspect tells whether the request may end the backend that it is sent to: it has ended one, or
+// others of its kind have, and none was answered since.
+func (v Verdict) IsSuspect() bool { return v.Known > 0 || v.Doubted }
+
 // News is what a process has to tell.
 type News struct {
 	Crashes []Crash
@@ -116,7 +122,7 @@
 func (g *Guard) JudgeSubject(subject Subject) Verdict {
 	kind := g.Judge(subject.Kind)
 	verdict := g.Judge(subject.Content)
-	verdict.Subject, verdict.KindKnown = subject, kind.Known
+	verdict.Subject, verdict.KindKnown, verdict.Doubted = subject, kind.Known, kind.Doubted
 	if kind.Held && !g.isPermitted(subject.Content) {
 		verdict.Held, verdict.Fingerprint, verdict.Offered = true, kind.Fingerprint, kind.Offered
 	}
@@ -137,7 +143,8 @@
 	own := g.own(fingerprint)
 	return Verdict{
 		Fingerprint: fingerprint, Known: max(shared.Crashes, own.Crashes), Offered: shared.Offered,
-		Held: (shared.IsHeld() || own.IsHeld()) && !g.permits[fingerprint],
+		Held:    (shared.IsHeld() || own.IsHeld()) && !g.permits[fingerprint],
+		Doubted: shared.isDoubted() || own.isDoubted(),
 	}
 }
 
--- a/quarantine/kind_test.go
+++ b/quarantine/kind_test.go
@@ -64,6 +64,25 @@
 	require.False(t, guard.JudgeSubject(ofKind(2)).Held)
 }
 
+// TestKindIsDoubtedAfterTwoContents: what was never sent is a suspect once two contents of its kind
+// have crashed backends one after the other, and until one is answered.
+func TestKindIsDoubtedAfterTwoContents(t *testing.T) {
+	shared, c := newRecord(), &clock{at: time.Now()}
+	guard := guardOf(shared, c)
+	end(guard, shared, ofKind(1), "b1")
+	require.False(t, guard.JudgeSubject(ofKind(100)).IsSuspect(), "its mates are not suspected for one crash")
+	end(guard, shared, ofKind(1), "b2")
+	require.False(t, guard.JudgeSubject(ofKind(100)).IsSuspect(), "nor for two of one content")
+	end(guard, shared, ofKind(2), "b2")
+	verdict := guard.JudgeSubject(ofKind(100))
+	require.True(t, verdict.IsSuspect())
+	require.False(t, verdict.Held)
+	guard.NoteServed(ofKind(3))
+	shared.take(guard.TakeNews())
+	require.False(t, guard.JudgeSubject(ofKind(100)).IsSuspect())
+	require.True(t, guard.JudgeSubject(ofKind(1)).IsSuspect())
+}
+
 // TestAnswerFreesTheKind: sound requests of the kind keep it from being held back, and free it.
 func TestAnswerFreesTheKind(t *testing.T) {
 	shared, c := newRecord(), &clock{at: time.Now()}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -56,6 +56,11 @@
 	ForgetAfter = 10 * time.Minute
 )
 
+// doubtedFrom is the number of crashes from which on a kind is doubted: one more and it is held
+// back. After a single one all that goes to the target would be: an answer to any of it, which
+// ends the doubt, comes before a second crash wherever most of it is sound.
+const doubtedFrom = HeldFrom - 1
+
 // awayShare of a service's backends may be away at once since they ended under requests before a
 // suspect is sent to one more: what is left must carry the service's sound work.
 const awayShare = 1.0 / 3
@@ -98,6 +103,10 @@
 	return s.Crashes >= HeldFrom && (!s.isKind() || len(s.Of) >= kindContents)
 }
 
+// isDoubted tells whether this is a kind of which different contents have crashed backends, so
+// that all of it is suspected.
+func (s Suspect) isDoubted() bool { return s.Crashes >= doubtedFrom && len(s.Of) >= kindContents }
+
 // With returns the suspect after the crash, and whether that is news.
 func (s Suspect) With(crash Crash) (Suspect, bool) {
 	next := s.withOf(crash.Of)
--- a/server/held_sample.go
+++ b/server/held_sample.go
@@ -34,7 +34,7 @@
 // isPostponed tells whether an engine has ended under the task's sample, and too many are away for
 // it to run on another one now.
 func (t *tenure) isPostponed(task *scheduler.Task, services []string) bool {
-	return !t.guard.IsIdle() && t.guard.JudgeSubject(task.Subject()).Known > 0 && t.forwarder.Spares(t.catalog, services)
+	return !t.guard.IsIdle() && t.guard.JudgeSubject(task.Subject()).IsSuspect() && t.forwarder.Spares(t.catalog, services)
 }
 
 // askForTrial asks for a trial, which is the sample's alone also if it is that of its kind.
