--- a/forward/forward.go
+++ b/forward/forward.go
@@ -119,6 +119,9 @@
 	Stopping Reason = "stopping"
 	// Quarantined: the request has crashed the backends that ran it, and is held back.
 	Quarantined Reason = "quarantined"
+	// Postponed: a backend has ended under the request, and too many are away for it to be sent
+	// to another one now.
+	Postponed Reason = "postponed"
 )
 
 // Result is what became of a request.
@@ -259,10 +262,11 @@
 func (f *Forwarder) Do(ctx context.Context, catalog *directory.Catalog, route routing.Route, request *Request) Result {
 	ctx, cancel := context.WithTimeout(ctx, request.remaining())
 	defer cancel()
+	services := f.order(route)
 	r := &run{
-		forwarder: f, catalog: catalog, route: route, request: request, services: f.order(route),
+		forwarder: f, catalog: catalog, route: route, request: request, services: services,
 		tried: map[string]bool{}, attempts: make(chan attempted, max(route.Attempts, 1)+mostUnreached),
-		clearance: f.clear(ctx, request),
+		clearance: f.clear(ctx, catalog, services, request),
 	}
 	result := r.do(ctx)
 	result.recordPending()
@@ -294,7 +298,7 @@
 			if ctx.Err() != nil {
 				return r.endOfTime(ctx)
 			}
-			if r.mayRepeat(done.attempt.Outcome) {
+			if r.mayRepeat(done.attempt.Outcome) && !hasLeft(&r.clearance, done.attempt.Outcome) {
 				r.start(ctx)
 			}
 			if r.pending == 0 {
@@ -319,8 +323,8 @@
 	if r.result.MayHaveRun || last == Lost {
 		return NoAnswer
 	}
-	if r.refused {
-		return Quarantined
+	if reason := r.unsent(); reason != NoBackend {
+		return reason
 	}
 	return Full
 }
@@ -408,7 +412,7 @@
 	if r.result.Attempts-min(r.unreached, mostUnreached) >= max(r.route.Attempts, 1) || r.request.remaining() <= 0 || !r.mayStart() {
 		return false
 	}
-	backend, ok := r.forwarder.choose(r.catalog, r.services, r.tried)
+	backend, ok := r.forwarder.pick(&r.clearance, r.catalog, r.services, r.tried)
 	if !ok {
 		return false
 	}
@@ -422,6 +426,9 @@
 		attempt := r.forwarder.client.Send(ctx, backend, r.request)
 		r.forwarder.learn(ctx, verdict, backend, r.request, attempt)
 		r.forwarder.note(backend, attempt, time.Since(started), ctx.Err() != nil)
+		if verdict.IsSuspect() {
+			r.forwarder.leaveWard(backend.ID)
+		}
 		r.attempts <- attempted{attempt: attempt, backend: backend}
 	}()
 	return true
