--- a/forward/choose.go
+++ b/forward/choose.go
@@ -9,11 +9,28 @@
 
 // backendState is what this process knows of a backend.
 type backendState struct {
-	inFlight     int
-	latency      time.Duration
+	inFlight int
+	// suspects counts those of the requests in flight under which a backend has ended.
+	suspects int
+	latency  time.Duration
+	// measuredAt is when the latency last took a request in.
+	measuredAt   time.Time
 	avoidedUntil time.Time
 }
 
+// latencyLife is how long a latency counts after its last request. A backend that was slow gets
+// none while others are quicker, so that nothing would ever show that it is well again.
+const latencyLife = time.Minute
+
+// take takes a request's time in.
+func (s *backendState) take(took time.Duration, now time.Time) {
+	if now.Sub(s.measuredAt) > latencyLife {
+		s.latency = 0
+	}
+	s.latency = smoothed(s.latency, took, smoothing)
+	s.measuredAt = now
+}
+
 // order returns the route's services, the one whose turn it is first.
 func (f *Forwarder) order(route routing.Route) []string {
 	services := make([]string, 0, len(route.Shares))
@@ -79,7 +96,11 @@
 			if backend.Draining || tried[backend.ID] {
 				continue
 			}
-			if cost := f.cost(backend, now); bestCost < 0 || cost < bestCost {
+			cost := f.cost(backend, now)
+			if f.isAway(catalog, backend) {
+				cost += awayCost
+			}
+			if bestCost < 0 || cost < bestCost {
 				best, bestCost = backend, cost
 			}
 		}
@@ -94,7 +115,9 @@
 const (
 	avoidedCost = 1e6
 	silentCost  = 1e5
-	remoteCost  = 0.3
+	// awayCost is that of a backend which has ended under a request: nobody listens there.
+	awayCost   = 1e6
+	remoteCost = 0.3
 	// spreadCost is the random part of a cost, which spreads equal backends.
 	spreadCost = 0.2
 	// leastMillis is the least latency that is told apart from others.
@@ -113,7 +136,7 @@
 func (f *Forwarder) cost(backend directory.Backend, now time.Time) float64 {
 	state := f.state(backend.ID)
 	latency := max(float64(state.latency.Milliseconds()), leastMillis)
-	if state.latency == 0 {
+	if state.latency == 0 || now.Sub(state.measuredAt) > latencyLife {
 		latency = max(float64(f.usual[backend.Service].Milliseconds()), leastMillis) * (1 + firstCost)
 	}
 	cost := latency * float64(state.inFlight+1)
@@ -143,26 +166,27 @@
 func (f *Forwarder) note(backend directory.Backend, attempt Attempt, took time.Duration, cancelled bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	now := time.Now()
 	state := f.state(backend.ID)
 	state.inFlight--
 	f.budget = min(f.budget+budgetShare, budgetBurst)
 	if cancelled && attempt.Outcome != Answered {
 		// It was slower than another backend, or than its caller's patience.
 		if took > slowFactor*state.latency && took > minHedge {
-			state.avoidedUntil = time.Now().Add(slowPenalty)
+			state.avoidedUntil = now.Add(slowPenalty)
 		}
-		state.latency = smoothed(state.latency, took, smoothing)
+		state.take(took, now)
 		return
 	}
 	switch attempt.Outcome {
 	case Answered:
-		state.latency = smoothed(state.latency, took, smoothing)
+		state.take(took, now)
 		f.usual[backend.Service] = smoothed(f.usual[backend.Service], took, usualSmoothing)
 		state.avoidedUntil = time.Time{}
 	case Refused:
-		state.avoidedUntil = time.Now().Add(fullPenalty)
+		state.avoidedUntil = now.Add(fullPenalty)
 	default:
-		state.avoidedUntil = time.Now().Add(penalty)
+		state.avoidedUntil = now.Add(penalty)
 	}
 }
 
--- a/server/directory.go
+++ b/server/directory.go
@@ -24,7 +24,7 @@
 const (
 	directoryCallPath  = "/internal/directory/call"
 	directoryWatchPath = "/internal/directory/watch"
-	// watchWait is how long a watch is held while nothing changes.
+	// watchWait is how long a watch without lines is held while nothing changes.
 	watchWait = 2 * time.Second
 	// reviewInterval is the time between the leader's reviews of what is silent.
 	reviewInterval = 250 * time.Millisecond
@@ -57,7 +57,7 @@
 	machine  *directory.Machine
 	replica  *replica.Replica
 	client   *http.Client
-	watches  *watchCounter
+	evidence *evidence
 	metrics  directoryMetrics
 	// view is the machine's state, a little late.
 	view       atomic.Pointer[directory.Catalog]
@@ -69,6 +69,9 @@
 	// clockTold is when the leader was last told of this machine's clock. It belongs to
 	// the review.
 	clockTold time.Time
+	// toldAt is when the newest call began in which the leader was told whom this replica has
+	// heard, in milliseconds.
+	toldAt atomic.Int64
 
 	mutex   sync.Mutex
 	serving bool
@@ -84,17 +87,17 @@
 	opened, err := replica.Open(replica.Settings{
 		Cluster: settings.Cluster + "-directory", Address: settings.InternalAddress, DataFolder: settings.DataFolder,
 		Voters: config.Voters(settings.ToleratedLosses), Founders: founders, Replica: identity,
-		Contacts: seeds.Addresses,
+		Contacts: seeds.Current,
 	}, machine, logger)
 	if err != nil {
 		return nil, err
 	}
 	d := &Directory{
 		settings: settings, logger: logger, machine: machine, replica: opened,
-		client: replica.NewInternalClient(), watches: &watchCounter{}, metrics: newDirectoryMetrics(), heartbeats: newHeartbeats(),
+		client: replica.NewInternalClient(), evidence: newEvidence(), metrics: newDirectoryMetrics(), heartbeats: newHeartbeats(),
 	}
 	d.usage = &usageKeeper{
-		settings: settings, replica: opened, machine: machine, client: client, clock: usage.NewClock(), acts: duty.NewWatch(),
+		settings: settings, replica: opened, machine: machine, client: client, clock: usage.NewClock(settings.ToleratedLosses + 1), acts: duty.NewWatch(),
 		metrics: d.metrics, logger: logger,
 	}
 	d.view.Store(directory.NewCatalog())
@@ -132,6 +135,7 @@
 	defer httpServer.Close()
 	go d.review(ctx)
 	go d.followMachine(ctx)
+	go d.keepEvidence(ctx)
 	return d.replica.Run(ctx)
 }
 
--- a/server/directory_watch_test.go
+++ b/server/directory_watch_test.go
@@ -1,10 +1,13 @@
 package server
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -39,8 +42,12 @@
 	id       consensus.ReplicaID
 	sender   *transport.Transport
 	revision atomic.Uint64
-	// asked is set once the leader has been asked for the newest revision.
-	asked atomic.Bool
+	// asked is set once the leader has been asked for the newest revision, and questions
+	// counts how often.
+	asked     atomic.Bool
+	questions atomic.Int64
+	// unconfirmed has the leader say that no quorum confirms it.
+	unconfirmed atomic.Bool
 }
 
 func listenLoopback(t *testing.T) net.Listener {
@@ -62,6 +69,11 @@
 		var call directoryCall
 		if readCBOR(response, request, &call) && call.Newest {
 			leader.asked.Store(true)
+			leader.questions.Add(1)
+		}
+		if leader.unconfirmed.Load() {
+			http.Error(response, "no quorum", http.StatusServiceUnavailable)
+			return
 		}
 		writeCBOR(response, directoryAnswer{Leader: leader.address, Revision: leader.revision.Load()})
 	})
@@ -87,7 +99,7 @@
 }
 
 // startFollower runs a replica that founds a group with the leader at the address.
-func startFollower(t *testing.T, internal net.Listener, leader string, logger *zerolog.Logger) {
+func startFollower(t *testing.T, internal net.Listener, leader string, logger *zerolog.Logger) *Directory {
 	settings := config.DefaultDirectory()
 	settings.InternalAddress = internal.Addr().String()
 	settings.DataFolder = t.TempDir()
@@ -106,6 +118,7 @@
 		stop()
 		<-ended
 	})
+	return d
 }
 
 // watch asks the replica for what is newer than the revision, and returns nil
@@ -171,3 +184,136 @@
 		}
 	}
 }
+
+// lead sends the entries again and again until the test ends, which keeps the follower from
+// standing for election.
+func (l *scriptedLeader) lead(t *testing.T, commands ...directory.Command) {
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(watchInterval)
+		defer ticker.Stop()
+		for {
+			l.send(firstIndex, firstIndex+uint64(len(commands))-1, commands...)
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+	})
+}
+
+// followedReplica runs a replica that holds one configuration and whose leader's later entries
+// never come, and returns its address, its leader and the revision that it holds.
+func followedReplica(t *testing.T) (string, *scriptedLeader, uint64) {
+	d, leader, revision := followedDirectory(t, putVersion(1))
+	return d.settings.InternalAddress, leader, revision
+}
+
+// followedDirectory runs a replica that holds what the commands do.
+func followedDirectory(t *testing.T, commands ...directory.Command) (*Directory, *scriptedLeader, uint64) {
+	logger := zerolog.Nop()
+	internal, leaderListener := listenLoopback(t), listenLoopback(t)
+	leader := newScriptedLeader(t, leaderListener, internal.Addr().String(), &logger)
+	d := startFollower(t, internal, leader.address, &logger)
+	machine := directory.NewMachine()
+	for _, command := range commands {
+		machine.Apply(command.Encode())
+	}
+	leader.revision.Store(machine.Revision())
+	leader.lead(t, commands...)
+	address := internal.Addr().String()
+	holds := func() bool {
+		delta := watch(t, address, 0)
+		return delta != nil && delta.Revision == machine.Revision()
+	}
+	require.Eventually(t, holds, watchSoon, watchInterval)
+	return d, leader, machine.Revision()
+}
+
+// TestTrailingReplicaLetsWatchersGo: a replica that hears its leader, but does not get what that
+// has acknowledged, does not say that nothing has changed.
+func TestTrailingReplicaLetsWatchersGo(t *testing.T) {
+	address, leader, revision := followedReplica(t)
+	unchanged := func() bool { return watch(t, address, revision) != nil }
+	require.Eventually(t, unchanged, watchSoon, watchInterval, "a replica that holds everything says so")
+	leader.revision.Store(revision + 1)
+	// The question before the change may have been answered just now.
+	watch(t, address, revision)
+	for range 3 {
+		require.Nil(t, watch(t, address, revision), "a replica that trails")
+	}
+	leader.revision.Store(revision)
+	require.Eventually(t, unchanged, watchSoon, watchInterval, "it holds everything again")
+}
+
+// TestUnconfirmedLeaderProvesNothing: what no quorum confirms is no proof that nothing has
+// changed.
+func TestUnconfirmedLeaderProvesNothing(t *testing.T) {
+	address, leader, revision := followedReplica(t)
+	leader.unconfirmed.Store(true)
+	watch(t, address, revision)
+	for range 3 {
+		require.Nil(t, watch(t, address, revision))
+	}
+}
+
+// TestOneQuestionServesAllWatches: the leader is asked no more often for many watches than for
+// one.
+func TestOneQuestionServesAllWatches(t *testing.T) {
+	address, leader, revision := followedReplica(t)
+	const watchers = 50
+	asked := leader.questions.Load()
+	var held sync.WaitGroup
+	for range watchers {
+		held.Go(func() { watch(t, address, revision) })
+	}
+	held.Wait()
+	most := int64(watchWait/evidenceInterval) + 2
+	require.LessOrEqual(t, leader.questions.Load()-asked, most)
+}
+
+// linesAndAnswer returns how many lines an answer to a watch has, and what comes after them.
+func linesAndAnswer(t *testing.T, address string, since uint64, members string) (int, []byte) {
+	response, err := http.Get(watchURL(address, since, members))
+	require.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	content := bytes.TrimLeft(body, string(watchLine))
+	return len(body) - len(content), content
+}
+
+// TestHeldWatchHasLines: a watcher that asks for it is told that its watch is held, and then what
+// has changed; a replica that trails ends the watch without an answer.
+func TestHeldWatchHasLines(t *testing.T) {
+	address, leader, revision := followedReplica(t)
+	var members string
+	knewOthers := func() bool {
+		lines, content := linesAndAnswer(t, address, revision, "other")
+		var delta directory.Delta
+		if len(content) == 0 || decodeInternal(content, &delta) != nil {
+			return false
+		}
+		require.Positive(t, lines)
+		require.Equal(t, revision, delta.Revision)
+		require.Len(t, delta.Replicas, 2)
+		members = membersDigest(delta.Replicas)
+		return true
+	}
+	require.Eventually(t, knewOthers, watchSoon, watchInterval, "a watcher that knows other members is told")
+	leader.revision.Store(revision + 1)
+	linesAndAnswer(t, address, revision, members)
+	_, content := linesAndAnswer(t, address, revision, members)
+	require.Empty(t, content)
+}
+
+func watchURL(address string, since uint64, members string) string {
+	return "http://" + address + directoryWatchPath + "?since=" + strconv.FormatUint(since, 10) + "&" + watchMembersParameter + "=" + members
+}
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,17 +81,23 @@
 	router.Handle(runner.Path, l.runs).Methods(http.MethodPost)
 	httpServer := newHTTPServer(router)
 	serveHTTP(httpServer, internal, l.logger)
-	defer l.runs.Close()
-	defer httpServer.Close()
 	go l.maintain(watchContext, opened)
 	go tellCrashes(watchContext, l.executor.guard, l.watcher)
 	go l.executor.run(watchContext, opened, l.machine)
 	err = opened.Run(ctx)
-	// The stop's own context has ended.
-	tellNews(context.WithoutCancel(ctx), l.executor.guard, l.watcher)
+	l.finish(httpServer)
 	return err
 }
 
+// finish ends what the store does for others, and tells what it has learnt of crashes. Telling
+// comes last: what is taken meanwhile would end with the process, and what ends with the links may
+// be news.
+func (l *Ledger) finish(httpServer *http.Server) {
+	httpServer.Close()
+	l.runs.Close()
+	tellNews(context.Background(), l.executor.guard, l.watcher)
+}
+
 // Status returns the replica's status, or nil before it has one.
 func (l *Ledger) Status() *replica.Status {
 	l.mutex.Lock()
@@ -178,11 +186,33 @@
 	return err == nil
 }
 
-// contacts returns the addresses of the group's members.
-func (l *Ledger) contacts() []string {
+// contacts returns addresses of processes that may be members.
+func (l *Ledger) contacts() []string { return contactsOf(l.watcher.Catalog(), l.Status()) }
+
+// contactsOf returns the addresses of the group's members as the directory knows them, of the
+// other stores, and of the members that the replica knew last, which may be nil. The directory may
+// be out of reach while all members are replaced, one by one: by stores that have registered with
+// it before.
+func contactsOf(catalog *directory.Catalog, status *replica.Status) []string {
 	var addresses []string
-	for _, member := range l.watcher.Catalog().Group.Members {
-		addresses = append(addresses, member.Address)
+	add := func(address string) {
+		if !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	for _, member := range catalog.Group.Members {
+		add(member.Address)
+	}
+	for _, name := range slices.Sorted(maps.Keys(catalog.Stores)) {
+		if store := catalog.Stores[name]; !store.Retired {
+			add(store.Address)
+		}
+	}
+	if status == nil {
+		return addresses
+	}
+	for _, member := range status.Members {
+		add(member.Address)
 	}
 	return addresses
 }
--- a/server/seeds.go
+++ b/server/seeds.go
@@ -39,6 +39,13 @@
 // Addresses returns the newest addresses.
 func (s *Seeds) Addresses() []string { return *s.addresses.Load() }
 
+// Current returns the newest addresses after a Refresh, for a process that gets no answer at those
+// that it knows.
+func (s *Seeds) Current() []string {
+	s.Refresh()
+	return s.Addresses()
+}
+
 // Refresh reads the settings again unless that has been done shortly before. A
 // file that is wrong changes nothing.
 func (s *Seeds) Refresh() {
@@ -71,10 +78,10 @@
 }
 
 // FollowSignals reads the settings again whenever a hang-up signal arrives, or one has since the
-// signals are caught.
+// signals are caught, until the context ends. The signals stay caught after that: given back, one
+// that comes during a planned stop would end the process with all that it still does.
 func (s *Seeds) FollowSignals(ctx context.Context, hangUps chan os.Signal) {
 	go func() {
-		defer signal.Stop(hangUps)
 		for {
 			select {
 			case <-ctx.Done():
