A question of an earlier life puts out no living member

The leader took the machine's new identity for one that had been superseded, and removed it each time that it was let in, for as long as it led: the group stayed a voter short. Change: a question is ignored while the member known at its address answers under another identity, and the mark of whoever asks is cleared. Where the member is only not known to be gone yet, the question comes again.

--- a/replica/membership.go
+++ b/replica/membership.go
@@ -21,12 +21,16 @@
 		c.passOnJoin(join)
 		return
 	}
+	if c.isOfEarlierLife(join) {
+		return
+	}
 	membership := c.raft.Membership()
 	for _, member := range membership.Members {
 		if member.Address == join.Address && member.ID != join.ID {
 			c.superseded[member.ID] = true
 		}
 	}
+	delete(c.superseded, join.ID)
 	if _, ok := membership.Member(join.ID); ok || c.retiring[join.ID] || c.hasStandby() {
 		return
 	}
@@ -35,6 +39,25 @@
 	})
 }
 
+// isOfEarlierLife tells whether a member at the address answers under another identity than the
+// one that asks. Its machine has lost a disk between the two, and the question is the older one:
+// whoever stood still passes on late what it was asked. It would put out a living member otherwise.
+// Where the member is only not known to be gone yet, the question comes again.
+func (c *Core) isOfEarlierLife(join protocol.Join) bool {
+	for _, member := range c.raft.Membership().Members {
+		if member.Address == join.Address && member.ID != join.ID && c.answers(member.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// answers tells, on a leader, whether the member has replied within an election timeout.
+func (c *Core) answers(id consensus.ReplicaID) bool {
+	_, silent := c.raft.Match(id)
+	return id == c.raft.ID() || silent <= c.config.Consensus.ElectionTicks
+}
+
 // passOnJoin sends the question of a replica outside to the leader. Such a replica knows only the
 // few addresses of its settings; if it were let in by a leader alone, it would stay outside while
 // none of them leads, and the group would be a voter short without anybody's notice. It is passed on
