Whom a replica outside asks, how often, and when a store counts as emptied

Change: where the learners are bounded one contact passes a question on in a round, and stores that are no members are asked one at a time, late only; whoever still sends to a machine's former identity is asked, too; the pause is steady; a store is told to be empty once the group has all its voters. TestContactsOutliveTheGroup asks for the same addresses of two functions now.

--- a/clock/usage_test.go
+++ b/clock/usage_test.go
@@ -43,7 +43,6 @@
 	"server/node.go":             {2, "the wait of a planned stop"},
 	"server/paces.go":            {2, "pauses between records"},
 	"server/record.go":           {5, "pauses between records, and a metric"},
-	"server/seeds.go":            {2, "pauses between looks at the settings"},
 	"server/watch.go":            {1, "what a context leaves for one of several attempts"},
 	"server/tenure.go":           {4, "pauses between looks"},
 }
--- a/replica/admission.go
+++ b/replica/admission.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dillchute/dillchute/clock"
+	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/eventloop"
 	"github.com/dillchute/dillchute/protocol"
@@ -28,26 +29,27 @@
 // bound for making a lost machine good (4 s and more) shows in the logs before it is over.
 const outsideTold = 3 * time.Second
 
+// othersEach is the number of rounds of a replica that stands by after which it also asks one that
+// is no likely member.
+const othersEach = 10
+
 // askToJoin asks for admission while this replica is not a member or hears no leader for long: it
-// may have been replaced while it was away. At first it asks all that may be members. One that
-// stands by asks a single one at a time, which passes the question on: of many that stand by, the
-// leader hears no more than one question a second each.
+// may have been replaced while it was away.
 func (r *Replica) askToJoin(ctx context.Context) {
 	insideAt := clock.Now()
 	toldAt := insideAt
 	for round := 0; ctx.Err() == nil; round++ {
 		pause := joinInterval
-		switch {
-		case !r.outside():
+		if r.outside() {
+			late := clock.Since(insideAt) > joinPatience
+			if late {
+				pause = standbyInterval
+			}
+			r.sendJoins(r.questions(r.contacts(), round, late))
+			toldAt = r.tellOutside(insideAt, toldAt)
+		} else {
 			insideAt = clock.Now()
 			toldAt = insideAt
-		case clock.Since(insideAt) <= joinPatience:
-			r.sendJoin(r.contacts())
-			toldAt = r.tellOutside(insideAt, toldAt)
-		default:
-			pause = standbyInterval
-			r.sendJoin(oneOf(r.contacts(), round))
-			toldAt = r.tellOutside(insideAt, toldAt)
 		}
 		select {
 		case <-ctx.Done():
@@ -56,13 +58,37 @@
 	}
 }
 
-// oneOf returns the contact whose turn it is in the round, if there is any.
-func oneOf(contacts []string, round int) []string {
-	if len(contacts) == 0 {
+// question asks the process at the address to be let in, and to pass that on if it does not lead.
+type question struct {
+	address string
+	passOn  bool
+}
+
+// questions returns what is asked in a round. A group that takes in all who ask is asked at all
+// contacts. Of a bounded one many may stand by: the leader, which is among the contacts as a rule,
+// hears no more than two questions of each in a round, and after the patience one a second.
+func (r *Replica) questions(contacts []string, round int, late bool) []question {
+	turn := oneOf(contacts, round)
+	bounded := r.settings.Standby > 0
+	if bounded && late {
+		if r.settings.Others != nil && round%othersEach == 0 {
+			turn = append(turn, oneOf(r.settings.Others(), round/othersEach)...)
+		}
+		contacts = turn
+	}
+	questions := make([]question, 0, len(contacts))
+	for _, address := range contacts {
+		questions = append(questions, question{address: address, passOn: !bounded || slices.Contains(turn, address)})
+	}
+	return questions
+}
+
+// oneOf returns the address whose turn it is in the round, if there is any.
+func oneOf(addresses []string, round int) []string {
+	if len(addresses) == 0 {
 		return nil
 	}
-	turn := round % len(contacts)
-	return contacts[turn : turn+1]
+	return []string{addresses[round%len(addresses)]}
 }
 
 // tellOutside says now and then that nobody lets this replica in, where the group takes all that
@@ -89,25 +115,30 @@
 	return true
 }
 
-// sendJoin asks the processes at the addresses to be let in.
-func (r *Replica) sendJoin(addresses []string) {
-	message := protocol.Message{
-		From: r.settings.Address,
-		Join: &protocol.Join{ID: r.Status().ID, Address: r.settings.Address},
-	}
-	for _, address := range addresses {
-		r.transport.Send(address, message)
+func (r *Replica) sendJoins(questions []question) {
+	id := r.Status().ID
+	for _, one := range questions {
+		r.transport.Send(one.address, protocol.Message{
+			From: r.settings.Address,
+			Join: &protocol.Join{ID: id, Address: r.settings.Address, PassedOn: !one.passOn},
+		})
 	}
 }
 
-// contacts returns whom to ask to be let in: the addresses of the settings, and the members that a
-// replica with data remembers, which may be others by now than the settings name.
+// contacts returns whom to ask to be let in: the addresses of the settings; the members that a
+// replica with data remembers, which may be others by now than the settings name; and whoever
+// still sends to the identity that this machine had before it lost its disk.
 func (r *Replica) contacts() []string {
-	addresses := slices.Clone(r.settings.Contacts())
-	for _, member := range r.Status().Members {
+	senders, _ := eventloop.Ask(r.loop, r.core.Senders)
+	return joinContacts(r.settings, r.Status().Members, senders)
+}
+
+func joinContacts(settings Settings, members []consensus.Member, senders []string) []string {
+	addresses := append(slices.Clone(settings.Contacts()), senders...)
+	for _, member := range members {
 		addresses = append(addresses, member.Address)
 	}
 	slices.Sort(addresses)
 	addresses = slices.Compact(addresses)
-	return slices.DeleteFunc(addresses, func(address string) bool { return address == r.settings.Address })
+	return slices.DeleteFunc(addresses, func(address string) bool { return address == settings.Address })
 }
--- a/replica/admission_test.go
+++ b/replica/admission_test.go
@@ -132,17 +132,28 @@
 	require.Empty(t, ask(true))
 }
 
-// TestWhomToAsk: a replica outside asks the addresses of its settings and the members that it
-// remembers, and while it stands by one after the other.
+// TestWhomToAsk: a replica outside asks the addresses of its settings, the members that it
+// remembers and whoever still sends to it.
 func TestWhomToAsk(t *testing.T) {
-	r := &Replica{settings: Settings{Address: "own", Contacts: func() []string { return []string{"seed", "both", "own"} }}}
-	r.status.Store(&Status{Members: []consensus.Member{{ID: 1, Address: "both"}, {ID: 2, Address: "member"}, {ID: 3, Address: "own"}}})
-	contacts := r.contacts()
-	require.Equal(t, []string{"both", "member", "seed"}, contacts)
-	var asked []string
-	for round := range 4 {
-		asked = append(asked, oneOf(contacts, round)...)
-	}
-	require.Equal(t, []string{"both", "member", "seed", "both"}, asked)
-	require.Empty(t, oneOf(nil, 1))
+	settings := Settings{Address: "own", Contacts: func() []string { return []string{"seed", "both", "own"} }}
+	members := []consensus.Member{{ID: 1, Address: "both"}, {ID: 2, Address: "member"}, {ID: 3, Address: "own"}}
+	require.Equal(t, []string{"both", "leader", "member", "seed"}, joinContacts(settings, members, []string{"leader", "both"}))
+
+	r := &Replica{settings: settings}
+	all := []question{{"a", true}, {"b", true}}
+	require.Equal(t, all, r.questions([]string{"a", "b"}, 1, false))
+	require.Equal(t, all, r.questions([]string{"a", "b"}, 1, true), "a group that takes all in is asked everywhere")
+	require.Empty(t, r.questions(nil, 1, true))
+}
+
+// TestManyThatStandByAskLittle: where the learners are bounded one contact passes a question on in
+// a round, late only one is asked, and now and then one that is no likely member.
+func TestManyThatStandByAskLittle(t *testing.T) {
+	r := &Replica{settings: Settings{Standby: 1, Others: func() []string { return []string{"x", "y"} }}}
+	contacts := []string{"a", "b"}
+	require.Equal(t, []question{{"a", true}, {"b", false}}, r.questions(contacts, 0, false))
+	require.Equal(t, []question{{"a", false}, {"b", true}}, r.questions(contacts, 1, false))
+	require.Equal(t, []question{{"b", true}}, r.questions(contacts, 1, true))
+	require.Equal(t, []question{{"a", true}, {"y", true}}, r.questions(contacts, othersEach, true))
+	require.Equal(t, []question{{"a", true}, {"x", true}}, r.questions(contacts, 2*othersEach, true))
 }
--- a/replica/core.go
+++ b/replica/core.go
@@ -6,6 +6,8 @@
 
 import (
 	"io"
+	"maps"
+	"slices"
 
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/protocol"
@@ -135,6 +137,9 @@
 	return c.Leading() && c.raft.CommittedInTerm() && c.applied == c.raft.Commit()
 }
 
+// Senders returns the addresses that replicas have sent from since the start.
+func (c *Core) Senders() []string { return slices.Sorted(maps.Values(c.addresses)) }
+
 // LeaderAddress returns the leader's address, or "" if it is not known.
 func (c *Core) LeaderAddress() string {
 	if c.Leading() {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -80,6 +80,9 @@
 	// Contacts returns addresses of processes that may be members. It is called again and
 	// again while the replica is outside of the group.
 	Contacts func() []string
+	// Others returns addresses of processes that may have become members since the contacts were
+	// learnt, or is nil. A replica that stands by asks one of them now and then.
+	Others func() []string
 }
 
 // Store keeps what a replica must not forget. What a call has returned for
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -120,7 +120,7 @@
 	settings := replica.Settings{
 		Cluster: l.cluster(), Address: l.settings.InternalAddress, DataFolder: l.settings.DataFolder,
 		Voters: config.Voters(l.settings.ToleratedLosses), Standby: max(l.settings.ToleratedLosses, 1),
-		Replica: l.identity, Contacts: l.contacts,
+		Replica: l.identity, Contacts: l.contacts, Others: l.others,
 		// Engines that another leader has given orders to are left alone for a while.
 		KeepLeader: true,
 	}
@@ -186,34 +186,29 @@
 	return err == nil
 }
 
-// contacts returns addresses of processes that may be members.
-func (l *Ledger) contacts() []string { return contactsOf(l.watcher.Catalog(), l.Status()) }
-
-// contactsOf returns the addresses of the group's members as the directory knows them, of the
-// other stores, and of the members that the replica knew last, which may be nil. The directory may
-// be out of reach while all members are replaced, one by one: by stores that have registered with
-// it before.
-func contactsOf(catalog *directory.Catalog, status *replica.Status) []string {
+// contacts returns the addresses of the group's members as the directory knows them. The replica
+// adds those that it knew last itself.
+func (l *Ledger) contacts() []string {
 	var addresses []string
-	add := func(address string) {
-		if !slices.Contains(addresses, address) {
-			addresses = append(addresses, address)
-		}
-	}
-	for _, member := range catalog.Group.Members {
-		add(member.Address)
+	for _, member := range l.watcher.Catalog().Group.Members {
+		addresses = append(addresses, member.Address)
 	}
+	return addresses
+}
+
+// others returns the addresses of all other stores that are not retired. The directory may be out
+// of reach while all members are replaced, one by one, by stores that have registered before.
+func (l *Ledger) others() []string { return storesOutside(l.watcher.Catalog()) }
+
+func storesOutside(catalog *directory.Catalog) []string {
+	var addresses []string
 	for _, name := range slices.Sorted(maps.Keys(catalog.Stores)) {
-		if store := catalog.Stores[name]; !store.Retired {
-			add(store.Address)
+		store := catalog.Stores[name]
+		isMember := slices.ContainsFunc(catalog.Group.Members, func(member consensus.Member) bool { return member.Address == store.Address })
+		if !store.Retired && !isMember {
+			addresses = append(addresses, store.Address)
 		}
 	}
-	if status == nil {
-		return addresses
-	}
-	for _, member := range status.Members {
-		add(member.Address)
-	}
 	return addresses
 }
 
@@ -252,12 +247,22 @@
 		emptied = emptied || !store.Retired && !member
 	}
 	opened.SetRetiring(retiring)
-	if !status.MembersCommitted || sameMembers(catalog.Group.Members, status.Members) && !emptied {
+	if !mayReport(status, catalog.Group.Members, emptied) {
 		return
 	}
 	l.watcher.call(ctx, directoryCall{Report: &directory.Group{Members: status.Members, Number: status.Commit}})
 }
 
+// mayReport tells whether the directory is to be told of the group's members, of which it knows
+// some. It takes a retiring store for empty once its replica is none: that waits until the group
+// has all its voters without it, since others may be lost as soon as it is told.
+func mayReport(status *replica.Status, known []consensus.Member, emptied bool) bool {
+	if !status.MembersCommitted || emptied && status.MissingVoters > 0 {
+		return false
+	}
+	return emptied || !sameMembers(known, status.Members)
+}
+
 func sameMembers(a, b []consensus.Member) bool {
 	if len(a) != len(b) {
 		return false
--- a/server/ledger_test.go
+++ b/server/ledger_test.go
@@ -37,6 +37,19 @@
 	require.NotEqual(t, first.identity, replaced.identity)
 }
 
+// TestEmptiedIsToldOnceAllVotersAreThere: a retiring store that has left the group counts as
+// empty only when another one has its vote.
+func TestEmptiedIsToldOnceAllVotersAreThere(t *testing.T) {
+	known := membersAt("a:70", "b:70", "c:70")
+	left := membersAt("a:70", "b:70", "d:70")
+	require.False(t, mayReport(&replica.Status{Members: left, MembersCommitted: true, MissingVoters: 1}, known, true))
+	require.True(t, mayReport(&replica.Status{Members: left, MembersCommitted: true}, known, true))
+	require.True(t, mayReport(&replica.Status{Members: left, MembersCommitted: true}, left, true))
+	require.True(t, mayReport(&replica.Status{Members: left, MembersCommitted: true, MissingVoters: 1}, known, false))
+	require.False(t, mayReport(&replica.Status{Members: left}, known, true))
+	require.False(t, mayReport(&replica.Status{Members: known, MembersCommitted: true}, known, false))
+}
+
 // TestContactsOutliveTheGroup: a store that is not in the group asks to be let in wherever the
 // group may have moved while the directory was out of reach, also where it has not been told of
 // the directory's state at all.
@@ -52,9 +65,13 @@
 	machine.Apply(directory.Command{ReportGroup: &directory.Group{Members: membersAt("a:70", "b:70"), Number: 2}}.Encode())
 	catalog := directory.NewCatalog().With(machine.DeltaSince(0))
 	require.True(t, catalog.Stores["d"].Retired)
-	require.Equal(t, []string{"a:70", "b:70", "c:70"}, contactsOf(catalog, nil))
-
-	status := &replica.Status{Members: membersAt("b:70", "e:70")}
-	require.Equal(t, []string{"a:70", "b:70", "c:70", "e:70"}, contactsOf(catalog, status))
-	require.Equal(t, []string{"b:70", "e:70"}, contactsOf(directory.NewCatalog(), status))
+	require.Equal(t, []string{"c:70"}, storesOutside(catalog))
+	require.Empty(t, storesOutside(directory.NewCatalog()))
+	logger := zerolog.Nop()
+	settings := config.DefaultLedger()
+	seeds := NewSeeds(settings.Process, func() (config.Process, error) { return settings.Process, nil }, &logger)
+	store := NewLedger(settings, seeds, nil, nil, &logger)
+	store.watcher.take(store.watcher.Catalog(), machine.DeltaSince(0))
+	require.Equal(t, []string{"a:70", "b:70"}, store.contacts())
+	require.Equal(t, []string{"c:70"}, store.others())
 }
--- a/server/seeds.go
+++ b/server/seeds.go
@@ -22,7 +22,8 @@
 	load      func() (config.Process, error)
 	logger    *zerolog.Logger
 	addresses atomic.Pointer[[]string]
-	readAt    atomic.Int64
+	// readAt is when the settings were last read without a signal, in milliseconds.
+	readAt atomic.Int64
 }
 
 // seedInterval is the least time between two reads without a signal.
@@ -50,7 +51,8 @@
 // file that is wrong changes nothing.
 func (s *Seeds) Refresh() {
 	last := s.readAt.Load()
-	if time.Since(time.UnixMilli(last)) > seedInterval && s.readAt.CompareAndSwap(last, time.Now().UnixMilli()) {
+	now := nowMillis()
+	if now-last > seedInterval.Milliseconds() && s.readAt.CompareAndSwap(last, now) {
 		s.reload()
 	}
 }
--- a/server/seeds_test.go
+++ b/server/seeds_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/config"
 )
 
@@ -60,3 +61,19 @@
 	require.Equal(t, []string{"10.0.0.1:7000"}, seeds.Addresses())
 	require.Equal(t, []string{"10.0.0.2:7000"}, seeds.Current())
 }
+
+// TestSeedIntervalIsNotOfTheTimeOfDay: the time between two reads is that of package clock, so that
+// a machine whose time of day was set back still learns of other seeds.
+func TestSeedIntervalIsNotOfTheTimeOfDay(t *testing.T) {
+	logger := zerolog.Nop()
+	reads := 0
+	seeds := NewSeeds(config.Process{}, func() (config.Process, error) { reads++; return config.Process{}, nil }, &logger)
+	machine := &clock.Suspendable{}
+	defer clock.Use(machine)()
+	seeds.Refresh()
+	seeds.Refresh()
+	require.Equal(t, 1, reads)
+	machine.Suspend(2 * seedInterval)
+	seeds.Refresh()
+	require.Equal(t, 2, reads)
+}
