Usage is told last: the order of a stop's end has a name and a test

end (server/stop.go) holds the order that RunGateway had: work, connections, telling. TestUsageIsToldLast: a request that ends in the stop's last moment is told, and by then nobody can connect. Mutants, each found: telling before the connections end (the test runs into its time limit, since the count is missed), no end of the work, no look at the deadline, no closing, the end of the work taken for a caller who left.

--- a/server/process.go
+++ b/server/process.go
@@ -102,10 +102,7 @@
 	event.GatewayStarted.On(logger).Str("name", settings.Name).Str("address", settings.CallerAddress).Send()
 	<-ctx.Done()
 	event.GatewayStopping.On(logger).Int("in_flight", gateway.InFlight()).Send()
-	gateway.Stop(settings.Grace)
-	gateway.drain()
-	err := shutDown(callerServer, gateway.closingTime())
-	gateway.tellLast()
+	err := gateway.end(callerServer, settings.Grace)
 	event.GatewayStopped.On(logger).Int("in_flight", gateway.InFlight()).Send()
 	return err
 }
--- a/server/stop.go
+++ b/server/stop.go
@@ -60,6 +60,16 @@
 // Stopping tells whether a planned stop has begun.
 func (g *Gateway) Stopping() bool { return g.plan.Load() != nil }
 
+// end carries a planned stop out: the work ends, then the callers' connections, and last the
+// gateway tells what it has counted.
+func (g *Gateway) end(callers *http.Server, grace time.Duration) error {
+	g.Stop(grace)
+	g.drain()
+	err := shutDown(callers, g.closingTime())
+	g.tellLast()
+	return err
+}
+
 // mayTake tells whether a request may begin that ends by the deadline. One that could outlive
 // the process is refused before it reaches a backend.
 func (g *Gateway) mayTake(deadline time.Time) bool {
--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -109,28 +109,45 @@
 	require.Error(t, gateway.work.Err())
 }
 
-// TestStoreTakesNothingWhileItTells: a store that stops tells what it has learnt once it serves
-// nobody any more: a run that began meanwhile would end with the process.
-func TestStoreTakesNothingWhileItTells(t *testing.T) {
-	served := listenLoopback(t)
-	reachable := make(chan bool, 1)
-	told := httptest.NewServer(http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+// toldDirectory is a stand-in of the directory. At each call that tells something it finds out
+// whether the teller still takes connections.
+type toldDirectory struct {
+	server    *httptest.Server
+	reachable chan bool
+}
+
+func newToldDirectory(t *testing.T, teller string) *toldDirectory {
+	d := &toldDirectory{reachable: make(chan bool, 100)}
+	d.server = httptest.NewServer(http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
 		var call directoryCall
-		if !readCBOR(response, request, &call) || call.Quarantine == nil {
+		if !readCBOR(response, request, &call) || call.Quarantine == nil && call.Usage == nil {
 			return
 		}
-		connection, err := net.Dial("tcp", served.Addr().String())
+		connection, err := net.Dial("tcp", teller)
 		if err == nil {
 			connection.Close()
 		}
-		reachable <- err == nil
+		d.reachable <- err == nil
 		writeCBOR(response, directoryAnswer{})
 	}))
-	defer told.Close()
+	t.Cleanup(d.server.Close)
+	return d
+}
+
+func (d *toldDirectory) seeds(logger *zerolog.Logger) *Seeds {
+	settings := config.DefaultGateway().Process
+	settings.Peers = []string{d.server.Listener.Addr().String()}
+	return NewSeeds(settings, func() (config.Process, error) { return settings, nil }, logger)
+}
+
+// TestStoreTakesNothingWhileItTells: a store that stops tells what it has learnt once it serves
+// nobody any more: a run that began meanwhile would end with the process.
+func TestStoreTakesNothingWhileItTells(t *testing.T) {
+	served := listenLoopback(t)
+	directory := newToldDirectory(t, served.Addr().String())
 	settings := config.DefaultLedger()
-	settings.Peers = []string{told.Listener.Addr().String()}
 	logger := zerolog.Nop()
-	seeds := NewSeeds(settings.Process, func() (config.Process, error) { return settings.Process, nil }, &logger)
+	seeds := directory.seeds(&logger)
 	store := NewLedger(settings, seeds, nil, nil, &logger)
 	httpServer := newHTTPServer(store.runs)
 	serveHTTP(httpServer, served, &logger)
@@ -139,5 +156,33 @@
 	require.NoError(t, response.Body.Close())
 	store.executor.guard.NoteCrash("content", "backend", 0)
 	store.finish(httpServer)
-	require.False(t, <-reachable)
+	require.False(t, <-directory.reachable)
+}
+
+// TestUsageIsToldLast: a stopping gateway tells what it has counted once it serves nobody any
+// more, and the request that ended last is among it.
+func TestUsageIsToldLast(t *testing.T) {
+	served := listenLoopback(t)
+	directory := newToldDirectory(t, served.Addr().String())
+	logger := zerolog.Nop()
+	gateway := NewGateway(config.DefaultGateway(), directory.seeds(&logger), nil, &logger)
+	begun := make(chan struct{})
+	callers := newCallerServer(gateway.closeConnections(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(begun)
+		<-gateway.work.Done()
+		gateway.usage.note("north", forward.Result{History: []forward.AttemptRecord{{Began: clock.Now()}}})
+	})))
+	serveHTTP(callers, served, &logger)
+	answer := make(chan error, 1)
+	go func() {
+		response, err := http.Get("http://" + served.Addr().String())
+		if err == nil {
+			err = response.Body.Close()
+		}
+		answer <- err
+	}()
+	<-begun
+	require.NoError(t, gateway.end(callers, time.Second))
+	require.NoError(t, <-answer)
+	require.False(t, <-directory.reachable)
 }
