The quarantine in virtual time holds kinds and the room for suspects; kinds have one early trial

TestQuarantineUnderFaults now draws many deadly contents of one kind with even seeds, and one that shares its kind with all sound requests with odd ones; backends are registered in the directory's machine, and gateways go by forward.WardRoom. It also asserts that no suspect is sent while too many backends are away of which its gateway must know (100 ms in touch after the directory took it in).

What this process saw end is copied once for each choice instead of asked for each backend under a lock.

--- a/directory/watch_bench_test.go
+++ b/directory/watch_bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"github.com/dillchute/dillchute/quarantine"
 )
 
 func manyBackends() []Backend {
@@ -23,3 +25,18 @@
 		catalog = catalog.With(Delta{Revision: uint64(number + 2), Backends: backends[number%3000 : number%3000+1]})
 	}
 }
+
+// BenchmarkSuspectChange takes one more suspect into a catalog that holds as many as there may be.
+func BenchmarkSuspectChange(b *testing.B) {
+	delta := Delta{Revision: 1, Full: true}
+	for number := range maxSuspects {
+		delta.Suspects = append(delta.Suspects, quarantine.Suspect{
+			Fingerprint: quarantine.Fingerprint(fmt.Sprint(number)), Crashes: 1, Ended: []string{fmt.Sprint("b-", number/8)},
+		})
+	}
+	catalog := NewCatalog().With(delta)
+	change := Delta{Revision: 2, Suspects: []quarantine.Suspect{{Fingerprint: "new", Crashes: 1, Ended: []string{"b-new"}}}}
+	for b.Loop() {
+		catalog.With(change)
+	}
+}
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -73,7 +73,7 @@
 func (f *Forwarder) choose(catalog *directory.Catalog, services []string, tried map[string]bool) (directory.Backend, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	now := time.Now()
+	now, ends := time.Now(), EndsKnown(catalog, f.guard)
 	for _, service := range services {
 		var best directory.Backend
 		bestCost := -1.0
@@ -82,7 +82,7 @@
 				continue
 			}
 			cost := f.cost(backend, now)
-			if f.isAway(catalog, backend) {
+			if ends.Has(backend.ID) {
 				cost += awayCost
 			}
 			if bestCost < 0 || cost < bestCost {
--- a/forward/ward.go
+++ b/forward/ward.go
@@ -19,7 +19,7 @@
 	defer f.mutex.Unlock()
 	now := time.Now()
 	for _, service := range services {
-		room := f.wardRoom(catalog, service)
+		room := WardRoom(catalog, f.guard, service)
 		if room <= 0 {
 			spared = true
 			continue
@@ -34,23 +34,33 @@
 	return directory.Backend{}, false, spared
 }
 
-// wardRoom returns how many backends of the service may run suspects now.
-func (f *Forwarder) wardRoom(catalog *directory.Catalog, service string) int {
-	backends := catalog.Backends(service)
+// WardRoom returns how many backends of the service may run suspects now, as far as the process
+// with the guard knows.
+func WardRoom(catalog *directory.Catalog, guard *quarantine.Guard, service string) int {
+	backends, ends := catalog.Backends(service), EndsKnown(catalog, guard)
 	away := 0
 	for _, backend := range backends {
-		if f.isAway(catalog, backend) {
+		if ends.Has(backend.ID) {
 			away++
 		}
 	}
 	return quarantine.MostAway(len(backends)) - away
 }
 
-// isAway tells whether the backend has ended under a request, as far as anybody has told.
-func (f *Forwarder) isAway(catalog *directory.Catalog, backend directory.Backend) bool {
-	return catalog.HasEnded(backend.ID) || f.guard.SawEnd(backend.ID)
+// Ends are the backends that have ended under requests, as far as a process knows.
+type Ends struct {
+	catalog *directory.Catalog
+	seen    map[string]bool
 }
 
+// EndsKnown returns the ends that the process with the guard knows of.
+func EndsKnown(catalog *directory.Catalog, guard *quarantine.Guard) Ends {
+	return Ends{catalog: catalog, seen: guard.SeenEnds()}
+}
+
+// Has tells whether the backend has ended.
+func (e Ends) Has(id string) bool { return e.seen[id] || e.catalog.HasEnded(id) }
+
 // wardOf returns the ward with the fewest requests. While there is room for one more ward and
 // each has as many requests as slots, it is the first other backend that can be asked.
 func (f *Forwarder) wardOf(backends []directory.Backend, tried map[string]bool, room int, now time.Time) (directory.Backend, bool) {
@@ -90,7 +100,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, service := range services {
-		if f.wardRoom(catalog, service) > 0 {
+		if WardRoom(catalog, f.guard, service) > 0 {
 			return false
 		}
 	}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -207,12 +207,21 @@
 	}
 }
 
-// SawEnd tells whether this process has seen the backend end under a request lately.
-func (g *Guard) SawEnd(backend string) bool {
+// SeenEnds returns the backends that this process has seen end under requests lately, nil for none.
+func (g *Guard) SeenEnds() map[string]bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	until, ok := g.ended[backend]
-	return ok && !g.now().After(until)
+	if len(g.ended) == 0 {
+		return nil
+	}
+	now := g.now()
+	seen := make(map[string]bool, len(g.ended))
+	for backend, until := range g.ended {
+		if !now.After(until) {
+			seen[backend] = true
+		}
+	}
+	return seen
 }
 
 // NoteAnswer takes in that a backend has answered the request, which ends any suspicion.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -44,8 +44,10 @@
 	// the second trial.
 	rareTrial = 10 * time.Minute
 	lastTrial = 24 * time.Hour
-	// kindTrial is the wait after the second trial of a kind: more depends on it than on one
-	// content, and what crashes backends today may be mended without a change of its target.
+	// kindTrial is the wait after the first trial of a kind. More depends on a kind than on one
+	// content, and what crashes backends today may be mended without a change of its target. An
+	// earlier second trial would pass the users' bound where two contents of the kind are sent
+	// side by side before anybody knows of a crash, which the simulation has shown.
 	kindTrial = rareTrial
 	// trialSpread is the part by which the waits of requests differ at the most.
 	trialSpread = 0.5
@@ -148,13 +150,12 @@
 // that fell together wait for different times, so that a sound one does not meet the other again.
 func (s Suspect) TrialWait() time.Duration {
 	wait := lastTrial
-	if s.isKind() {
-		wait = kindTrial
-	}
-	switch s.Trials {
-	case 0:
+	switch {
+	case s.Trials == 0:
 		wait = firstTrial
-	case 1:
+	case s.isKind():
+		wait = kindTrial
+	case s.Trials == 1:
 		wait = secondTrial
 	}
 	if len(s.Ended) >= mostEnded && !s.isKind() {
--- a/server/quarantine_simulation_test.go
+++ b/server/quarantine_simulation_test.go
@@ -6,20 +6,24 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/forward"
 	"github.com/dillchute/dillchute/quarantine"
 )
 
 // The simulation here plays gateways, the directory and backends in virtual time, with the
-// quarantine's real cores: the directory's machine, each gateway's guard, and the leader's clock
-// of suspects. A deadly request comes again and again at any gateway and ends each backend that
-// runs it, with whatever else runs there; sound requests come all the time. Gateways are cut off
-// from the directory and start anew, and the directory changes its leader.
+// quarantine's real cores: the directory's machine, each gateway's guard, the room for suspects,
+// and the leader's clock of suspects. Deadly requests come again and again at any gateway and end
+// each backend that runs them, with whatever else runs there; sound requests come all the time.
+// With even seeds many contents are deadly, all of one kind; with odd seeds one is, and all sound
+// requests are of its kind. Gateways are cut off from the directory and start anew, and the
+// directory changes its leader.
 
 const (
 	simGateways = 4
@@ -29,6 +33,12 @@
 	// simLate how long after the third crash sends count, in milliseconds.
 	simContact, simLate = 3000, 3000
 	simEnd              = 90_000
+	// simNews is how long after the directory has taken in a crash a gateway in touch must know
+	// of it, in milliseconds.
+	simNews = 100
+	// simContents is the number of deadly contents with even seeds.
+	simContents = 20
+	simService  = "s"
 )
 
 type simEvent struct {
@@ -52,17 +62,17 @@
 
 // simRun is one attempt at a backend.
 type simRun struct {
-	gateway     *simGateway
-	life        int
-	fingerprint quarantine.Fingerprint
-	known       int
-	ended       func(answered bool)
+	gateway *simGateway
+	life    int
+	verdict quarantine.Verdict
+	subject quarantine.Subject
+	ended   func(answered bool)
 }
 
 type simBackend struct {
-	id   string
-	up   bool
-	runs map[*simRun]bool
+	id, address string
+	up          bool
+	runs        map[*simRun]bool
 }
 
 type simGateway struct {
@@ -71,6 +81,8 @@
 	// life counts the starts, and cutUntil and touchedFrom say when it hears the directory.
 	life                  int
 	cutUntil, touchedFrom int64
+	// startedAt is when it started last.
+	startedAt int64
 }
 
 type simulation struct {
@@ -84,11 +96,39 @@
 	gateways []*simGateway
 	backends []*simBackend
 	started  int
-	deadly   quarantine.Fingerprint
-	crashes  int
-	thirdAt  int64
-	late     int
-	unserved map[quarantine.Fingerprint]int64
+	// knownAt is when the directory took in the end of each backend.
+	knownAt map[string]int64
+	// overdrawn counts suspects that were sent although too many backends were away by what their
+	// gateway must have known.
+	overdrawn int
+	oneKind   bool
+	crashes   int
+	thirdAt   int64
+	late      int
+	unserved  map[quarantine.Fingerprint]int64
+}
+
+const simDeadlyKind = quarantine.Fingerprint("deadly kind")
+
+// drawDeadly returns a deadly request.
+func (s *simulation) drawDeadly() quarantine.Subject {
+	if s.oneKind {
+		return quarantine.Subject{Content: "deadly-0", Kind: simDeadlyKind}
+	}
+	return quarantine.Subject{Content: quarantine.Fingerprint(fmt.Sprint("deadly-", s.random.IntN(simContents))), Kind: simDeadlyKind}
+}
+
+// sound returns the numbered sound request.
+func (s *simulation) sound(number int) quarantine.Subject {
+	kind := quarantine.Fingerprint("sound kind")
+	if s.oneKind {
+		kind = simDeadlyKind
+	}
+	return quarantine.Subject{Content: quarantine.Fingerprint(fmt.Sprint("sound-", number)), Kind: kind}
+}
+
+func isDeadly(subject quarantine.Subject) bool {
+	return strings.HasPrefix(string(subject.Content), "deadly-")
 }
 
 func (s *simulation) after(delay int64, run func()) {
@@ -113,6 +153,7 @@
 // startGateway starts a gateway or starts it anew: it knows what the directory confirms.
 func (s *simulation) startGateway(g *simGateway) {
 	g.life++
+	g.startedAt = s.now
 	g.view, g.touchedFrom = directory.NewCatalog(), s.now+simContact
 	g.guard = quarantine.NewGuard(quarantine.Sharing{
 		Suspects: func() map[quarantine.Fingerprint]quarantine.Suspect { return g.view.Suspects },
@@ -146,6 +187,7 @@
 		}
 		if news := g.guard.TakeNews(); s.hears(g) {
 			s.apply(directory.Command{Crashes: news.Crashes, Answered: news.Answered})
+			s.noteKnown(news)
 		} else if !news.IsEmpty() {
 			g.guard.ReturnNews(news)
 		}
@@ -153,6 +195,29 @@
 	})
 }
 
+// noteKnown notes which backends' ends the directory has taken in.
+func (s *simulation) noteKnown(news quarantine.News) {
+	for _, crash := range news.Crashes {
+		if _, known := s.knownAt[crash.Backend]; !known {
+			s.knownAt[crash.Backend] = s.now
+		}
+	}
+}
+
+// mustKnow returns how many backends are away of which the gateway must know, and tells whether
+// it has been in touch for long enough.
+func (s *simulation) mustKnow(g *simGateway) (away int, inTouch bool) {
+	inTouch = s.now >= max(g.cutUntil, s.leaderAt, g.startedAt)+simNews
+	named := directory.NewCatalog().With(s.machine.DeltaSince(0))
+	for _, b := range named.Backends(simService) {
+		at, known := s.knownAt[b.ID]
+		if known && at+simNews <= s.now && named.HasEnded(b.ID) {
+			away++
+		}
+	}
+	return away, inTouch
+}
+
 // review is the leader's.
 func (s *simulation) review() {
 	if s.now >= s.leaderAt {
@@ -174,6 +239,19 @@
 func (s *simulation) startBackend(b *simBackend) {
 	s.started++
 	b.id, b.up, b.runs = fmt.Sprint("b", s.started), true, map[*simRun]bool{}
+	s.register(b, b.id)
+}
+
+// register has the backend's heartbeat reach the directory once there is a leader.
+func (s *simulation) register(b *simBackend, id string) {
+	if b.id != id {
+		return
+	}
+	if s.now < s.leaderAt {
+		s.after(s.leaderAt-s.now, func() { s.register(b, id) })
+		return
+	}
+	s.apply(directory.Command{PutBackend: &directory.Backend{ID: id, Service: simService, Address: b.address, Slots: 1}})
 }
 
 // crash ends a backend with all that runs on it.
@@ -185,7 +263,7 @@
 	}
 	for run := range b.runs {
 		if run.gateway.life == run.life {
-			run.gateway.guard.NoteCrash(run.fingerprint, b.id, run.known)
+			run.gateway.guard.NoteEnd(run.subject, b.id, run.verdict)
 		}
 		s.after(1, func() { run.ended(false) })
 	}
@@ -193,26 +271,30 @@
 }
 
 // send sends a request to up to simAttempts backends, and calls done with whether it is served.
-func (s *simulation) send(g *simGateway, fingerprint quarantine.Fingerprint, left int, trial bool, done func(bool)) {
-	verdict := g.guard.Judge(fingerprint)
-	if verdict.Held && verdict.Offered && !trial {
-		if trial = g.guard.TakeTrial(context.Background(), fingerprint); trial {
+func (s *simulation) send(g *simGateway, subject quarantine.Subject, left int, trial bool, done func(bool)) {
+	verdict := g.guard.JudgeSubject(subject)
+	spared := forward.WardRoom(g.view, g.guard, simService) <= 0
+	if verdict.Held && verdict.Offered && !trial && !spared {
+		if trial = g.guard.TakeTrial(context.Background(), verdict.Fingerprint); trial {
 			left = 1
 		}
 	}
-	b := s.backends[s.random.IntN(len(s.backends))]
-	if verdict.Held && !trial || left == 0 || !b.up {
+	b := s.choose(g, verdict.IsSuspect())
+	if verdict.Held && !trial || left == 0 || !b.up || verdict.IsSuspect() && spared {
 		done(false)
 		return
 	}
-	run := &simRun{gateway: g, life: g.life, fingerprint: fingerprint, known: verdict.Known}
+	if away, inTouch := s.mustKnow(g); verdict.IsSuspect() && inTouch && away >= quarantine.MostAway(simBackends) {
+		s.overdrawn++
+	}
+	run := &simRun{gateway: g, life: g.life, subject: subject, verdict: verdict}
 	run.ended = func(answered bool) {
 		if g.life != run.life {
 			done(false)
 			return
 		}
 		if answered {
-			g.guard.NoteAnswer(fingerprint)
+			g.guard.NoteServed(subject)
 			done(true)
 			return
 		}
@@ -220,11 +302,11 @@
 			done(false)
 			return
 		}
-		s.send(g, fingerprint, left-1, false, done)
+		s.send(g, subject, left-1, false, done)
 	}
 	b.runs[run] = true
 	id := b.id
-	if fingerprint == s.deadly {
+	if isDeadly(subject) {
 		if s.thirdAt > 0 && s.now > s.thirdAt+simLate && s.now >= g.touchedFrom {
 			s.late++
 		}
@@ -243,21 +325,34 @@
 	})
 }
 
+// choose returns the backend for a request: for a suspect the first that is not away.
+func (s *simulation) choose(g *simGateway, suspect bool) *simBackend {
+	if suspect {
+		ends := forward.EndsKnown(g.view, g.guard)
+		for _, b := range s.backends {
+			if !ends.Has(b.id) {
+				return b
+			}
+		}
+	}
+	return s.backends[s.random.IntN(len(s.backends))]
+}
+
 // deadlyComes has the deadly request come again.
 func (s *simulation) deadlyComes() {
-	s.send(s.gateways[s.random.IntN(simGateways)], s.deadly, simAttempts, false, func(bool) {})
+	s.send(s.gateways[s.random.IntN(simGateways)], s.drawDeadly(), simAttempts, false, func(bool) {})
 	s.after(s.between(30, 1500), s.deadlyComes)
 }
 
 // soundComes has a sound request come, and again until it is served.
 func (s *simulation) soundComes(number int) {
-	fingerprint := quarantine.Fingerprint(fmt.Sprint("sound-", number))
-	s.unserved[fingerprint] = s.now
+	subject := s.sound(number)
+	s.unserved[subject.Content] = s.now
 	var try func()
 	try = func() {
-		s.send(s.gateways[s.random.IntN(simGateways)], fingerprint, simAttempts, false, func(served bool) {
+		s.send(s.gateways[s.random.IntN(simGateways)], subject, simAttempts, false, func(served bool) {
 			if served {
-				delete(s.unserved, fingerprint)
+				delete(s.unserved, subject.Content)
 				return
 			}
 			s.after(s.between(50, 400), try)
@@ -286,11 +381,11 @@
 
 func newSimulation(seed uint64) *simulation {
 	s := &simulation{
-		random: rand.New(rand.NewPCG(seed, 0)), machine: directory.NewMachine(), deadly: "deadly",
-		unserved: map[quarantine.Fingerprint]int64{},
+		random: rand.New(rand.NewPCG(seed, 0)), machine: directory.NewMachine(), oneKind: seed%2 == 1,
+		unserved: map[quarantine.Fingerprint]int64{}, knownAt: map[string]int64{},
 	}
-	for range simBackends {
-		b := &simBackend{}
+	for number := range simBackends {
+		b := &simBackend{address: fmt.Sprint("address-", number)}
 		s.startBackend(b)
 		s.backends = append(s.backends, b)
 	}
@@ -320,14 +415,16 @@
 
 var simSeeds = flag.Uint64("quarantine.seeds", 40, "seeds of the simulation of the quarantine")
 
-// TestQuarantineUnderFaults: in each run few sends of the deadly request come late from gateways
-// in touch, and each sound request is served in the end.
+// TestQuarantineUnderFaults: in each run few sends of deadly requests come late from gateways in
+// touch, no suspect is sent while too many backends are away, as far as its gateway must know, and
+// each sound request is served in the end.
 func TestQuarantineUnderFaults(t *testing.T) {
 	for seed := range *simSeeds {
 		s := newSimulation(seed)
 		s.runUntil(simEnd + simPatience)
 		require.GreaterOrEqual(t, s.crashes, quarantine.HeldFrom, "seed %d", seed)
 		require.LessOrEqual(t, s.late, 3, "seed %d: %d ended in all", seed, s.crashes)
+		require.Zero(t, s.overdrawn, "seed %d", seed)
 		require.Empty(t, s.unserved, "seed %d", seed)
 	}
 }
