Samples and reward calls of a suspected kind go one at a time until one is answered

Now one sample of a kind under which an engine has ended runs at a time, in the scheduler, and one reward call in the leader, until any of the kind is answered. Callers' requests do not wait for each other: at a gateway that would refuse sound ones for the time until an answer is known everywhere.

--- /dev/null
+++ b/scheduler/kind_test.go
@@ -0,0 +1,46 @@
+package scheduler
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSuspectedKindRunsOneAtATime: of the samples of a suspected kind one runs, the next one once it
+// has ended, and all at once when the kind is suspected no more. Others are not held up.
+func TestSuspectedKindRunsOneAtATime(t *testing.T) {
+	s := New()
+	s.SyncEngines(0, engines(4, 4, "m"), map[string]uint64{"m": 1})
+	step := entry("x", "m", 1, 8)
+	for position := range step.Step.Samples {
+		if position < 4 {
+			step.Step.Samples[position].Path = "/deadly"
+		}
+	}
+	s.AddStep(step)
+	suspected := true
+	serviceOf := func(task *Task) ([]string, bool) {
+		task.KindSuspected = suspected && task.Sample.Path == "/deadly"
+		return []string{"engines"}, true
+	}
+	split := func(assignments []Assignment) (deadly, others []Assignment) {
+		for _, one := range assignments {
+			if one.Task.Sample.Path == "/deadly" {
+				deadly = append(deadly, one)
+				continue
+			}
+			others = append(others, one)
+		}
+		return deadly, others
+	}
+	deadly, others := split(s.Assign(0, serviceOf))
+	require.Len(t, deadly, 1)
+	require.Len(t, others, 4)
+	require.Empty(t, s.Assign(1, serviceOf))
+	s.RunEnded(2, deadly[0].Task, deadly[0].Run, Crashed)
+	deadly, _ = split(s.Assign(3, serviceOf))
+	require.Len(t, deadly, 1)
+	suspected = false
+	deadly, _ = split(s.Assign(4, serviceOf))
+	require.Len(t, deadly, 3)
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -39,7 +39,7 @@
 		}
 		services, ok := serviceOf(task)
 		wanted := demandOf(task, services)
-		if !ok || unplaced[wanted] {
+		if !ok || unplaced[wanted] || s.triesKind(task) {
 			return false
 		}
 		backend, ok := s.place(now, task, services)
@@ -58,6 +58,23 @@
 	return assignments
 }
 
+// triesKind tells whether the task's kind is suspected and a sample of it runs already: they run
+// one at a time, so that each knows what the one before has done, until one of them is whole.
+func (s *Scheduler) triesKind(task *Task) bool {
+	if !task.KindSuspected {
+		return false
+	}
+	kind := task.Subject().Kind
+	for _, known := range s.engines {
+		for other := range known.running {
+			if other.KindSuspected && other.Subject().Kind == kind {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // room returns the number of slots in which runs could begin.
 func (s *Scheduler) room(now int64) int {
 	room := 0
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -87,6 +87,9 @@
 	// latestStart is when the task should start at the latest, as of the last time
 	// that the waiting tasks were put in order; see queue.
 	latestStart float64
+	// KindSuspected is set by the caller while engines have ended under the sample's kind and nothing
+	// of it was answered since.
+	KindSuspected bool
 	// needed is set on tasks of groups that the trainer waits for.
 	needed bool
 	// counted is set once the progress of the step has taken the task in as finished.
--- a/server/held_sample.go
+++ b/server/held_sample.go
@@ -34,7 +34,13 @@
 // isPostponed tells whether an engine has ended under the task's sample, and too many are away for
 // it to run on another one now.
 func (t *tenure) isPostponed(task *scheduler.Task, services []string) bool {
-	return !t.guard.IsIdle() && t.guard.JudgeSubject(task.Subject()).IsSuspect() && t.forwarder.Spares(t.catalog, services)
+	if t.guard.IsIdle() {
+		task.KindSuspected = false
+		return false
+	}
+	verdict := t.guard.JudgeSubject(task.Subject())
+	task.KindSuspected = verdict.KindKnown > 0
+	return verdict.IsSuspect() && t.forwarder.Spares(t.catalog, services)
 }
 
 // askForTrial asks for a trial, which is the sample's alone also if it is that of its kind.
--- a/server/score.go
+++ b/server/score.go
@@ -102,10 +102,20 @@
 	return "", rewardCancelled
 }
 
+// sendReward sends the call. One of a suspected kind is sent only if no other of the kind is under
+// way, and otherwise comes to nothing.
 func (t *tenure) sendReward(ctx context.Context, catalog *directory.Catalog, route routing.Route, reward *ledger.Reward) forward.Result {
 	timeout := time.Duration(route.TimeoutMillis) * time.Millisecond
-	return t.forwarder.Do(ctx, catalog, route, &forward.Request{
+	request := &forward.Request{
 		ID: reward.ID, StableID: true, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
 		Header: http.Header{}, Body: reward.Body, Deadline: clock.Now().Add(timeout),
-	})
+	}
+	if verdict := t.guard.JudgeContent(request.Content()); verdict.KindKnown > 0 {
+		kind := verdict.Subject.Kind
+		if !t.turns.take(kind) {
+			return forward.Result{Reason: forward.Postponed}
+		}
+		defer t.turns.leave(kind)
+	}
+	return t.forwarder.Do(ctx, catalog, route, request)
 }
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -54,6 +54,8 @@
 	known map[string]bool
 	// rewards bounds the reward calls under way.
 	rewards *rewardLimit
+	// turns lets reward calls of suspected kinds go one at a time.
+	turns *kindTurns
 	// recordedPaces are those that the ledger holds, and pacesAt is when they were
 	// last looked at.
 	recordedPaces map[string]float64
