--- a/clock/usage_test.go
+++ b/clock/usage_test.go
@@ -24,7 +24,7 @@
 	reason string
 }{
 	"forward/choose.go":          {2, "how long a backend is avoided, and its latency counts"},
-	"forward/ward.go":            {1, "how long a backend is avoided"},
+	"forward/suspects.go":        {1, "how long a backend is avoided"},
 	"forward/forward.go":         {2, "a backend's latency, in which this machine's suspension must not count"},
 	"forward/stream.go":          {2, "a backend's latency, in which this machine's suspension must not count"},
 	"replica/admission.go":       {2, "the wait of a planned stop"},
--- a/forward/clearance.go
+++ b/forward/clearance.go
@@ -45,7 +45,7 @@
 	return c
 }
 
-// isSuspect tells whether the request may run at a ward only, as it was judged last.
+// isSuspect tells whether the request may run at few backends only, as it was judged last.
 func (c *clearance) isSuspect() bool { return c.verdict.IsSuspect() }
 
 // hasLeft tells whether a suspect has met a backend that cannot be reached: it may have ended
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -427,7 +427,7 @@
 		r.forwarder.learn(ctx, verdict, backend, r.request, attempt)
 		r.forwarder.note(backend, attempt, time.Since(started), ctx.Err() != nil)
 		if verdict.IsSuspect() {
-			r.forwarder.leaveWard(backend.ID)
+			r.forwarder.endSuspect(backend.ID)
 		}
 		r.attempts <- attempted{attempt: attempt, backend: backend}
 	}()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -123,7 +123,7 @@
 	s.forwarder.learn(parent, s.verdict, backend, s.request, ended)
 	s.forwarder.note(backend, Attempt{Outcome: outcome}, time.Since(started), parent.Err() != nil)
 	if s.isSuspect() {
-		s.forwarder.leaveWard(backend.ID)
+		s.forwarder.endSuspect(backend.ID)
 	}
 	switch outcome {
 	case Answered, Lost:
--- a/forward/ward.go
+++ b/forward/suspects.go
@@ -7,24 +7,25 @@
 	"github.com/dillchute/dillchute/quarantine"
 )
 
-// A suspect, a request under which a backend has ended and that none has answered since, or one of
-// a kind of which different requests have, may end the next one. So suspects run at few backends, the wards, and at none while too many of the
-// service's are away already. All processes prefer the same wards, without a word between them.
+// A suspect is a request under which a backend has ended and that none has answered since, or one
+// of a kind of which different requests have. It may end the next backend, too. So suspects share
+// few backends, and are sent to none while too many of the service's are away already. All
+// processes prefer the same backends, without a message between them.
 
-// chooseWard takes a backend for a suspect, of the first service that has one, and counts the
+// chooseForSuspect takes a backend for a suspect, of the first service that has one, and counts the
 // request there. It tells whether a service's backends are spared, which is no reason to ask
 // another time soon.
-func (f *Forwarder) chooseWard(catalog *directory.Catalog, services []string, tried map[string]bool) (backend directory.Backend, ok, spared bool) {
+func (f *Forwarder) chooseForSuspect(catalog *directory.Catalog, services []string, tried map[string]bool) (backend directory.Backend, ok, spared bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := time.Now()
 	for _, service := range services {
-		room := WardRoom(catalog, f.guard, service)
+		room := SuspectRoom(catalog, f.guard, service)
 		if room <= 0 {
 			spared = true
 			continue
 		}
-		if backend, ok = f.wardOf(catalog.Backends(service), tried, room, now); ok {
+		if backend, ok = f.backendForSuspect(catalog.Backends(service), tried, room, now); ok {
 			state := f.state(backend.ID)
 			state.inFlight++
 			state.suspects++
@@ -34,9 +35,9 @@
 	return directory.Backend{}, false, spared
 }
 
-// WardRoom returns how many backends of the service may run suspects now, as far as the process
+// SuspectRoom returns how many backends of the service may run suspects now, as far as the process
 // with the guard knows.
-func WardRoom(catalog *directory.Catalog, guard *quarantine.Guard, service string) int {
+func SuspectRoom(catalog *directory.Catalog, guard *quarantine.Guard, service string) int {
 	backends, ends := catalog.Backends(service), EndsKnown(catalog, guard)
 	away := 0
 	for _, backend := range backends {
@@ -61,35 +62,36 @@
 // Has tells whether the backend has ended.
 func (e Ends) Has(id string) bool { return e.seen[id] || e.catalog.HasEnded(id) }
 
-// wardOf returns the ward with the fewest requests. While there is room for one more ward and
-// each has as many requests as slots, it is the first other backend that can be asked.
-func (f *Forwarder) wardOf(backends []directory.Backend, tried map[string]bool, room int, now time.Time) (directory.Backend, bool) {
-	var ward, next directory.Backend
-	wards := 0
+// backendForSuspect returns the backend with the fewest requests of those that run suspects. While
+// there is room for one more and each of these has as many requests as slots, it is the first other
+// backend that can be asked.
+func (f *Forwarder) backendForSuspect(backends []directory.Backend, tried map[string]bool, room int, now time.Time) (directory.Backend, bool) {
+	var shared, next directory.Backend
+	used := 0
 	for _, backend := range backends {
 		state := f.state(backend.ID)
 		if state.suspects > 0 {
-			wards++
+			used++
 		}
 		if backend.Draining || backend.Silent || tried[backend.ID] || now.Before(state.avoidedUntil) {
 			continue
 		}
 		switch {
-		case state.suspects > 0 && (ward.ID == "" || state.inFlight < f.state(ward.ID).inFlight):
-			ward = backend
+		case state.suspects > 0 && (shared.ID == "" || state.inFlight < f.state(shared.ID).inFlight):
+			shared = backend
 		case state.suspects == 0 && next.ID == "":
 			next = backend
 		}
 	}
-	hasSlot := ward.ID != "" && f.state(ward.ID).inFlight < ward.Slots
-	if wards < room && !hasSlot && next.ID != "" {
+	hasSlot := shared.ID != "" && f.state(shared.ID).inFlight < shared.Slots
+	if used < room && !hasSlot && next.ID != "" {
 		return next, true
 	}
-	return ward, ward.ID != ""
+	return shared, shared.ID != ""
 }
 
-// leaveWard takes in that a suspect has ended at the backend.
-func (f *Forwarder) leaveWard(id string) {
+// endSuspect takes in that a suspect has ended at the backend.
+func (f *Forwarder) endSuspect(id string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.state(id).suspects--
@@ -100,7 +102,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, service := range services {
-		if WardRoom(catalog, f.guard, service) > 0 {
+		if SuspectRoom(catalog, f.guard, service) > 0 {
 			return false
 		}
 	}
@@ -112,7 +114,7 @@
 	if !c.isSuspect() {
 		return f.choose(catalog, services, tried)
 	}
-	backend, ok, spared := f.chooseWard(catalog, services, tried)
+	backend, ok, spared := f.chooseForSuspect(catalog, services, tried)
 	c.postponed = c.postponed || spared
 	return backend, ok
 }
--- a/forward/ward_bench_test.go
+++ b/forward/suspects_bench_test.go
@@ -42,7 +42,7 @@
 					}
 					forwarder.note(backend, Attempt{Outcome: Answered}, time.Millisecond, false)
 					if suspect {
-						forwarder.leaveWard(backend.ID)
+						forwarder.endSuspect(backend.ID)
 					}
 				}
 			})
--- a/forward/ward_test.go
+++ b/forward/suspects_test.go
@@ -129,8 +129,8 @@
 	require.LessOrEqual(t, len(wards), quarantine.MostAway(len(backends)))
 }
 
-// TestWardsAreLeft: a suspect that has ended leaves its ward to others.
-func TestWardsAreLeft(t *testing.T) {
+// TestBackendsOfSuspectsAreLeft: a suspect that has ended leaves its ward to others.
+func TestBackendsOfSuspectsAreLeft(t *testing.T) {
 	client, backends := fleet(3)
 	for id := range client.answers {
 		client.answers[id] = outcome(Refused)
--- a/server/quarantine_simulation_test.go
+++ b/server/quarantine_simulation_test.go
@@ -273,7 +273,7 @@
 // send sends a request to up to simAttempts backends, and calls done with whether it is served.
 func (s *simulation) send(g *simGateway, subject quarantine.Subject, left int, trial bool, done func(bool)) {
 	verdict := g.guard.JudgeSubject(subject)
-	spared := forward.WardRoom(g.view, g.guard, simService) <= 0
+	spared := forward.SuspectRoom(g.view, g.guard, simService) <= 0
 	if verdict.Held && verdict.Offered && !trial && !spared {
 		if trial = g.guard.TakeTrial(context.Background(), verdict.Fingerprint); trial {
 			left = 1
