--- a/clock/usage_test.go
+++ b/clock/usage_test.go
@@ -24,7 +24,7 @@
 	reason string
 }{
 	"forward/choose.go":          {2, "how long a backend is avoided, and its latency counts"},
-	"forward/ward.go":            {1, "how long a backend is avoided"},
+	"forward/suspects.go":        {1, "how long a backend is avoided"},
 	"forward/forward.go":         {2, "a backend's latency, in which this machine's suspension must not count"},
 	"forward/stream.go":          {2, "a backend's latency, in which this machine's suspension must not count"},
 	"replica/admission.go":       {2, "the wait of a planned stop"},
@@ -43,7 +43,6 @@
 	"server/node.go":             {2, "the wait of a planned stop"},
 	"server/paces.go":            {2, "pauses between records"},
 	"server/record.go":           {5, "pauses between records, and a metric"},
-	"server/seeds.go":            {2, "pauses between looks at the settings"},
 	"server/watch.go":            {1, "what a context leaves for one of several attempts"},
 	"server/tenure.go":           {4, "pauses between looks"},
 }
