A backend that starts again under its name is another incarnation

Cause: a backend was known by its ID alone. One that started again under it was not heard until its count had passed the old one, and what was believed of the life before (versions, runs, evidence, paces, orders' sequence) stayed.

Change: name and birth make a directory.Incarnation, whose ID is what everything keys by, so that registration, silence, runs, runners, paces, evidence of crashes and log lines are of one life. A later life ends the earlier one in the log; an earlier one that comes late changes nothing; what left stays out by its birth. Orders' holders are kept apart by name, and an order goes out only after a report of the same birth. Without a birth all is as it was. What backends say is decoded field by field (missing, another type, out of range, unknown): a spoiled heartbeat is refused, counted, told of once a second at most, and changes nothing; a spoiled entry of a list leaves the others. The machine finds names and addresses by an index; a scan of all backends for each registration is gone.

--- a/directory/command.go
+++ b/directory/command.go
@@ -56,13 +56,23 @@
 	Source []byte `cbor:"2,keyasint"`
 }
 
-// RemoveBackend takes out a backend, whose ID never comes back.
+// RemoveBackend takes out a backend, which does not come back. Either the ID of one incarnation is
+// set or a name.
 type RemoveBackend struct {
 	ID string `cbor:"1,keyasint"`
+	// Name takes out whichever incarnation is registered under it.
+	Name string `cbor:"2,keyasint,omitempty"`
+	// Born is when the incarnation of that name started, in milliseconds since 1970, or 0 if it
+	// does not say.
+	Born int64 `cbor:"3,keyasint,omitempty"`
+	// LatestBirth is the latest birth under that name that stays out if none is registered and
+	// Born is not known.
+	LatestBirth int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Backend is one incarnation of a process that serves requests.
 type Backend struct {
+	// ID names the incarnation, see Incarnation.ID.
 	ID      string `cbor:"1,keyasint"`
 	Service string `cbor:"2,keyasint"`
 	Address string `cbor:"3,keyasint"`
@@ -73,6 +83,10 @@
 	// Silent backends have sent no heartbeat for some time.
 	Silent bool           `cbor:"7,keyasint"`
 	Models []ModelVersion `cbor:"8,keyasint"`
+	// Name is what the backend calls itself, empty where that is its ID, and Born when it
+	// started, in milliseconds since 1970, or 0 if it does not say.
+	Name string `cbor:"9,keyasint,omitempty"`
+	Born int64  `cbor:"10,keyasint,omitempty"`
 }
 
 // ModelVersion is a version of a model's weights.
--- /dev/null
+++ b/directory/incarnation.go
@@ -0,0 +1,83 @@
+package directory
+
+import "strconv"
+
+// Incarnation is one life of a backend. A backend may start again under the name that it had; it
+// then holds and knows nothing of before, so that it is another one for whoever remembers what
+// the earlier one held, ran or answered.
+type Incarnation struct {
+	// Name is what the backend calls itself.
+	Name string
+	// Born is when it started, in milliseconds since 1970 by its own clock, or 0 if it does not
+	// say: such a backend takes another name at each start.
+	Born int64
+}
+
+// birthSeparator stands between name and birth in an ID. Names come out of paths, of which they
+// are one part, so none holds it.
+const birthSeparator = "/"
+
+// ID returns what names the incarnation among all backends.
+func (i Incarnation) ID() string {
+	if i.Born == 0 {
+		return i.Name
+	}
+	return i.Name + birthSeparator + strconv.FormatInt(i.Born, 10)
+}
+
+// follows tells whether the incarnation is a later life under the name than one born at the time.
+// One that does not say when it was born is no later than any.
+func (i Incarnation) follows(born int64) bool { return i.Born > born }
+
+// Named returns the backend as that incarnation.
+func (b Backend) Named(incarnation Incarnation) Backend {
+	b.ID, b.Born = incarnation.ID(), incarnation.Born
+	if incarnation.Born != 0 {
+		b.Name = incarnation.Name
+	}
+	return b
+}
+
+// Incarnation returns which life of which backend this is.
+func (b Backend) Incarnation() Incarnation { return Incarnation{Name: b.OwnName(), Born: b.Born} }
+
+// OwnName returns what the backend calls itself, by which requests to it name it.
+func (b Backend) OwnName() string {
+	if b.Name == "" {
+		return b.ID
+	}
+	return b.Name
+}
+
+// departures remember the backends that have left, so that a late heartbeat does not bring one
+// back. A zero departures remembers none and must not be added to.
+type departures struct {
+	// at holds the directory's revision at which a name's newest life left.
+	at map[string]uint64
+	// born holds that life's birth, where it is known.
+	born map[string]int64
+}
+
+// has tells whether the incarnation has left, or is an earlier life than one that has.
+func (d departures) has(incarnation Incarnation) bool {
+	_, left := d.at[incarnation.Name]
+	return left && !incarnation.follows(d.born[incarnation.Name])
+}
+
+// note takes in that the incarnation has left, which had not.
+func (d departures) note(incarnation Incarnation, revision uint64) {
+	d.at[incarnation.Name] = revision
+	if incarnation.Born != 0 {
+		d.born[incarnation.Name] = incarnation.Born
+	}
+}
+
+// forget drops the names whose newest life left before the revision.
+func (d departures) forget(revision uint64) {
+	for name, left := range d.at {
+		if left < revision {
+			delete(d.at, name)
+			delete(d.born, name)
+		}
+	}
+}
--- /dev/null
+++ b/directory/incarnation_test.go
@@ -0,0 +1,163 @@
+package directory
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "github.com/dillchute/dillchute/internal/fixedseed"
+)
+
+func life(name string, born int64, address string) *Backend {
+	backend := Backend{Service: "s", Address: address}.Named(Incarnation{Name: name, Born: born})
+	return &backend
+}
+
+func ids(m *Machine) []string {
+	var list []string
+	for _, backend := range m.Backends() {
+		list = append(list, backend.ID)
+	}
+	return list
+}
+
+// TestLaterLifeEndsTheEarlier: a backend that starts again under its name is another one for all
+// who follow the directory, whatever was known of the one before.
+func TestLaterLifeEndsTheEarlier(t *testing.T) {
+	m := NewMachine()
+	first := life("i", 100, "a:1")
+	first.Draining, first.Silent = true, true
+	first.Models = []ModelVersion{{Model: "m", Version: 7}}
+	apply(t, m, Command{PutBackend: first})
+	before := m.Revision()
+	apply(t, m, Command{PutBackend: life("i", 200, "a:2")})
+	require.Equal(t, []string{"i/200"}, ids(m))
+	known, _ := m.BackendNamed("i")
+	require.False(t, known.Draining || known.Silent)
+	require.Empty(t, known.Models)
+	delta := m.DeltaSince(before)
+	require.Equal(t, []Removed{{Kind: KindBackend, Name: "i/100"}}, delta.Removed)
+	require.Equal(t, "i", delta.Backends[0].OwnName())
+	_, held := m.BackendAt("a:1")
+	require.False(t, held, "the address of the earlier life is free")
+
+	apply(t, m, Command{PutBackend: first})
+	require.Equal(t, []string{"i/200"}, ids(m), "an earlier life that comes late changes nothing")
+	apply(t, m, Command{PutBackend: life("i", 0, "a:3")})
+	require.Equal(t, []string{"i/200"}, ids(m), "one that does not say when it was born replaces none that does")
+}
+
+// TestLeavingLives: an ID that left and starts again later is a new life; one that left and only
+// sends a late heartbeat of that same life stays out.
+func TestLeavingLives(t *testing.T) {
+	m := NewMachine()
+	apply(t, m, Command{PutBackend: life("i", 100, "a:1")})
+	apply(t, m, Command{RemoveBackend: &RemoveBackend{Name: "i", LatestBirth: 5000}})
+	apply(t, m, Command{PutBackend: life("i", 100, "a:1")})
+	require.Empty(t, ids(m))
+	apply(t, m, Command{PutBackend: life("i", 101, "a:1")})
+	require.Equal(t, []string{"i/101"}, ids(m))
+	apply(t, m, Command{RemoveBackend: &RemoveBackend{Name: "i", Born: 100}})
+	require.Equal(t, []string{"i/101"}, ids(m), "it was an earlier life that left")
+	apply(t, m, Command{RemoveBackend: &RemoveBackend{ID: "i/101"}})
+	require.Empty(t, ids(m))
+	require.True(t, m.Gone(Incarnation{Name: "i", Born: 101}))
+
+	apply(t, m, Command{RemoveBackend: &RemoveBackend{Name: "unknown", LatestBirth: 5000}})
+	apply(t, m, Command{PutBackend: life("unknown", 4999, "a:2")})
+	require.Empty(t, ids(m), "its heartbeat was overtaken by its leaving")
+	apply(t, m, Command{PutBackend: life("unknown", 5001, "a:2")})
+	require.Equal(t, []string{"unknown/5001"}, ids(m))
+}
+
+// TestStateBeforeBirths: a snapshot and commands from before births were known are read; a name
+// that left then is out until a life says when it was born.
+func TestStateBeforeBirths(t *testing.T) {
+	type earlier struct {
+		Revision uint64                         `cbor:"1,keyasint"`
+		Backends map[string]*versioned[Backend] `cbor:"7,keyasint"`
+		Gone     map[string]uint64              `cbor:"13,keyasint"`
+	}
+	old := earlier{
+		Revision: 9, Gone: map[string]uint64{"left": 3},
+		Backends: map[string]*versioned[Backend]{"i": {Revision: 4, Object: Backend{ID: "i", Service: "s", Address: "a:1"}}},
+	}
+	data, err := cbor.Marshal(old)
+	require.NoError(t, err)
+	m := NewMachine()
+	require.NoError(t, m.Restore(bytes.NewReader(data)))
+	known, ok := m.BackendAt("a:1")
+	require.True(t, ok)
+	require.Equal(t, Incarnation{Name: "i"}, known.Incarnation())
+	apply(t, m, Command{PutBackend: life("left", 0, "a:2")})
+	require.Equal(t, []string{"i"}, ids(m))
+	apply(t, m, Command{RemoveBackend: &RemoveBackend{ID: "i"}})
+	apply(t, m, Command{PutBackend: life("i", 0, "a:1")})
+	require.Empty(t, ids(m))
+	apply(t, m, Command{PutBackend: life("left", 50, "a:2")})
+	require.Equal(t, []string{"left/50"}, ids(m))
+}
+
+// TestLivesFollowTheModel draws starts, late heartbeats, leaves and contests of addresses in any
+// order, through snapshots: of each name the latest life is registered that has not left, no
+// address belongs to two, and nothing that was passed comes back.
+func TestLivesFollowTheModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewMachine()
+		latest, left, registered := map[string]int64{}, map[string]int64{}, map[string]*Backend{}
+		takeOut := func(name string) {
+			left[name] = max(left[name], registered[name].Born)
+			delete(registered, name)
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			born := rapid.Int64Range(1, 6).Draw(t, "born")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				backend := life(name, born, rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "address"))
+				apply(t, m, Command{PutBackend: backend})
+				if born <= left[name] || registered[name] != nil && born < registered[name].Born {
+					break
+				}
+				if registered[name] != nil && born > registered[name].Born {
+					takeOut(name)
+				}
+				for _, other := range slices.Sorted(maps.Keys(registered)) {
+					if other != name && registered[other].Address == backend.Address {
+						takeOut(other)
+					}
+				}
+				registered[name] = backend
+				latest[name] = max(latest[name], born)
+			case 2:
+				apply(t, m, Command{RemoveBackend: &RemoveBackend{Name: name, LatestBirth: born}})
+				if registered[name] != nil {
+					takeOut(name)
+				} else {
+					left[name] = max(left[name], born)
+				}
+			case 3:
+				var written bytes.Buffer
+				require.NoError(t, m.Snapshot()(&written))
+				m = NewMachine()
+				require.NoError(t, m.Restore(&written))
+			}
+			var wanted []string
+			for _, backend := range registered {
+				wanted = append(wanted, backend.ID)
+			}
+			slices.Sort(wanted)
+			require.Equal(t, wanted, ids(m))
+			for name, backend := range registered {
+				require.Equal(t, latest[name], backend.Born)
+				at, ok := m.BackendAt(backend.Address)
+				require.True(t, ok && at.ID == backend.ID)
+			}
+		}
+	})
+}
--- a/directory/machine.go
+++ b/directory/machine.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"maps"
@@ -63,7 +64,8 @@
 	// some have been forgotten.
 	Removed []tombstone `cbor:"11,keyasint"`
 	Floor   uint64      `cbor:"12,keyasint"`
-	// Gone are IDs of backends that have left.
+	// Gone are the names of backends that have left, see departures, and GoneBorn the births of
+	// the lives that have.
 	Gone map[string]uint64 `cbor:"13,keyasint"`
 	// Tenants are those of the configuration in force, by name.
 	Tenants map[string]*versioned[routing.Tenant] `cbor:"14,keyasint,omitempty"`
@@ -72,11 +74,14 @@
 	Acts map[string]duty.Act `cbor:"16,keyasint,omitempty"`
 	// Suspects are requests under which backends have ended.
 	Suspects map[quarantine.Fingerprint]*versioned[quarantine.Suspect] `cbor:"17,keyasint,omitempty"`
+	GoneBorn map[string]int64                                          `cbor:"18,keyasint,omitempty"`
 }
 
 // Machine is the replicated state. Its methods must not be called concurrently.
 type Machine struct {
 	state contents
+	// byName and byAddress hold the IDs of the registered backends.
+	byName, byAddress map[string]string
 }
 
 // NewMachine returns the state before the first command.
@@ -97,6 +102,17 @@
 		Tenants:  map[string]*versioned[routing.Tenant]{},
 		Acts:     map[string]duty.Act{},
 		Suspects: map[quarantine.Fingerprint]*versioned[quarantine.Suspect]{},
+		GoneBorn: map[string]int64{},
+	}
+	m.indexBackends()
+}
+
+// indexBackends makes the indexes of backends anew.
+func (m *Machine) indexBackends() {
+	m.byName, m.byAddress = map[string]string{}, map[string]string{}
+	for id, known := range m.state.Backends {
+		m.byName[known.Object.OwnName()] = id
+		m.byAddress[known.Object.Address] = id
 	}
 }
 
@@ -107,7 +123,7 @@
 	state.Routes, state.Services = maps.Clone(state.Routes), maps.Clone(state.Services)
 	state.Backends, state.Models = maps.Clone(state.Backends), maps.Clone(state.Models)
 	state.Stores, state.Gone = maps.Clone(state.Stores), maps.Clone(state.Gone)
-	state.Suspects = maps.Clone(state.Suspects)
+	state.Suspects, state.GoneBorn = maps.Clone(state.Suspects), maps.Clone(state.GoneBorn)
 	state.Tenants, state.Acts, state.Usage = maps.Clone(state.Tenants), maps.Clone(state.Acts), state.Usage.Clone()
 	return func(writer io.Writer) error { return deterministic.NewEncoder(writer).Encode(state) }
 }
@@ -120,6 +136,7 @@
 	if errors.Is(err, io.EOF) {
 		return nil
 	}
+	m.indexBackends()
 	return err
 }
 
@@ -142,19 +159,16 @@
 }
 
 // BackendAt returns the backend that is registered at the address, and whether there is one.
-func (m *Machine) BackendAt(address string) (Backend, bool) {
-	for _, known := range m.state.Backends {
-		if known.Object.Address == address {
-			return known.Object, true
-		}
-	}
-	return Backend{}, false
-}
+func (m *Machine) BackendAt(address string) (Backend, bool) { return m.Backend(m.byAddress[address]) }
+
+// BackendNamed returns the incarnation that is registered under the name, and whether there is one.
+func (m *Machine) BackendNamed(name string) (Backend, bool) { return m.Backend(m.byName[name]) }
+
+// Gone tells whether the incarnation has left, or is an earlier life than one that has.
+func (m *Machine) Gone(incarnation Incarnation) bool { return m.departures().has(incarnation) }
 
-// Gone tells whether a backend of that ID has left.
-func (m *Machine) Gone(id string) bool {
-	_, gone := m.state.Gone[id]
-	return gone
+func (m *Machine) departures() departures {
+	return departures{at: m.state.Gone, born: m.state.GoneBorn}
 }
 
 // Backends returns the registered backends, ordered by ID.
@@ -213,7 +227,7 @@
 	case command.PutBackend != nil:
 		m.putBackend(*command.PutBackend)
 	case command.RemoveBackend != nil:
-		m.removeBackend(command.RemoveBackend.ID)
+		m.removeBackend(*command.RemoveBackend)
 	case command.NameVersion != nil:
 		m.nameVersion(*command.NameVersion)
 	case command.PutStore != nil:
@@ -296,49 +310,77 @@
 	}
 }
 
-// putBackend registers a backend or changes it. An ID that has left stays out,
-// and an address belongs to the newest that names it.
+// putBackend registers a backend or changes it. What has left stays out, an earlier life under the
+// same name changes nothing, and an address belongs to the newest that names it.
 func (m *Machine) putBackend(backend Backend) {
-	if m.Gone(backend.ID) {
+	if m.Gone(backend.Incarnation()) {
 		return
 	}
-	if known, ok := m.Backend(backend.ID); ok {
+	known, ok := m.BackendNamed(backend.OwnName())
+	switch {
+	case ok && known.ID == backend.ID:
 		backend.Draining = backend.Draining || known.Draining
 		if reflect.DeepEqual(known, backend) {
 			return
 		}
-	} else {
-		m.releaseAddress(backend.Address)
+		delete(m.byAddress, known.Address)
+	case ok && !backend.Incarnation().follows(known.Born):
+		return
+	case ok:
+		m.takeOut(known)
 	}
+	m.releaseAddress(backend)
 	m.state.Backends[backend.ID] = &versioned[Backend]{Revision: m.next(), Object: backend}
+	m.byName[backend.OwnName()] = backend.ID
+	m.byAddress[backend.Address] = backend.ID
 }
 
-// releaseAddress takes out the backend that had the address before.
-func (m *Machine) releaseAddress(address string) {
-	if earlier, ok := m.BackendAt(address); ok {
-		m.removeBackend(earlier.ID)
+// releaseAddress takes out another backend that has the address of this one.
+func (m *Machine) releaseAddress(backend Backend) {
+	if earlier, ok := m.BackendAt(backend.Address); ok && earlier.ID != backend.ID {
+		m.takeOut(earlier)
 	}
 }
 
-func (m *Machine) removeBackend(id string) {
-	if m.Gone(id) {
+// removeBackend carries out a command. A name that nobody is registered under stays out, too:
+// its last heartbeat may still be on its way.
+func (m *Machine) removeBackend(command RemoveBackend) {
+	if known, ok := m.Backend(command.ID); ok {
+		m.takeOut(known)
 		return
 	}
-	m.state.Gone[id] = m.state.Revision
-	if m.state.Backends[id] != nil {
-		delete(m.state.Backends, id)
-		m.bury(KindBackend, id)
+	if command.Name == "" {
+		m.noteGone(Incarnation{Name: command.ID})
+		return
 	}
-	if len(m.state.Gone) > maxTombstones {
-		m.forgetGone()
+	known, ok := m.BackendNamed(command.Name)
+	switch {
+	case !ok:
+		m.noteGone(Incarnation{Name: command.Name, Born: cmp.Or(command.Born, command.LatestBirth)})
+	case command.Born == 0 || known.Born <= command.Born:
+		m.takeOut(known)
 	}
 }
 
-// forgetGone drops the older half of the IDs that have left.
-func (m *Machine) forgetGone() {
-	revisions := slices.Sorted(maps.Values(m.state.Gone))
-	limit := revisions[len(revisions)/2]
-	maps.DeleteFunc(m.state.Gone, func(_ string, revision uint64) bool { return revision < limit })
+// takeOut removes a registered backend, which stays out.
+func (m *Machine) takeOut(known Backend) {
+	delete(m.state.Backends, known.ID)
+	delete(m.byName, known.OwnName())
+	delete(m.byAddress, known.Address)
+	m.bury(KindBackend, known.ID)
+	m.noteGone(known.Incarnation())
+}
+
+// noteGone remembers that the incarnation has left.
+func (m *Machine) noteGone(incarnation Incarnation) {
+	if m.Gone(incarnation) {
+		return
+	}
+	m.departures().note(incarnation, m.state.Revision)
+	if len(m.state.Gone) > maxTombstones {
+		revisions := slices.Sorted(maps.Values(m.state.Gone))
+		m.departures().forget(revisions[len(revisions)/2])
+	}
 }
 
 func (m *Machine) nameVersion(named ModelVersion) {
--- a/event/event.go
+++ b/event/event.go
@@ -75,11 +75,14 @@
 	AddressContested     = Event{5018, zerolog.WarnLevel, "a backend's address is held by another one that is heard of"}
 	UsageUntold          = Event{5017, zerolog.WarnLevel, "counts of usage could not be handed on"}
 
-	CrashTold     = Event{5019, zerolog.WarnLevel, "a backend has ended under a request"}
-	TrialOffered  = Event{5020, zerolog.InfoLevel, "a request that is held back may be tried again"}
-	TrialTaken    = Event{5021, zerolog.InfoLevel, "a request that is held back is tried again"}
-	CrashesUntold = Event{5022, zerolog.WarnLevel, "crashes under requests could not be told"}
-	ReviewFailed  = Event{5023, zerolog.WarnLevel, "a decision of the directory's leader could not be recorded"}
+	CrashTold        = Event{5019, zerolog.WarnLevel, "a backend has ended under a request"}
+	TrialOffered     = Event{5020, zerolog.InfoLevel, "a request that is held back may be tried again"}
+	TrialTaken       = Event{5021, zerolog.InfoLevel, "a request that is held back is tried again"}
+	CrashesUntold    = Event{5022, zerolog.WarnLevel, "crashes under requests could not be told"}
+	ReviewFailed     = Event{5023, zerolog.WarnLevel, "a decision of the directory's leader could not be recorded"}
+	EarlierLifeHeard = Event{5024, zerolog.InfoLevel, "a heartbeat of an earlier life came late"}
+	HeartbeatSpoiled = Event{5025, zerolog.WarnLevel, "a heartbeat could not be used"}
+
 	// WatchesLetGo: the replica may trail.
 	WatchesLetGo = Event{5030, zerolog.WarnLevel, "this replica cannot prove that it holds everything; its watchers ask others"}
 	WatchesHeld  = Event{5031, zerolog.InfoLevel, "this replica holds everything again, and watches"}
@@ -111,6 +114,7 @@
 	RunAdopted        = Event{6024, zerolog.InfoLevel, "a run of an earlier leader goes on"}
 	SampleHeldBack    = Event{6025, zerolog.WarnLevel, "a sample that crashes engines is held back"}
 	FailuresKept      = Event{6026, zerolog.InfoLevel, "a sample's failures were recorded"}
+	EngineReborn      = Event{6027, zerolog.WarnLevel, "an engine has started again, and is not ordered as the one before"}
 
 	RequestEnded     = Event{7001, zerolog.InfoLevel, "a request has ended"}
 	GatewayStarted   = Event{7002, zerolog.InfoLevel, "gateway started"}
@@ -129,8 +133,8 @@
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused, ProcessStoodStill, NoBootClock,
-	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed, UsageReported, UsageUnfixed, UsageUntold, AddressContested, CrashTold, TrialOffered, TrialTaken, CrashesUntold, ReviewFailed, WatchesLetGo, WatchesHeld,
-	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkEnded, RunnerFound, RunnerLost, RunsUnclaimed, RunAdopted, SampleHeldBack, FailuresKept,
+	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed, UsageReported, UsageUnfixed, UsageUntold, AddressContested, CrashTold, TrialOffered, TrialTaken, CrashesUntold, ReviewFailed, EarlierLifeHeard, HeartbeatSpoiled, WatchesLetGo, WatchesHeld,
+	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkEnded, RunnerFound, RunnerLost, RunsUnclaimed, RunAdopted, SampleHeldBack, FailuresKept, EngineReborn,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, NearStoreAvoided, RequestHeldBack,
 }
 
--- a/scheduler/weights.go
+++ b/scheduler/weights.go
@@ -227,7 +227,7 @@
 	for _, known := range s.order {
 		version := known.versions[model.name]
 		if version == 0 || version >= model.newest || known.loading != nil || known.backend.Draining ||
-			now < known.avoidedUntil || now < s.orderAfter[known.backend.ID] {
+			now < known.avoidedUntil || now < s.orderAfter[known.backend.OwnName()] {
 			continue
 		}
 		if cost := s.loadCost(known, model); best == nil || cost < bestCost {
@@ -259,8 +259,9 @@
 	return cost + runningCost*float64(len(known.running))
 }
 
-// DeferOrders has the engine given no orders before the time.
-func (s *Scheduler) DeferOrders(id string, until int64) { s.orderAfter[id] = until }
+// DeferOrders has the engine that calls itself by the name given no orders before the time, also
+// if it starts again meanwhile.
+func (s *Scheduler) DeferOrders(name string, until int64) { s.orderAfter[name] = until }
 
 // mayChangeVersion tells whether no running sample needs a single version.
 func (e *engine) mayChangeVersion() bool {
--- a/server/directory.go
+++ b/server/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,27 @@
 	Backend directory.Backend `cbor:"1,keyasint"`
 	// Sequence rises with every heartbeat of an incarnation.
 	Sequence uint64 `cbor:"2,keyasint"`
+	// Unread says that something about models was not understood: what is registered of those
+	// that it does not name holds.
+	Unread bool `cbor:"3,keyasint,omitempty"`
+}
+
+// keepUnread takes over, from what is registered, the models that the heartbeat names in a way
+// that was not understood.
+func (h *Heartbeat) keepUnread(known directory.Backend) {
+	if !h.Unread || known.ID != h.Backend.ID {
+		return
+	}
+	models := slices.Clone(known.Models)
+	for _, said := range h.Backend.Models {
+		place := slices.IndexFunc(models, func(held directory.ModelVersion) bool { return held.Model == said.Model })
+		if place < 0 {
+			models = append(models, said)
+			continue
+		}
+		models[place] = said
+	}
+	h.Backend.Models = models
 }
 
 // ErrNotFound: what a call names does not exist.
@@ -64,6 +86,7 @@
 	heartbeats *heartbeats
 	usage      *usageKeeper
 	standstill standstill
+	spoiled    spoiledLog
 	// suspects belongs to the review.
 	suspects suspectClock
 	// clockTold is when the leader was last told of this machine's clock. It belongs to
@@ -142,9 +165,10 @@
 // Status returns the replica's status.
 func (d *Directory) Status() *replica.Status { return d.replica.Status() }
 
-// Leave takes out a backend that ends.
-func (d *Directory) Leave(ctx context.Context, id string) error {
-	_, err := d.call(ctx, directoryCall{Leave: id})
+// Leave takes out a backend that ends. Without a birth it is whichever incarnation is registered
+// under the name.
+func (d *Directory) Leave(ctx context.Context, leaving directory.Incarnation) error {
+	_, err := d.call(ctx, directoryCall{Leave: leaving.Name, LeaveBorn: leaving.Born})
 	return err
 }
 
--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -14,15 +14,16 @@
 // directoryCall is a call to the directory's leader. Exactly one field is set; Heard comes
 // with Clock or Newest.
 type directoryCall struct {
-	Heartbeat *Heartbeat                  `cbor:"1,keyasint,omitempty"`
-	Leave     string                      `cbor:"2,keyasint,omitempty"`
-	Put       *directory.PutConfiguration `cbor:"3,keyasint,omitempty"`
-	Name      *directory.ModelVersion     `cbor:"4,keyasint,omitempty"`
-	Read      bool                        `cbor:"5,keyasint,omitempty"`
-	Retire    *directory.Retire           `cbor:"6,keyasint,omitempty"`
-	Retired   string                      `cbor:"7,keyasint,omitempty"`
-	Store     *directory.Store            `cbor:"8,keyasint,omitempty"`
-	Report    *directory.Group            `cbor:"9,keyasint,omitempty"`
+	Heartbeat *Heartbeat `cbor:"1,keyasint,omitempty"`
+	// Leave is the name of a backend that ends, and LeaveBorn its birth if it says it.
+	Leave   string                      `cbor:"2,keyasint,omitempty"`
+	Put     *directory.PutConfiguration `cbor:"3,keyasint,omitempty"`
+	Name    *directory.ModelVersion     `cbor:"4,keyasint,omitempty"`
+	Read    bool                        `cbor:"5,keyasint,omitempty"`
+	Retire  *directory.Retire           `cbor:"6,keyasint,omitempty"`
+	Retired string                      `cbor:"7,keyasint,omitempty"`
+	Store   *directory.Store            `cbor:"8,keyasint,omitempty"`
+	Report  *directory.Group            `cbor:"9,keyasint,omitempty"`
 	// Heard are backends that another replica has heard of.
 	Heard []string `cbor:"10,keyasint,omitempty"`
 	// Newest asks for the revision that a quorum has confirmed.
@@ -31,6 +32,7 @@
 	// Clock is what the machine of a replica that does not lead shows; it comes with Heard.
 	Clock      *clockReading   `cbor:"13,keyasint,omitempty"`
 	Quarantine *quarantineCall `cbor:"14,keyasint,omitempty"`
+	LeaveBorn  int64           `cbor:"16,keyasint,omitempty"`
 	// Passed is set on a call that another replica passes on, which is not passed on again.
 	Passed bool `cbor:"15,keyasint,omitempty"`
 }
@@ -147,8 +149,10 @@
 	case call.Quarantine != nil:
 		err = d.handleQuarantine(ctx, call.Quarantine, answer)
 	case call.Leave != "":
-		event.BackendLeft.On(d.logger).Str("backend", call.Leave).Send()
-		_, err = d.execute(ctx, directory.Command{RemoveBackend: &directory.RemoveBackend{ID: call.Leave}})
+		event.BackendLeft.On(d.logger).Str("backend", call.Leave).Int("born", call.LeaveBorn).Send()
+		_, err = d.execute(ctx, directory.Command{RemoveBackend: &directory.RemoveBackend{
+			Name: call.Leave, Born: call.LeaveBorn, LatestBirth: d.latestBirth() - birthSlack.Milliseconds(),
+		}})
 	case call.Put != nil:
 		err = d.handlePut(ctx, call.Put, answer)
 	case call.Name != nil:
--- a/server/engine.go
+++ b/server/engine.go
@@ -11,6 +11,8 @@
 
 // EngineReport is what an engine says it holds, as of some time ago.
 type EngineReport struct {
+	// Born is when the engine started, in milliseconds since 1970, or 0 if it does not say.
+	Born int64
 	// Sequence counts the orders that the engine has taken.
 	Sequence uint64
 	Busy     bool
--- a/server/heartbeat.go
+++ b/server/heartbeat.go
@@ -97,6 +97,7 @@
 		return "", replica.ErrUnavailable.New("no leader is known")
 	}
 	known, registered := d.view.Load().Backend(heartbeat.Backend.ID)
+	heartbeat.keepUnread(known)
 	if registered && sameRegistration(known, heartbeat.Backend) && d.tellsLeader() {
 		d.heartbeats.note(clock.Now(), heartbeat.Backend.ID, heartbeat.Sequence)
 		return d.settings.InternalAddress, nil
@@ -122,24 +123,32 @@
 // handleHeartbeat commits, on the leader, what a heartbeat changes.
 func (d *Directory) handleHeartbeat(ctx context.Context, heartbeat Heartbeat) error {
 	d.noteStandstill()
+	if heartbeat.Backend.Born > d.latestBirth() {
+		d.NoteSpoiled(Spoiled{Writer: heartbeat.Backend.ID, Field: "born", Reason: "in the future"})
+		return nil
+	}
 	if !d.heartbeats.note(clock.Now(), heartbeat.Backend.ID, heartbeat.Sequence) {
 		return nil
 	}
 	backend := heartbeat.Backend
-	var known directory.Backend
-	var holder directory.Backend
+	var known, holder directory.Backend
 	var registered, gone, held bool
 	if !d.replica.Do(func() {
-		known, registered = d.machine.Backend(backend.ID)
-		gone = d.machine.Gone(backend.ID)
+		known, registered = d.machine.BackendNamed(backend.OwnName())
+		gone = d.machine.Gone(backend.Incarnation())
 		holder, held = d.machine.BackendAt(backend.Address)
 	}) {
 		return replica.ErrUnavailable.New("the replica has stopped")
 	}
-	if gone || registered && sameRegistration(known, backend) {
+	heartbeat.keepUnread(known)
+	backend = heartbeat.Backend
+	switch {
+	case gone || registered && known.ID == backend.ID && sameRegistration(known, backend):
 		return nil
-	}
-	if held && holder.ID != backend.ID && d.heartbeats.silence(clock.Now(), holder.ID) < d.addressHold() {
+	case registered && known.ID != backend.ID && known.Born >= backend.Born:
+		event.EarlierLifeHeard.On(d.logger).Str("backend", backend.ID).Str("registered", known.ID).Send()
+		return nil
+	case held && holder.OwnName() != backend.OwnName() && d.keepsAddress(holder, backend):
 		event.AddressContested.On(d.logger).Str("backend", backend.ID).Str("holder", holder.ID).Str("address", backend.Address).Send()
 		return nil
 	}
@@ -149,6 +158,26 @@
 	return err
 }
 
+// keepsAddress tells whether the holder keeps its address from another backend: because it is
+// heard of, or because it started later, so that the other has ended.
+func (d *Directory) keepsAddress(holder, backend directory.Backend) bool {
+	return backend.Born > 0 && backend.Born < holder.Born || d.heartbeats.silence(clock.Now(), holder.ID) < d.addressHold()
+}
+
+// birthSlack is by how much a backend's clock may be ahead of this machine's: clocks may be off by
+// seconds, and a birth that nothing real can follow would keep all later starts out.
+const birthSlack = time.Minute
+
+// latestBirth is the latest time, in milliseconds since 1970, at which a backend may say that it
+// was born.
+func (d *Directory) latestBirth() int64 {
+	now := time.Now().UnixMilli()
+	if ahead, ok := d.usage.clock.Ahead(nowMillis()); ok {
+		now = nowMillis() + ahead
+	}
+	return now + birthSlack.Milliseconds()
+}
+
 // tellHeard tells the leader whom this replica has heard, and now and then what its clock
 // shows.
 func (d *Directory) tellHeard(ctx context.Context) {
--- a/server/inspect.go
+++ b/server/inspect.go
@@ -22,7 +22,7 @@
 	var lately map[string]bool
 	t.replica.Do(func() { lately = orderedLately(t.machine.Orders()) })
 	for _, backend := range backends {
-		if lately[backend.ID] {
+		if lately[orderSubject(backend)] {
 			go t.inspectEngine(backend)
 		}
 	}
@@ -51,6 +51,9 @@
 	report, err := t.report(limited, backend)
 	event.EngineInspected.On(t.logger).Str("engine", backend.ID).Uint("busy", boolToUint(report.Busy)).
 		Uint("failed", boolToUint(err != nil)).Send()
+	if err == nil && !t.isSameLife(backend, report) {
+		return
+	}
 	if err == nil && report.Busy {
 		t.loop.Call(func() { t.scheduler.NoteBusy(nowMillis(), backend.ID) })
 		defer t.loop.Call(func() { t.scheduler.NoteIdle(backend.ID) })
@@ -59,7 +62,7 @@
 		sleep(limited, loadPoll)
 		report, err = t.report(limited, backend)
 	}
-	if err != nil {
+	if err != nil || !t.isSameLife(backend, report) {
 		return
 	}
 	t.loop.Call(func() {
--- a/server/load.go
+++ b/server/load.go
@@ -57,7 +57,7 @@
 func (t *tenure) loadUntilHeld(ctx context.Context, order scheduler.Order) (held uint64, tookPlace bool) {
 	for ctx.Err() == nil {
 		report, err := t.report(ctx, order.Backend)
-		if err != nil {
+		if err != nil || !t.isSameLife(order.Backend, report) {
 			return 0, false
 		}
 		if held := report.version(order.Model); held >= order.Version {
@@ -91,7 +91,7 @@
 	limited, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	began := clock.Now()
-	record := &duty.Act{Subject: request.Order.Backend.ID, Holder: t.settings.Name, At: nowMillis()}
+	record := &duty.Act{Subject: orderSubject(request.Order.Backend), Holder: t.settings.Name, At: nowMillis()}
 	if _, err := t.replica.Execute(limited, ledger.Command{Order: record}.Encode()); err != nil || clock.Since(began) > duty.SendLimit {
 		return LoadConflict
 	}
@@ -103,12 +103,29 @@
 	return answer
 }
 
+// orderSubject names the engine whose holders of orders are kept apart: all lives under one name
+// count as one engine, so that a new leader waits for the lease whether or not it has started again.
+func orderSubject(backend directory.Backend) string { return backend.OwnName() }
+
+// isSameLife tells whether a report is of the life that an order was meant for. What a later one
+// holds is told by its own registration, and its count of orders has begun anew.
+func (t *tenure) isSameLife(backend directory.Backend, report EngineReport) bool {
+	if report.Born == backend.Born || report.Born == 0 || backend.Born == 0 {
+		return true
+	}
+	event.EngineReborn.On(t.logger).Str("engine", backend.ID).Int("born", report.Born).Send()
+	return false
+}
+
 // awaitLoad asks the engine until it has loaded, and returns what it holds.
 func (t *tenure) awaitLoad(ctx context.Context, order scheduler.Order) uint64 {
 	for ctx.Err() == nil {
 		report, err := t.report(ctx, order.Backend)
 		held := report.version(order.Model)
-		if err != nil || held >= order.Version || !report.Busy {
+		if err != nil || !t.isSameLife(order.Backend, report) {
+			return 0
+		}
+		if held >= order.Version || !report.Busy {
 			return held
 		}
 		sleep(ctx, loadPoll)
--- a/server/role_metrics.go
+++ b/server/role_metrics.go
@@ -85,19 +85,20 @@
 
 // directoryMetrics count what a replica of the directory is asked.
 type directoryMetrics struct {
-	calls *prometheus.HistogramVec
-	usage *prometheus.CounterVec
+	calls          *prometheus.HistogramVec
+	usage, spoiled *prometheus.CounterVec
 }
 
 func newDirectoryMetrics() directoryMetrics {
 	return directoryMetrics{
-		calls: newHistogram("directory_call_seconds", "Calls carried out as leader, by outcome.", "outcome"),
-		usage: newCounter("directory_usage_reports_total", "Reports of usage that were sent, by outcome.", "outcome"),
+		calls:   newHistogram("directory_call_seconds", "Calls carried out as leader, by outcome.", "outcome"),
+		usage:   newCounter("directory_usage_reports_total", "Reports of usage that were sent, by outcome.", "outcome"),
+		spoiled: newCounter("directory_spoiled_heartbeats_total", "Heartbeats that could not be used, by reason.", "reason"),
 	}
 }
 
 func (m directoryMetrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.calls, m.usage}
+	return []prometheus.Collector{m.calls, m.usage, m.spoiled}
 }
 
 // outcomeOf labels a call that ended with the error, or with none.
