Directory: what a watcher is told is found in the time of the changes

Cause: each delta scanned all backends inside the replica's loop, for each watcher apart, and beyond 20,000 removals each further one copied all of them. Grows as watchers x backends x changes.

--- a/directory/machine.go
+++ b/directory/machine.go
@@ -21,6 +21,10 @@
 // watchers that trail far take in the whole state.
 const maxTombstones = 20000
 
+// keptTombstones are left when there are too many, so that the rest is copied once in many
+// removals.
+const keptTombstones = maxTombstones / 2
+
 // versioned is an object with the revision at which it last changed.
 type versioned[T any] struct {
 	_        struct{} `cbor:",toarray"`
@@ -82,6 +86,8 @@
 	state contents
 	// byName and byAddress hold the IDs of the registered backends.
 	byName, byAddress map[string]string
+	// journal lists the latest changes of backends.
+	journal journal
 }
 
 // NewMachine returns the state before the first command.
@@ -107,8 +113,9 @@
 	m.indexBackends()
 }
 
-// indexBackends makes the indexes of backends anew.
+// indexBackends makes the indexes of backends anew, and begins a journal of their changes.
 func (m *Machine) indexBackends() {
+	m.journal = journal{floor: m.state.Revision}
 	m.byName, m.byAddress = map[string]string{}, map[string]string{}
 	for id, known := range m.state.Backends {
 		m.byName[known.Object.OwnName()] = id
@@ -259,7 +266,8 @@
 
 func (m *Machine) bury(kind ObjectKind, name string) {
 	m.state.Removed = append(m.state.Removed, tombstone{Revision: m.next(), Kind: kind, Name: name})
-	if surplus := len(m.state.Removed) - maxTombstones; surplus > 0 {
+	if len(m.state.Removed) > maxTombstones {
+		surplus := len(m.state.Removed) - keptTombstones
 		m.state.Floor = m.state.Removed[surplus-1].Revision
 		m.state.Removed = slices.Clone(m.state.Removed[surplus:])
 	}
@@ -331,6 +339,7 @@
 	}
 	m.releaseAddress(backend)
 	m.state.Backends[backend.ID] = &versioned[Backend]{Revision: m.next(), Object: backend}
+	m.journal.note(m.state.Revision, backend.ID)
 	m.byName[backend.OwnName()] = backend.ID
 	m.byAddress[backend.Address] = backend.ID
 }
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -46,7 +46,7 @@
 	delta.Full = delta.Full || since == 0
 	delta.Routes = changed(s.Routes, since)
 	delta.Services = changed(s.Services, since)
-	delta.Backends = changed(s.Backends, since)
+	delta.Backends = m.changedBackends(since)
 	delta.Stores = changed(s.Stores, since)
 	delta.Tenants = changed(s.Tenants, since)
 	delta.Suspects = changed(s.Suspects, since)
@@ -71,6 +71,22 @@
 	return delta
 }
 
+// changedBackends returns the backends that have changed after the revision.
+func (m *Machine) changedBackends(since uint64) []Backend {
+	entries, known := m.journal.since(since)
+	if !known {
+		return changed(m.state.Backends, since)
+	}
+	var list []Backend
+	for _, entry := range entries {
+		// One that has changed again is listed with its last change.
+		if current := m.state.Backends[entry.id]; current != nil && current.Revision == entry.revision {
+			list = append(list, current.Object)
+		}
+	}
+	return list
+}
+
 func changed[K comparable, T any](known map[K]*versioned[T], since uint64) []T {
 	var list []T
 	for _, object := range known {
--- a/directory/watch_bench_test.go
+++ b/directory/watch_bench_test.go
@@ -26,6 +26,71 @@
 	}
 }
 
+// sizes are numbers of backends: what a change costs must not grow with those that it does not
+// concern.
+var sizes = []int{100, 1000, 10000}
+
+func backendsOf(count int) []Backend {
+	var backends []Backend
+	for number := range count {
+		backends = append(backends, Backend{
+			ID: fmt.Sprintf("i-%08x", number*7919), Service: [...]string{"engines", "portal"}[number%5/4],
+			Address: fmt.Sprintf("10.0.%d.%d:80", number/250, number%250), Zone: "sala-a", Slots: 6, Models: []ModelVersion{{Model: "m0", Version: 1}},
+		})
+	}
+	return backends
+}
+
+// registered returns a machine in which that many backends are registered.
+func registered(b *testing.B, backends []Backend) *Machine {
+	m := NewMachine()
+	for _, backend := range backends {
+		m.Apply(Command{PutBackend: &backend}.Encode())
+	}
+	return m
+}
+
+// BenchmarkRegister registers one backend more, which takes over an address.
+func BenchmarkRegister(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			backends := backendsOf(size)
+			m := registered(b, backends)
+			for number := 0; b.Loop(); number++ {
+				backend := backends[number%size]
+				backend.ID = fmt.Sprint("next-", number)
+				m.Apply(Command{PutBackend: &backend}.Encode())
+			}
+		})
+	}
+}
+
+// BenchmarkDeltaOfOneChange finds out what a watcher is to be told after one change.
+func BenchmarkDeltaOfOneChange(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			m := registered(b, backendsOf(size))
+			for b.Loop() {
+				m.DeltaSince(m.Revision() - 1)
+			}
+		})
+	}
+}
+
+// BenchmarkTakeOneChange takes one change into a watcher's copy.
+func BenchmarkTakeOneChange(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			backends := backendsOf(size)
+			catalog := NewCatalog().With(Delta{Revision: 1, Full: true, Backends: backends})
+			b.ReportAllocs()
+			for number := 0; b.Loop(); number++ {
+				catalog = catalog.With(Delta{Revision: uint64(number + 2), Backends: backends[number%size : number%size+1]})
+			}
+		})
+	}
+}
+
 // BenchmarkSuspectChange takes one more suspect into a catalog that holds as many as there may be.
 func BenchmarkSuspectChange(b *testing.B) {
 	delta := Delta{Revision: 1, Full: true}
