A change of one backend, and the choice of one, cost the same before ten thousand

Causes: a catalog copied its map of all backends and the list of the service with each delta, in every watcher; and each attempt rated every backend of the service and remembered all of them. Both grow as backends x changes or requests.

Change: a catalog keeps backends in 128 shared parts and lists of pointers. Of a service with more than 32 backends a process rates those that it uses and 8 others, and all only where none of these is sound; what it does not use it does not remember.

Services of up to 32 backends are chosen from as before.

--- a/directory/services.go
+++ b/directory/services.go
@@ -10,58 +10,62 @@
 // in their places instead of being made anew.
 const fewChanges = 32
 
+// manyParts is the part of all backends, as its inverse, beyond which changing the lists in their
+// places costs more than making them anew.
+const manyParts = 20
+
 // indexBackends makes the lists of services' backends; base is the catalog before the delta.
 func (c *Catalog) indexBackends(base *Catalog, delta Delta) {
 	removed := delta.removed(KindBackend)
 	switch changes := len(delta.Backends) + len(removed); {
-	case delta.Full || changes > fewChanges:
+	case delta.Full || changes > fewChanges && changes*manyParts > c.backends.count:
 		c.listAllBackends()
 	case changes > 0:
-		c.byService = changeLists(base, delta.Backends, removed)
+		c.byService = changeLists(base, c, delta.Backends, removed)
 	}
 }
 
 // listAllBackends makes all lists anew.
 func (c *Catalog) listAllBackends() {
-	c.byService = map[string][]Backend{}
-	for _, backend := range c.backends {
+	c.byService = map[string][]*Backend{}
+	for backend := range c.backends.all() {
 		c.byService[backend.Service] = append(c.byService[backend.Service], backend)
 	}
 	for _, list := range c.byService {
-		slices.SortFunc(list, func(a, b Backend) int { return cmp.Compare(a.ID, b.ID) })
+		slices.SortFunc(list, func(a, b *Backend) int { return cmp.Compare(a.ID, b.ID) })
 	}
 }
 
 // changeLists returns the lists of the base after the changes. Lists that nothing concerns
 // are shared, and the others copied: others may be reading those of the base.
-func changeLists(base *Catalog, changed []Backend, removed []string) map[string][]Backend {
+func changeLists(base, next *Catalog, changed []Backend, removed []string) map[string][]*Backend {
 	lists := serviceLists{byService: maps.Clone(base.byService), own: map[string]bool{}}
 	if lists.byService == nil {
-		lists.byService = map[string][]Backend{}
+		lists.byService = map[string][]*Backend{}
 	}
 	for _, id := range removed {
-		if earlier, ok := base.backends[id]; ok {
+		if earlier := base.backends.get(id); earlier != nil {
 			lists.remove(earlier)
 		}
 	}
 	for _, backend := range changed {
-		if earlier, ok := base.backends[backend.ID]; ok {
+		if earlier := base.backends.get(backend.ID); earlier != nil {
 			lists.remove(earlier)
 		}
-		lists.add(backend)
+		lists.add(next.backends.get(backend.ID))
 	}
 	return lists.byService
 }
 
 // serviceLists are lists of backends under change. Those that are own were copied.
 type serviceLists struct {
-	byService map[string][]Backend
+	byService map[string][]*Backend
 	own       map[string]bool
 }
 
 // find returns the place of the backend in the list of its service, and whether it is there.
-func (l serviceLists) find(backend Backend) (int, bool) {
-	return slices.BinarySearchFunc(l.byService[backend.Service], backend.ID, func(listed Backend, id string) int {
+func (l serviceLists) find(backend *Backend) (int, bool) {
+	return slices.BinarySearchFunc(l.byService[backend.Service], backend.ID, func(listed *Backend, id string) int {
 		return cmp.Compare(listed.ID, id)
 	})
 }
@@ -74,7 +78,7 @@
 	}
 }
 
-func (l serviceLists) remove(backend Backend) {
+func (l serviceLists) remove(backend *Backend) {
 	place, ok := l.find(backend)
 	if !ok {
 		return
@@ -88,7 +92,7 @@
 	}
 }
 
-func (l serviceLists) add(backend Backend) {
+func (l serviceLists) add(backend *Backend) {
 	place, ok := l.find(backend)
 	if ok {
 		return
--- a/directory/services_test.go
+++ b/directory/services_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -27,15 +29,28 @@
 					apply(t, machine, Command{PutBackend: &backend})
 				}
 			}
-			before, listed := catalog, fmt.Sprint(catalog.byService)
+			before, listed := catalog, lists(catalog)
 			catalog = catalog.With(machine.DeltaSince(catalog.Revision))
 			whole := NewCatalog().With(machine.DeltaSince(0))
 			require.Equal(t, whole.byService, catalog.byService)
-			require.Len(t, catalog.backends, len(whole.backends))
-			for id, backend := range whole.backends {
-				require.Equal(t, backend, catalog.backends[id])
+			require.Equal(t, whole.BackendCount(), catalog.BackendCount())
+			for backend := range whole.backends.all() {
+				same, ok := catalog.Backend(backend.ID)
+				require.True(t, ok)
+				require.Equal(t, *backend, same)
 			}
-			require.Equal(t, listed, fmt.Sprint(before.byService))
+			require.Equal(t, listed, lists(before))
 		}
 	})
 }
+
+// lists returns what the catalog lists, in words.
+func lists(catalog *Catalog) string {
+	text := ""
+	for _, service := range slices.Sorted(maps.Keys(catalog.byService)) {
+		for _, backend := range catalog.byService[service] {
+			text += fmt.Sprintf("%s: %+v\n", service, *backend)
+		}
+	}
+	return text
+}
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -114,8 +114,8 @@
 	Suspects map[quarantine.Fingerprint]quarantine.Suspect
 
 	routes    map[string]routing.Route
-	backends  map[string]Backend
-	byService map[string][]Backend
+	backends  *shards
+	byService map[string][]*Backend
 	// ended are the backends that have ended under the suspects.
 	ended   map[string]bool
 	tenants map[string]routing.Tenant
@@ -126,13 +126,25 @@
 // NewCatalog returns a catalog that holds nothing.
 func NewCatalog() *Catalog { return &Catalog{Table: routing.NewTable(nil)} }
 
-// Backends returns the service's backends, ordered by ID. The list must not be changed.
-func (c *Catalog) Backends(service string) []Backend { return c.byService[service] }
+// Backends returns the service's backends, ordered by ID. The list and the backends must not be
+// changed.
+func (c *Catalog) Backends(service string) []*Backend { return c.byService[service] }
+
+// BackendCount returns the number of all backends.
+func (c *Catalog) BackendCount() int {
+	if c.backends == nil {
+		return 0
+	}
+	return c.backends.count
+}
 
 // Backend returns the backend with the ID, and whether there is one.
 func (c *Catalog) Backend(id string) (Backend, bool) {
-	backend, ok := c.backends[id]
-	return backend, ok
+	backend := c.backends.get(id)
+	if backend == nil {
+		return Backend{}, false
+	}
+	return *backend, true
 }
 
 // HasEnded tells whether the backend is known to have ended under a request. It is still
@@ -160,7 +172,7 @@
 	}
 	next.routes = merge(base.routes, delta.Routes, routing.Route.Key, delta.removed(KindRoute))
 	next.Services = merge(base.Services, delta.Services, func(s routing.Service) string { return s.Name }, delta.removed(KindService))
-	next.backends = merge(base.backends, delta.Backends, func(b Backend) string { return b.ID }, delta.removed(KindBackend))
+	next.backends = base.backends.with(delta.Backends, delta.removed(KindBackend))
 	next.tenants = merge(base.tenants, delta.Tenants, func(t routing.Tenant) string { return t.Name }, delta.removed(KindTenant))
 	next.Suspects = merge(base.Suspects, delta.Suspects, suspectKey, removedAs[quarantine.Fingerprint](delta, KindSuspect))
 	next.Stores = merge(base.Stores, delta.Stores, func(s Store) string { return s.Name }, nil)
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"iter"
+	"slices"
 	"time"
 
 	"github.com/dillchute/dillchute/directory"
@@ -88,28 +90,80 @@
 func (f *Forwarder) choose(catalog *directory.Catalog, services []string, tried map[string]bool) (directory.Backend, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	now, ends := time.Now(), EndsKnown(catalog, f.guard)
+	look := look{now: time.Now(), ends: EndsKnown(catalog, f.guard), tried: tried}
 	for _, service := range services {
-		var best directory.Backend
-		bestCost := -1.0
-		for _, backend := range catalog.Backends(service) {
-			if backend.Draining || tried[backend.ID] {
-				continue
-			}
-			cost := f.cost(backend, now)
-			if ends.Has(backend.ID) {
-				cost += awayCost
+		if best := f.cheapest(catalog, service, look); best != nil {
+			f.state(best.ID).inFlight++
+			return *best, true
+		}
+	}
+	return directory.Backend{}, false
+}
+
+// look is what backends are rated by for one attempt.
+type look struct {
+	now   time.Time
+	ends  Ends
+	tried map[string]bool
+}
+
+const (
+	// fewBackends is the number of a service's backends up to which all are rated for each
+	// attempt. Of more, those that this process uses are, and drawnBackends others: the time of
+	// a look does not grow with the service, and each process keeps connections to as many
+	// backends as it has requests under way.
+	fewBackends = 32
+	// drawnBackends are enough that one is near and sound while a good part of the service is
+	// away.
+	drawnBackends = 8
+)
+
+// cheapest returns the service's backend with the lowest cost, or nil if none can be asked.
+func (f *Forwarder) cheapest(catalog *directory.Catalog, service string, look look) *directory.Backend {
+	all := catalog.Backends(service)
+	if len(all) <= fewBackends {
+		best, _ := f.cheapestOf(slices.Values(all), look)
+		return best
+	}
+	best, cost := f.cheapestOf(f.candidates(catalog, service, all), look)
+	if best == nil || cost >= silentCost {
+		// None that is sound is among them: one of all the others may be.
+		best, _ = f.cheapestOf(slices.Values(all), look)
+	}
+	return best
+}
+
+// candidates returns the service's backends that this process uses, and some others.
+func (f *Forwarder) candidates(catalog *directory.Catalog, service string, all []*directory.Backend) iter.Seq[*directory.Backend] {
+	return func(yield func(*directory.Backend) bool) {
+		for id := range f.backends {
+			if backend, ok := catalog.Backend(id); ok && backend.Service == service && !yield(&backend) {
+				return
 			}
-			if bestCost < 0 || cost < bestCost {
-				best, bestCost = backend, cost
+		}
+		for range drawnBackends {
+			if !yield(all[f.random.IntN(len(all))]) {
+				return
 			}
 		}
-		if bestCost >= 0 {
-			f.state(best.ID).inFlight++
-			return best, true
+	}
+}
+
+// cheapestOf returns the candidate with the lowest cost and that cost, or nil.
+func (f *Forwarder) cheapestOf(candidates iter.Seq[*directory.Backend], look look) (best *directory.Backend, bestCost float64) {
+	for backend := range candidates {
+		if backend.Draining || look.tried[backend.ID] {
+			continue
+		}
+		cost := f.cost(*backend, look.now)
+		if look.ends.Has(backend.ID) {
+			cost += awayCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = backend, cost
 		}
 	}
-	return directory.Backend{}, false
+	return best, bestCost
 }
 
 const (
@@ -134,7 +188,10 @@
 
 // cost rates a backend: the expected wait, with much more for those that fail.
 func (f *Forwarder) cost(backend directory.Backend, now time.Time) float64 {
-	state := f.state(backend.ID)
+	state := f.backends[backend.ID]
+	if state == nil {
+		state = &unusedBackend
+	}
 	latency := max(float64(state.latency.Milliseconds()), leastMillis)
 	if state.latency == 0 || now.Sub(state.measuredAt) > latencyLife {
 		latency = max(float64(f.usual[backend.Service].Milliseconds()), leastMillis) * (1 + firstCost)
@@ -153,6 +210,10 @@
 	return cost
 }
 
+// unusedBackend is what is known of a backend that this process does not use. It must not be
+// changed.
+var unusedBackend backendState
+
 func (f *Forwarder) state(id string) *backendState {
 	state := f.backends[id]
 	if state == nil {
@@ -209,12 +270,16 @@
 	return true
 }
 
-// Forget drops what is known of backends that the catalog does not hold.
+// Forget drops what is known of backends that the catalog does not hold, and of those that have
+// not been used for so long that it counts no more.
 func (f *Forwarder) Forget(catalog *directory.Catalog) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	now := time.Now()
 	for id, state := range f.backends {
-		if _, ok := catalog.Backend(id); !ok && state.inFlight == 0 {
+		_, ok := catalog.Backend(id)
+		unused := now.Sub(state.measuredAt) > latencyLife && now.After(state.avoidedUntil)
+		if (!ok || unused) && state.inFlight == 0 {
 			delete(f.backends, id)
 		}
 	}
--- a/forward/suspects.go
+++ b/forward/suspects.go
@@ -65,11 +65,14 @@
 // backendForSuspect returns the backend with the fewest requests of those that run suspects. While
 // there is room for one more and each of these has as many requests as slots, it is the first other
 // backend that can be asked.
-func (f *Forwarder) backendForSuspect(backends []directory.Backend, tried map[string]bool, room int, now time.Time) (directory.Backend, bool) {
-	var shared, next directory.Backend
+func (f *Forwarder) backendForSuspect(backends []*directory.Backend, tried map[string]bool, room int, now time.Time) (directory.Backend, bool) {
+	shared, next := &directory.Backend{}, &directory.Backend{}
 	used := 0
 	for _, backend := range backends {
-		state := f.state(backend.ID)
+		state := f.backends[backend.ID]
+		if state == nil {
+			state = &unusedBackend
+		}
 		if state.suspects > 0 {
 			used++
 		}
@@ -85,9 +88,9 @@
 	}
 	hasSlot := shared.ID != "" && f.state(shared.ID).inFlight < shared.Slots
 	if used < room && !hasSlot && next.ID != "" {
-		return next, true
+		return *next, true
 	}
-	return shared, shared.ID != ""
+	return *shared, shared.ID != ""
 }
 
 // endSuspect takes in that a suspect has ended at the backend.
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -197,7 +197,9 @@
 	var backends []directory.Backend
 	for name, service := range catalog.Services {
 		if len(service.Models) > 0 {
-			backends = append(backends, catalog.Backends(name)...)
+			for _, backend := range catalog.Backends(name) {
+				backends = append(backends, *backend)
+			}
 		}
 	}
 	return backends
