Directory: changes in batches, answers shared by all watchers, replicas of the own zone first

Heartbeats that change something are gathered while others are under way, on the way to the leader and into the log. Replicas tell the leader their zone, and watchers prefer their own.

--- a/directory/command.go
+++ b/directory/command.go
@@ -39,6 +39,17 @@
 	OfferTrial    *SuspectAt             `cbor:"15,keyasint,omitempty"`
 	TakeTrial     quarantine.Fingerprint `cbor:"16,keyasint,omitempty"`
 	ForgetSuspect *SuspectAt             `cbor:"17,keyasint,omitempty"`
+	// Batch are changes of backends, carried out in their order.
+	Batch []Command `cbor:"18,keyasint,omitempty"`
+	// PutZone tells where a replica of the directory is.
+	PutZone *ReplicaZone `cbor:"19,keyasint,omitempty"`
+}
+
+// ReplicaZone tells in which zone the replica of the directory at an address is.
+type ReplicaZone struct {
+	_       struct{} `cbor:",toarray"`
+	Address string
+	Zone    string
 }
 
 // SuspectAt names a suspect as of a revision: a command about it has no effect once it has
--- a/directory/journal_test.go
+++ b/directory/journal_test.go
@@ -27,3 +27,29 @@
 		require.Equal(t, byID(changed(m.state.Backends, since)), byID(m.DeltaSince(since).Backends), "since %d", since)
 	}
 }
+
+// TestUrgentChanges: whatever takes something from callers, or tells them to do otherwise, does not
+// wait; that a backend can be used, or what it holds, does.
+func TestUrgentChanges(t *testing.T) {
+	m := NewMachine()
+	for _, c := range []struct {
+		what    string
+		command Command
+		urgent  bool
+	}{
+		{"a configuration", Command{PutConfiguration: configuration(1, "/a/")}, true},
+		{"a registration", Command{PutBackend: &Backend{ID: "a", Address: "1"}}, false},
+		{"another version", Command{PutBackend: &Backend{ID: "a", Address: "1", Models: []ModelVersion{{Model: "m", Version: 2}}}}, false},
+		{"draining", Command{PutBackend: &Backend{ID: "a", Address: "1", Draining: true}}, true},
+		{"still draining", Command{PutBackend: &Backend{ID: "a", Address: "1", Slots: 3, Draining: true}}, false},
+		{"a registration in a batch", Command{Batch: []Command{{PutBackend: &Backend{ID: "b", Address: "2"}}}}, false},
+		{"an address taken over", Command{PutBackend: &Backend{ID: "c", Address: "2"}}, true},
+		{"leaving", Command{RemoveBackend: &RemoveBackend{Name: "a"}}, true},
+		{"a named version", Command{NameVersion: &ModelVersion{Model: "m", Version: 2}}, true},
+	} {
+		before := m.Revision()
+		apply(t, m, c.command)
+		require.Greater(t, m.Revision(), before, c.what)
+		require.Equal(t, c.urgent, m.Urgent() > before, c.what)
+	}
+}
--- a/directory/machine.go
+++ b/directory/machine.go
@@ -79,6 +79,8 @@
 	// Suspects are requests under which backends have ended.
 	Suspects map[quarantine.Fingerprint]*versioned[quarantine.Suspect] `cbor:"17,keyasint,omitempty"`
 	GoneBorn map[string]int64                                          `cbor:"18,keyasint,omitempty"`
+	// Zones are those of the directory's replicas, by their addresses.
+	Zones map[string]*versioned[string] `cbor:"19,keyasint,omitempty"`
 }
 
 // Machine is the replicated state. Its methods must not be called concurrently.
@@ -88,6 +90,8 @@
 	byName, byAddress map[string]string
 	// journal lists the latest changes of backends.
 	journal journal
+	// urgent is the revision of the newest change that is urgent, see Urgent.
+	urgent uint64
 }
 
 // NewMachine returns the state before the first command.
@@ -109,13 +113,14 @@
 		Acts:     map[string]duty.Act{},
 		Suspects: map[quarantine.Fingerprint]*versioned[quarantine.Suspect]{},
 		GoneBorn: map[string]int64{},
+		Zones:    map[string]*versioned[string]{},
 	}
 	m.indexBackends()
 }
 
 // indexBackends makes the indexes of backends anew, and begins a journal of their changes.
 func (m *Machine) indexBackends() {
-	m.journal = journal{floor: m.state.Revision}
+	m.journal, m.urgent = journal{floor: m.state.Revision}, m.state.Revision
 	m.byName, m.byAddress = map[string]string{}, map[string]string{}
 	for id, known := range m.state.Backends {
 		m.byName[known.Object.OwnName()] = id
@@ -131,6 +136,7 @@
 	state.Backends, state.Models = maps.Clone(state.Backends), maps.Clone(state.Models)
 	state.Stores, state.Gone = maps.Clone(state.Stores), maps.Clone(state.Gone)
 	state.Suspects, state.GoneBorn = maps.Clone(state.Suspects), maps.Clone(state.GoneBorn)
+	state.Zones = maps.Clone(state.Zones)
 	state.Tenants, state.Acts, state.Usage = maps.Clone(state.Tenants), maps.Clone(state.Acts), state.Usage.Clone()
 	return func(writer io.Writer) error { return deterministic.NewEncoder(writer).Encode(state) }
 }
@@ -150,6 +156,10 @@
 // Revision grows with each change of an object.
 func (m *Machine) Revision() uint64 { return m.state.Revision }
 
+// Urgent returns the revision of the newest change that must not wait for others on its way to
+// watchers: all but registrations, which let a backend be used that nobody misses yet.
+func (m *Machine) Urgent() uint64 { return m.urgent }
+
 // Version returns the version of the configuration in force.
 func (m *Machine) Version() uint64 { return m.state.Version }
 
@@ -249,6 +259,12 @@
 		m.state.Usage.Fix(command.FixUsage)
 	case command.ToldUsage != 0:
 		m.state.Usage.Told(command.ToldUsage)
+	case len(command.Batch) > 0:
+		for _, change := range command.Batch {
+			m.apply(change)
+		}
+	case command.PutZone != nil:
+		m.putZone(*command.PutZone)
 	case command.Act != nil:
 		m.state.Acts[command.Act.Subject] = *command.Act
 	}
@@ -260,6 +276,12 @@
 }
 
 func (m *Machine) next() uint64 {
+	m.urgent = m.nextPatient()
+	return m.urgent
+}
+
+// nextPatient is next for a change that is not urgent.
+func (m *Machine) nextPatient() uint64 {
 	m.state.Revision++
 	return m.state.Revision
 }
@@ -338,7 +360,11 @@
 		m.takeOut(known)
 	}
 	m.releaseAddress(backend)
-	m.state.Backends[backend.ID] = &versioned[Backend]{Revision: m.next(), Object: backend}
+	next := m.nextPatient
+	if backend.Draining && !known.Draining {
+		next = m.next
+	}
+	m.state.Backends[backend.ID] = &versioned[Backend]{Revision: next(), Object: backend}
 	m.journal.note(m.state.Revision, backend.ID)
 	m.byName[backend.OwnName()] = backend.ID
 	m.byAddress[backend.Address] = backend.ID
@@ -392,6 +418,12 @@
 	}
 }
 
+func (m *Machine) putZone(at ReplicaZone) {
+	if known := m.state.Zones[at.Address]; known == nil || known.Object != at.Zone {
+		m.state.Zones[at.Address] = &versioned[string]{Revision: m.next(), Object: at.Zone}
+	}
+}
+
 func (m *Machine) nameVersion(named ModelVersion) {
 	if current := m.state.Models[named.Model]; current != nil && current.Object >= named.Version {
 		return
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"iter"
 	"maps"
 
 	"github.com/dillchute/dillchute/consensus"
@@ -27,6 +28,8 @@
 	Tenants  []routing.Tenant   `cbor:"13,keyasint,omitempty"`
 	// Suspects are requests under which backends have ended.
 	Suspects []quarantine.Suspect `cbor:"14,keyasint,omitempty"`
+	// Zones are those of the directory's own replicas.
+	Zones []ReplicaZone `cbor:"15,keyasint,omitempty"`
 }
 
 // Removed names an object that is there no more.
@@ -63,6 +66,11 @@
 			delta.Models = append(delta.Models, ModelVersion{Model: name, Version: version.Object})
 		}
 	}
+	for address, zone := range s.Zones {
+		if zone.Revision > since {
+			delta.Zones = append(delta.Zones, ReplicaZone{Address: address, Zone: zone.Object})
+		}
+	}
 	if !delta.Full {
 		for position := len(s.Removed) - 1; position >= 0 && s.Removed[position].Revision > since; position-- {
 			delta.Removed = append(delta.Removed, Removed{Kind: s.Removed[position].Kind, Name: s.Removed[position].Name})
@@ -112,6 +120,8 @@
 	Replicas []consensus.Member
 	// Suspects are requests under which backends have ended.
 	Suspects map[quarantine.Fingerprint]quarantine.Suspect
+	// Zones are those of the directory's replicas, as far as they are known, by their addresses.
+	Zones map[string]ReplicaZone
 
 	routes    map[string]routing.Route
 	backends  *shards
@@ -147,6 +157,9 @@
 	return *backend, true
 }
 
+// AllBackends returns the backends in any order. They must not be changed.
+func (c *Catalog) AllBackends() iter.Seq[*Backend] { return c.backends.all() }
+
 // HasEnded tells whether the backend is known to have ended under a request. It is still
 // listed until it is given up, or another one registers at its address.
 func (c *Catalog) HasEnded(id string) bool { return c.ended[id] }
@@ -176,6 +189,7 @@
 	next.tenants = merge(base.tenants, delta.Tenants, func(t routing.Tenant) string { return t.Name }, delta.removed(KindTenant))
 	next.Suspects = merge(base.Suspects, delta.Suspects, suspectKey, removedAs[quarantine.Fingerprint](delta, KindSuspect))
 	next.Stores = merge(base.Stores, delta.Stores, func(s Store) string { return s.Name }, nil)
+	next.Zones = merge(base.Zones, delta.Zones, func(z ReplicaZone) string { return z.Address }, nil)
 	next.Models = mergeModels(base.Models, delta.Models)
 	if delta.Limits != nil {
 		next.Limits = *delta.Limits
--- a/server/directory.go
+++ b/server/directory.go
@@ -84,9 +84,12 @@
 	// view is the machine's state, a little late.
 	view       atomic.Pointer[directory.Catalog]
 	heartbeats *heartbeats
-	usage      *usageKeeper
-	standstill standstill
-	spoiled    spoiledLog
+	// registrations are heartbeats that change something, on their way to the leader.
+	registrations *gather[Heartbeat]
+	feed          *feed
+	usage         *usageKeeper
+	standstill    standstill
+	spoiled       spoiledLog
 	// suspects belongs to the review.
 	suspects suspectClock
 	// clockTold is when the leader was last told of this machine's clock. It belongs to
@@ -117,12 +120,13 @@
 	}
 	d := &Directory{
 		settings: settings, logger: logger, machine: machine, replica: opened,
-		client: replica.NewInternalClient(), evidence: newEvidence(), metrics: newDirectoryMetrics(), heartbeats: newHeartbeats(),
+		client: replica.NewInternalClient(), evidence: newEvidence(), metrics: newDirectoryMetrics(), heartbeats: newHeartbeats(), feed: newFeed(),
 	}
 	d.usage = &usageKeeper{
 		settings: settings, replica: opened, machine: machine, client: client, clock: usage.NewClock(settings.ToleratedLosses + 1), acts: duty.NewWatch(),
 		metrics: d.metrics, logger: logger,
 	}
+	d.registrations = &gather[Heartbeat]{carry: d.registerAll}
 	d.view.Store(directory.NewCatalog())
 	return d, nil
 }
@@ -157,7 +161,7 @@
 	serveHTTP(httpServer, internal, d.logger)
 	defer httpServer.Close()
 	go d.review(ctx)
-	go d.followMachine(ctx)
+	go d.feedWatchers(ctx)
 	go d.keepEvidence(ctx)
 	return d.replica.Run(ctx)
 }
--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -33,14 +33,17 @@
 	Clock      *clockReading   `cbor:"13,keyasint,omitempty"`
 	Quarantine *quarantineCall `cbor:"14,keyasint,omitempty"`
 	LeaveBorn  int64           `cbor:"16,keyasint,omitempty"`
+	// Heartbeats are those that change something, of several backends.
+	Heartbeats []Heartbeat `cbor:"17,keyasint,omitempty"`
 	// Passed is set on a call that another replica passes on, which is not passed on again.
 	Passed bool `cbor:"15,keyasint,omitempty"`
 }
 
-// clockReading is a machine's time of day in milliseconds since 1970.
+// clockReading is a machine's time of day in milliseconds since 1970, with where it is.
 type clockReading struct {
-	Machine string `cbor:"1,keyasint"`
-	Millis  int64  `cbor:"2,keyasint"`
+	Machine string                `cbor:"1,keyasint"`
+	Millis  int64                 `cbor:"2,keyasint"`
+	At      directory.ReplicaZone `cbor:"3,keyasint"`
 }
 
 // directoryAnswer is the answer to a directoryCall.
@@ -140,10 +143,11 @@
 	d.heartbeats.noteHeard(clock.Now(), call.Heard)
 	var err error
 	switch {
-	case call.Heartbeat != nil:
-		err = d.handleHeartbeat(ctx, *call.Heartbeat)
+	case call.Heartbeats != nil:
+		err = d.handleHeartbeats(ctx, call.Heartbeats)
 	case call.Clock != nil:
 		d.usage.noteClock(call.Clock.Machine, call.Clock.Millis)
+		err = d.noteZone(ctx, call.Clock.At)
 	case call.Usage != nil:
 		answer.Usage, err = d.usage.take(ctx, call.Usage)
 	case call.Quarantine != nil:
@@ -182,6 +186,15 @@
 	return directory.DecodeResult(data)
 }
 
+// noteZone records where a replica is, if that is news.
+func (d *Directory) noteZone(ctx context.Context, at directory.ReplicaZone) error {
+	if at.Address == "" || d.view.Load().Zones[at.Address] == at {
+		return nil
+	}
+	_, err := d.execute(ctx, directory.Command{PutZone: &at})
+	return err
+}
+
 func (d *Directory) handlePut(ctx context.Context, put *directory.PutConfiguration, answer *directoryAnswer) error {
 	result, err := d.execute(ctx, directory.Command{PutConfiguration: put})
 	answer.Version = result.Version
--- a/server/directory_review.go
+++ b/server/directory_review.go
@@ -48,6 +48,9 @@
 		d.reviewBackends(limited)
 		d.reviewSuspects(limited)
 		d.formGroup(limited)
+		if err := d.noteZone(limited, d.ownZone()); err != nil {
+			event.ReviewFailed.On(d.logger).Err(err).Send()
+		}
 		d.usage.noteClock(d.settings.Name, time.Now().UnixMilli())
 		d.usage.review(limited, d.view.Load().HasTenants())
 		cancel()
@@ -67,21 +70,27 @@
 	d.serving = serving
 }
 
+// reviewBackends marks or takes out the backends that have fallen silent, all of them in one entry
+// of the log. It goes by the view: whoever registers meanwhile is looked at next time.
 func (d *Directory) reviewBackends(ctx context.Context) {
 	d.noteStandstill()
-	var backends []directory.Backend
-	d.replica.Do(func() { backends = d.machine.Backends() })
-	for _, backend := range backends {
-		switch silence := d.heartbeats.silence(clock.Now(), backend.ID); {
+	now := clock.Now()
+	var changes []directory.Command
+	for backend := range d.view.Load().AllBackends() {
+		switch silence := d.heartbeats.silence(now, backend.ID); {
 		case silence > goneBeats*d.settings.HeartbeatInterval:
 			event.BackendGone.On(d.logger).Str("backend", backend.ID).Uint("silent_ms", uint64(silence.Milliseconds())).Send()
-			d.execute(ctx, directory.Command{RemoveBackend: &directory.RemoveBackend{ID: backend.ID}})
+			changes = append(changes, directory.Command{RemoveBackend: &directory.RemoveBackend{ID: backend.ID}})
 		case silence > silentBeats*d.settings.HeartbeatInterval && !backend.Silent:
 			event.BackendSilent.On(d.logger).Str("backend", backend.ID).Uint("silent_ms", uint64(silence.Milliseconds())).Send()
-			backend.Silent = true
-			d.execute(ctx, directory.Command{PutBackend: &backend})
+			silent := *backend
+			silent.Silent = true
+			changes = append(changes, directory.Command{PutBackend: &silent})
 		}
 	}
+	if len(changes) > 0 {
+		d.executeOrLog(ctx, directory.Command{Batch: changes})
+	}
 }
 
 // formGroup makes the first group of the ledger out of the stores that have
--- a/server/directory_watch.go
+++ b/server/directory_watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dillchute/dillchute/clock"
+	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/replica"
 )
@@ -73,20 +74,19 @@
 	defer line.Stop()
 	lapsed := d.evidence.Lapsed()
 	for {
-		changed := d.replica.Changed()
-		delta, known := d.deltaSince(since, least)
-		if !known {
+		status := d.replica.Status()
+		round := d.feed.current()
+		if !status.Heard {
 			answer.refuse("no leader is known")
 			return
 		}
-		if delta.Revision >= least {
-			answer.give(delta)
+		if round.revision >= least && d.answerRound(answer, round, since, least, status.Members) {
 			return
 		}
 		if !answer.begun && !answer.hold() {
 			return
 		}
-		switch d.awaitChange(ctx, answer, watchSignals{changed: changed, lapsed: lapsed, timeout: timeout.C, line: line.C}) {
+		switch d.awaitChange(ctx, answer, watchSignals{changed: round.next, lapsed: lapsed, timeout: timeout.C, line: line.C}) {
 		case watchGoesOn:
 		case watchEnds:
 			return
@@ -94,27 +94,25 @@
 			answer.refuse("this replica trails")
 			return
 		case watchTimesOut:
-			d.answerUnchanged(answer, since, delta.Revision == since)
+			d.answerUnchanged(answer, since, round.revision == since)
 			return
 		}
 	}
 }
 
-// deltaSince returns what changed since the revision if the machine has reached the least one,
-// and otherwise only its own revision. It returns false if the replica hears no leader.
-func (d *Directory) deltaSince(since, least uint64) (directory.Delta, bool) {
-	var delta directory.Delta
-	if !d.replica.Status().Heard {
-		return delta, false
+// answerRound answers with what has changed since the revision, as of the round. It returns false
+// if that does not reach the least revision.
+func (d *Directory) answerRound(answer *watchAnswer, round *feedRound, since, least uint64, members []consensus.Member) bool {
+	news := d.answerSince(round, since, members)
+	switch {
+	case !news.ok:
+		answer.refuse("the replica has stopped")
+	case news.revision < least:
+		return false
+	default:
+		answer.giveEncoded(news.body)
 	}
-	read := d.replica.Do(func() {
-		delta.Revision = d.machine.Revision()
-		if delta.Revision >= least {
-			delta = d.machine.DeltaSince(since)
-		}
-	})
-	delta.Replicas = d.replica.Status().Members
-	return delta, read
+	return true
 }
 
 // watchSignals are what a watch waits for.
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -64,7 +64,7 @@
 
 // NewGateway returns a gateway that reaches backends through the client.
 func NewGateway(settings config.Gateway, seeds *Seeds, backends forward.Client, logger *zerolog.Logger) *Gateway {
-	watcher := NewWatcher(seeds, spread(settings.Name), logger)
+	watcher := NewWatcher(seeds, settings.Zone, spread(settings.Name), logger)
 	guard := newGuard(watcher)
 	work, endWork := context.WithCancel(context.Background())
 	return &Gateway{
--- a/server/heartbeat.go
+++ b/server/heartbeat.go
@@ -102,8 +102,7 @@
 		d.heartbeats.note(clock.Now(), heartbeat.Backend.ID, heartbeat.Sequence)
 		return d.settings.InternalAddress, nil
 	}
-	_, err := d.call(ctx, directoryCall{Heartbeat: &heartbeat})
-	return d.settings.InternalAddress, err
+	return d.settings.InternalAddress, d.registrations.do(ctx, heartbeat)
 }
 
 // tellBeats is the number of heartbeats for which the leader may not have answered a replica that
@@ -120,44 +119,92 @@
 // noteTold notes that the leader has answered a call that began at the time.
 func (d *Directory) noteTold(began int64) { d.toldAt.Store(max(d.toldAt.Load(), began)) }
 
-// handleHeartbeat commits, on the leader, what a heartbeat changes.
-func (d *Directory) handleHeartbeat(ctx context.Context, heartbeat Heartbeat) error {
+// registerAll has the leader take in what heartbeats change.
+func (d *Directory) registerAll(ctx context.Context, heartbeats []Heartbeat) error {
+	_, err := d.call(ctx, directoryCall{Heartbeats: heartbeats})
+	return err
+}
+
+// handleHeartbeats commits, on the leader, what heartbeats change, in one entry of the log.
+func (d *Directory) handleHeartbeats(ctx context.Context, heartbeats []Heartbeat) error {
 	d.noteStandstill()
-	if heartbeat.Backend.Born > d.latestBirth() {
-		d.NoteSpoiled(Spoiled{Writer: heartbeat.Backend.ID, Field: "born", Reason: "in the future"})
-		return nil
-	}
-	if !d.heartbeats.note(clock.Now(), heartbeat.Backend.ID, heartbeat.Sequence) {
-		return nil
-	}
-	backend := heartbeat.Backend
-	var known, holder directory.Backend
-	var registered, gone, held bool
+	sound := d.noteHeartbeats(heartbeats)
+	known := make([]registered, len(sound))
 	if !d.replica.Do(func() {
-		known, registered = d.machine.BackendNamed(backend.OwnName())
-		gone = d.machine.Gone(backend.Incarnation())
-		holder, held = d.machine.BackendAt(backend.Address)
+		for position, heartbeat := range sound {
+			known[position] = d.registeredFor(heartbeat.Backend)
+		}
 	}) {
 		return replica.ErrUnavailable.New("the replica has stopped")
 	}
-	heartbeat.keepUnread(known)
-	backend = heartbeat.Backend
-	switch {
-	case gone || registered && known.ID == backend.ID && sameRegistration(known, backend):
-		return nil
-	case registered && known.ID != backend.ID && known.Born >= backend.Born:
-		event.EarlierLifeHeard.On(d.logger).Str("backend", backend.ID).Str("registered", known.ID).Send()
-		return nil
-	case held && holder.OwnName() != backend.OwnName() && d.keepsAddress(holder, backend):
-		event.AddressContested.On(d.logger).Str("backend", backend.ID).Str("holder", holder.ID).Str("address", backend.Address).Send()
+	var changes []directory.Command
+	for position, heartbeat := range sound {
+		heartbeat.keepUnread(known[position].named)
+		if backend := heartbeat.Backend; d.changes(known[position], backend) {
+			event.BackendRegistered.On(d.logger).Str("backend", backend.ID).Str("service", backend.Service).
+				Str("address", backend.Address).Uint("draining", boolToUint(backend.Draining)).Send()
+			changes = append(changes, directory.Command{PutBackend: &backend})
+		}
+	}
+	if len(changes) == 0 {
 		return nil
 	}
-	event.BackendRegistered.On(d.logger).Str("backend", backend.ID).Str("service", backend.Service).
-		Str("address", backend.Address).Uint("draining", boolToUint(backend.Draining)).Send()
-	_, err := d.execute(ctx, directory.Command{PutBackend: &backend})
+	_, err := d.execute(ctx, directory.Command{Batch: changes})
 	return err
 }
 
+// noteHeartbeats notes whom the leader has heard, and returns the heartbeats that are not late.
+func (d *Directory) noteHeartbeats(heartbeats []Heartbeat) []Heartbeat {
+	now, latest := clock.Now(), d.latestBirth()
+	var sound []Heartbeat
+	for _, heartbeat := range heartbeats {
+		if heartbeat.Backend.Born > latest {
+			d.NoteSpoiled(Spoiled{Writer: heartbeat.Backend.ID, Field: "born", Reason: "in the future"})
+			continue
+		}
+		if d.heartbeats.note(now, heartbeat.Backend.ID, heartbeat.Sequence) {
+			sound = append(sound, heartbeat)
+		}
+	}
+	return sound
+}
+
+// registered is what the machine holds that concerns a backend.
+type registered struct {
+	// named is the incarnation that is registered under its name, and holder whoever is at its
+	// address.
+	named, holder    directory.Backend
+	isNamed, hasHeld bool
+	gone             bool
+}
+
+// registeredFor returns what the machine holds that concerns the backend. It is called in the
+// replica's loop.
+func (d *Directory) registeredFor(backend directory.Backend) registered {
+	var r registered
+	r.named, r.isNamed = d.machine.BackendNamed(backend.OwnName())
+	r.holder, r.hasHeld = d.machine.BackendAt(backend.Address)
+	r.gone = d.machine.Gone(backend.Incarnation())
+	return r
+}
+
+// changes tells whether what a backend says changes what is registered.
+func (d *Directory) changes(known registered, backend directory.Backend) bool {
+	switch {
+	case known.gone:
+		return false
+	case known.isNamed && known.named.ID == backend.ID && sameRegistration(known.named, backend):
+		return false
+	case known.isNamed && known.named.ID != backend.ID && known.named.Born >= backend.Born:
+		event.EarlierLifeHeard.On(d.logger).Str("backend", backend.ID).Str("registered", known.named.ID).Send()
+		return false
+	case known.hasHeld && known.holder.OwnName() != backend.OwnName() && d.keepsAddress(known.holder, backend):
+		event.AddressContested.On(d.logger).Str("backend", backend.ID).Str("holder", known.holder.ID).Str("address", backend.Address).Send()
+		return false
+	}
+	return true
+}
+
 // keepsAddress tells whether the holder keeps its address from another backend: because it is
 // heard of, or because it started later, so that the other has ended.
 func (d *Directory) keepsAddress(holder, backend directory.Backend) bool {
@@ -190,12 +237,19 @@
 	defer cancel()
 	began := nowMillis()
 	// What is lost is told again with the next heartbeats.
-	_, err := d.call(limited, directoryCall{Heard: heard, Clock: &clockReading{Machine: d.settings.Name, Millis: time.Now().UnixMilli()}})
+	_, err := d.call(limited, directoryCall{Heard: heard, Clock: &clockReading{
+		Machine: d.settings.Name, Millis: time.Now().UnixMilli(), At: d.ownZone(),
+	}})
 	if err == nil {
 		d.noteTold(began)
 	}
 }
 
+// ownZone tells where this replica is.
+func (d *Directory) ownZone() directory.ReplicaZone {
+	return directory.ReplicaZone{Address: d.settings.InternalAddress, Zone: d.settings.Zone}
+}
+
 // addressBeats is the number of missed heartbeats after which a backend's address may be
 // another's. A heartbeat that a cut has held up may come after its sender has crashed and a
 // later incarnation, which goes on sending them, has registered at the same address.
@@ -208,20 +262,3 @@
 
 // clockInterval is the longest time between two readings of a replica's clock.
 const clockInterval = time.Second
-
-// followMachine keeps a view of the machine that needs no turn of the loop.
-func (d *Directory) followMachine(ctx context.Context) {
-	for ctx.Err() == nil {
-		changed := d.replica.Changed()
-		view := d.view.Load()
-		d.replica.Do(func() {
-			if d.machine.Revision() != view.Revision {
-				d.view.Store(view.With(d.machine.DeltaSince(view.Revision)))
-			}
-		})
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		}
-	}
-}
--- a/server/ledger_client_test.go
+++ b/server/ledger_client_test.go
@@ -69,7 +69,7 @@
 	machine.Apply(directory.Command{FormGroup: &directory.Group{Members: members, Number: 1}}.Encode())
 	logger := zerolog.Nop()
 	seeds := NewSeeds(config.Process{}, func() (config.Process, error) { return config.Process{}, nil }, &logger)
-	watcher := NewWatcher(seeds, 0, &logger)
+	watcher := NewWatcher(seeds, "z", 0, &logger)
 	watcher.take(watcher.Catalog(), machine.DeltaSince(0))
 	return newLedgerClient(watcher, "near", &logger), near, far
 }
--- a/server/watch.go
+++ b/server/watch.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/replica"
@@ -37,7 +38,8 @@
 	logger *zerolog.Logger
 	client *http.Client
 	seeds  *Seeds
-	// start spreads processes over the replicas.
+	// zone is this process's, and start spreads processes over the replicas of it.
+	zone  string
 	start int
 	// after calls the function once the time has passed.
 	after func(wait time.Duration, function func()) alarm
@@ -52,10 +54,10 @@
 }
 
 // NewWatcher returns a watcher that asks the seeds first, and later the members
-// that it has learnt of.
-func NewWatcher(seeds *Seeds, start int, logger *zerolog.Logger) *Watcher {
+// that it has learnt of, those of its own zone first.
+func NewWatcher(seeds *Seeds, zone string, start int, logger *zerolog.Logger) *Watcher {
 	w := &Watcher{
-		logger: logger, client: replica.NewInternalClient(), seeds: seeds, start: start, changed: make(chan struct{}),
+		logger: logger, client: replica.NewInternalClient(), seeds: seeds, zone: zone, start: start, changed: make(chan struct{}),
 		after: func(wait time.Duration, function func()) alarm { return time.AfterFunc(wait, function) },
 	}
 	w.catalog.Store(directory.NewCatalog())
@@ -75,7 +77,8 @@
 // Run follows the directory until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	failures := 0
-	for position := w.start; ctx.Err() == nil; {
+	awayFrom := clock.Now()
+	for position := 0; ctx.Err() == nil; {
 		addresses := w.addresses()
 		address := addresses[position%len(addresses)]
 		err := w.poll(ctx, address, firstLinePatience(failures/len(addresses)))
@@ -84,14 +87,23 @@
 				event.DirectoryReachable.On(w.logger).Str("replica", address).Uint("revision", w.Catalog().Revision).Send()
 			}
 			failures = 0
+			if position != 0 && clock.Since(awayFrom) > watchHomeward {
+				position, awayFrom = 0, clock.Now()
+			}
 			continue
 		}
 		position++
 		failures++
+		awayFrom = clock.Now()
 		w.noteFailure(ctx, failures, len(addresses), err)
 	}
 }
 
+// watchHomeward is how long a watcher stays with a replica that is not its first choice, before it
+// tries that again: one of its own zone costs no bytes between zones, and the load of a replica
+// that was away comes back to it.
+const watchHomeward = 15 * time.Second
+
 // noteFailure pauses before the next replica is asked. When all have failed,
 // the settings may name others by now.
 func (w *Watcher) noteFailure(ctx context.Context, failures, addresses int, err error) {
@@ -127,13 +139,20 @@
 	}
 }
 
-// addresses returns the replicas known, the members first.
+// addresses returns the replicas known, the members of the own zone first, then the other members
+// and the seeds. Each process begins at another place of each part.
 func (w *Watcher) addresses() []string {
-	var addresses []string
-	for _, member := range w.Catalog().Replicas {
-		addresses = append(addresses, member.Address)
+	catalog := w.Catalog()
+	var near, far []string
+	for _, member := range catalog.Replicas {
+		if catalog.Zones[member.Address].Zone == w.zone {
+			near = append(near, member.Address)
+		} else {
+			far = append(far, member.Address)
+		}
 	}
-	for _, seed := range w.seeds.Addresses() {
+	addresses := append(rotated(near, w.start), rotated(far, w.start)...)
+	for _, seed := range rotated(w.seeds.Addresses(), w.start) {
 		if !slices.Contains(addresses, seed) {
 			addresses = append(addresses, seed)
 		}
@@ -141,6 +160,15 @@
 	return addresses
 }
 
+// rotated returns the list as it is from a place on, and then its beginning.
+func rotated(list []string, start int) []string {
+	if len(list) == 0 {
+		return nil
+	}
+	place := start % len(list)
+	return append(slices.Clone(list[place:]), list[:place]...)
+}
+
 // poll asks one replica for what is newer than the copy. A replica that says nothing for too
 // long is left: it, or the way to it, has gone dark.
 func (w *Watcher) poll(ctx context.Context, address string, patience time.Duration) error {
--- a/server/watch_call_test.go
+++ b/server/watch_call_test.go
@@ -30,7 +30,7 @@
 	settings := config.Process{Peers: []string{still.Addr().String(), live.Listener.Addr().String()}}
 	settings.PeerPort = 0
 	seeds := NewSeeds(settings, func() (config.Process, error) { return settings, nil }, &logger)
-	watcher := NewWatcher(seeds, 0, &logger)
+	watcher := NewWatcher(seeds, "z", 0, &logger)
 	require.Equal(t, settings.Peers, watcher.addresses())
 	const patience = 300 * time.Millisecond
 	for range 2 * len(settings.Peers) {
--- a/server/watch_lines.go
+++ b/server/watch_lines.go
@@ -64,13 +64,15 @@
 }
 
 // give answers with what has changed.
-func (a *watchAnswer) give(delta directory.Delta) {
-	if a.begun {
-		// A watcher that is gone asks again.
-		_, _ = a.response.Write(encodeInternal(delta))
-		return
+func (a *watchAnswer) give(delta directory.Delta) { a.giveEncoded(encodeInternal(delta)) }
+
+// giveEncoded answers with an encoded delta. A watcher that is gone asks again.
+func (a *watchAnswer) giveEncoded(body []byte) {
+	if !a.begun {
+		a.response.Header().Set("Content-Type", "application/cbor")
+		a.response.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	writeCBOR(a.response, delta)
+	_, _ = a.response.Write(body)
 }
 
 // readWatch returns the content of an answer to a watch, without the lines before it, and calls
--- a/server/watch_test.go
+++ b/server/watch_test.go
@@ -26,7 +26,7 @@
 	process := config.DefaultGateway().Process
 	process.Peers = seeds
 	load := func() (config.Process, error) { return process, nil }
-	return NewWatcher(NewSeeds(process, load, &logger), 0, &logger)
+	return NewWatcher(NewSeeds(process, load, &logger), "z", 0, &logger)
 }
 
 func membersAt(addresses ...string) []consensus.Member {
@@ -351,3 +351,30 @@
 	require.Error(t, err, "%v: it serves watches only", answer)
 	require.Contains(t, w.callAddresses(), live)
 }
+
+// TestWatcherAsksItsOwnZoneFirst: replicas of the own zone come first, spread over the processes,
+// then those of other zones and the seeds, each once.
+func TestWatcherAsksItsOwnZoneFirst(t *testing.T) {
+	logger := zerolog.Nop()
+	process := config.DefaultGateway().Process
+	process.Peers = []string{"seed:1", "near:1"}
+	seeds := NewSeeds(process, func() (config.Process, error) { return process, nil }, &logger)
+	delta := directory.Delta{Revision: 1, Full: true}
+	for _, address := range []string{"far:1", "near:1", "far:2", "near:2", "unknown:1"} {
+		delta.Replicas = append(delta.Replicas, consensus.Member{Address: address})
+		if zone, _, _ := strings.Cut(address, ":"); zone != "unknown" {
+			delta.Zones = append(delta.Zones, directory.ReplicaZone{Address: address, Zone: zone})
+		}
+	}
+	begins := map[string]bool{}
+	for start := range 6 {
+		w := NewWatcher(seeds, "near", start, &logger)
+		w.take(w.Catalog(), delta)
+		addresses := w.addresses()
+		require.ElementsMatch(t, []string{"near:1", "near:2"}, addresses[:2])
+		require.ElementsMatch(t, []string{"far:1", "far:2", "unknown:1"}, addresses[2:5])
+		require.Equal(t, []string{"seed:1"}, addresses[5:])
+		begins[addresses[0]] = true
+	}
+	require.Len(t, begins, 2)
+}
