The ledger's leader uses as many engines as the work needs

Cause: every look of the leader (room, place, loads, paces, moves) went through all engines, and each change of the catalog copied them all; with 7,777 engines it could begin nothing within the time in which its state counts as fresh. Grows as engines x samples.

Change: of a service with more than 128 engines a working set is used: 1.5 times what the samples of the models' newest steps would fill, 128 at least. Chosen engines stay; those that drain, fall silent or go are made up for; the next leader prefers those that were ordered lately and goes on with those that run samples. The bound on loads at a time goes by the whole fleet. Up to 128 engines nothing changes. The number grows with the samples, not with the fleet, so no constant has to follow it.

--- a/runner/choose.go
+++ b/runner/choose.go
@@ -1,9 +1,6 @@
 package runner
 
-import (
-	"hash/fnv"
-	"io"
-)
+import "github.com/dillchute/dillchute/internal/rendezvous"
 
 // Store is a process that can hold the streams of runs.
 type Store struct {
@@ -29,22 +26,5 @@
 	if s.Member != other.Member {
 		return !s.Member
 	}
-	return rank(engine, s.Name) > rank(engine, other.Name)
-}
-
-// rank spreads engines over stores: each engine prefers the store with its highest
-// rank, so that one store more or less changes few choices.
-func rank(engine, store string) uint64 {
-	hash := fnv.New64a()
-	// Writes to a hash do not fail.
-	_, _ = io.WriteString(hash, engine)
-	_, _ = io.WriteString(hash, "/")
-	_, _ = io.WriteString(hash, store)
-	// The sum of names that differ in their ends alone differs in few bits: mix it
-	// (the finaliser of MurmurHash3).
-	sum := hash.Sum64()
-	sum ^= sum >> 33
-	sum *= 0xff51afd7ed558ccd
-	sum ^= sum >> 33
-	return sum
+	return rendezvous.Rank(engine, s.Name) > rendezvous.Rank(engine, other.Name)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -67,6 +67,8 @@
 	earlierPaces map[string]float64
 	// middlePace is the median of the engines' paces.
 	middlePace float64
+	// fleet is the number of engines that there are, of which those that are known are used.
+	fleet int
 }
 
 type stepState struct {
--- a/scheduler/weights.go
+++ b/scheduler/weights.go
@@ -60,8 +60,9 @@
 	// after which a group comes again, 0 if none has.
 	number      int
 	returnSteps float64
-	// work is the expected number of tokens of its newest step.
-	work float64
+	// work is the expected number of tokens of its newest step, and samples its samples.
+	work    float64
+	samples int
 	// waiting is set while samples of the model wait.
 	waiting bool
 }
@@ -92,7 +93,7 @@
 		m.lag = m.newest - step.OldestVersion
 	}
 	m.number = max(m.number, step.Number)
-	m.work = 0
+	m.work, m.samples = 0, len(step.Samples)
 	for position := range step.Samples {
 		m.work += float64(max(step.Samples[position].Predicted, 1))
 	}
@@ -104,7 +105,7 @@
 // they help most: first on models whose samples wait for engines, then on
 // models that too few engines could serve after the next publication.
 func (s *Scheduler) Orders(now int64) []Order {
-	most := max((len(s.engines)+loadDivisor/2)/loadDivisor, 1)
+	most := max((max(s.fleet, len(s.engines))+loadDivisor/2)/loadDivisor, 1)
 	var orders []Order
 	for s.loadsUnderWay(now) < most {
 		known, model := s.nextLoad(now, most)
--- a/server/executor.go
+++ b/server/executor.go
@@ -81,7 +81,8 @@
 		loop: eventloop.New(), scheduler: scheduler.New(),
 		cancels: map[*scheduler.Task]context.CancelFunc{}, progress: map[*scheduler.Task]*runProgress{},
 		checkpointed: map[*scheduler.Task]uint64{}, known: map[string]bool{}, rewards: newRewardLimit(), turns: newKindTurns(),
-		heldBack: map[quarantine.Fingerprint]bool{}, asking: map[quarantine.Fingerprint]bool{},
+		workingSets: map[string]*scheduler.WorkingSet{},
+		heldBack:    map[quarantine.Fingerprint]bool{}, asking: map[quarantine.Fingerprint]bool{},
 	}
 	t.runners = runner.NewPool(leadership, term, t.adopt, x.logger)
 	t.deferOrders()
--- a/server/run.go
+++ b/server/run.go
@@ -48,6 +48,7 @@
 // will do. It is called by a runner's link and waits for the loop.
 func (t *tenure) adopt(held []*runner.Held) {
 	eventloop.Ask(t.loop, func() struct{} {
+		t.engageHeld(held)
 		for _, one := range held {
 			assignment, ok := t.scheduler.Adopt(nowMillis(), one.Step, one.Sample, one.Engine, one.Text)
 			if !ok {
@@ -63,6 +64,21 @@
 	})
 }
 
+// engageHeld has the engines used that the runs are on.
+func (t *tenure) engageHeld(held []*runner.Held) {
+	ids := make([]string, 0, len(held))
+	for _, one := range held {
+		ids = append(ids, one.Engine)
+	}
+	if t.catalog == nil {
+		return
+	}
+	for name := range t.catalog.Services {
+		t.workingSet(name).Include(ids)
+	}
+	t.syncEngines()
+}
+
 func (t *tenure) runEnded(task *scheduler.Task, assignment scheduler.Assignment, end scheduler.RunEnd, text scheduler.Text, version uint64) {
 	if task.Run == assignment.Run {
 		delete(t.progress, task)
--- a/server/tenure.go
+++ b/server/tenure.go
@@ -30,7 +30,13 @@
 
 	catalog    *directory.Catalog
 	generation uint64
-	cancels    map[*scheduler.Task]context.CancelFunc
+	// workingSets choose the engines that are used, by their services; they are engaged for
+	// that many samples. Those of the names were used by an earlier leader.
+	workingSets map[string]*scheduler.WorkingSet
+	engaged     []directory.Backend
+	engagedFor  int
+	usedBefore  map[string]bool
+	cancels     map[*scheduler.Task]context.CancelFunc
 	// heldBack holds the samples that were said to be held back, and asking those whose trial
 	// is being asked for.
 	heldBack, asking map[quarantine.Fingerprint]bool
@@ -77,6 +83,7 @@
 func (t *tenure) loadHistory() {
 	t.replica.Do(func() {
 		t.scheduler.TakePaces(t.machine.Paces())
+		t.usedBefore = orderedLately(t.machine.Orders())
 		for _, entry := range t.machine.Steps() {
 			if entry.Ended {
 				t.scheduler.NoteEnded(entry.Step)
@@ -143,14 +150,10 @@
 		first := t.catalog == nil
 		t.catalog = catalog
 		t.forwarder.Forget(catalog)
-		backends := engineBackends(catalog)
 		t.runners.Follow(runnersOf(catalog, t.settings.Name))
+		t.syncEngines()
 		if first {
-			t.inspect(backends)
-		}
-		for _, task := range t.scheduler.SyncEngines(nowMillis(), backends, catalog.Models) {
-			// It waits again once its run has told what there is of its text.
-			t.cancel(task)
+			t.inspect(t.engaged)
 		}
 	}
 	var open []*ledger.Entry
@@ -172,6 +175,9 @@
 	if !unchanged {
 		t.endClosed(open)
 		t.logTakenOver(open)
+		if t.catalog != nil && t.scheduler.SamplesAtOnce() > t.engagedFor {
+			t.syncEngines()
+		}
 	}
 	for _, task := range whole {
 		event.SampleKept.On(t.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).Uint("events", task.Text.Last).Send()
@@ -193,16 +199,33 @@
 	}
 }
 
-func engineBackends(catalog *directory.Catalog) []directory.Backend {
-	var backends []directory.Backend
-	for name, service := range catalog.Services {
-		if len(service.Models) > 0 {
-			for _, backend := range catalog.Backends(name) {
-				backends = append(backends, *backend)
-			}
+// syncEngines has the scheduler use the engines that its steps need of those that there are.
+func (t *tenure) syncEngines() {
+	t.engaged, t.engagedFor = nil, t.scheduler.SamplesAtOnce()
+	fleet := 0
+	for name, service := range t.catalog.Services {
+		if len(service.Models) == 0 {
+			continue
 		}
+		backends := t.catalog.Backends(name)
+		fleet += len(backends)
+		t.engaged = append(t.engaged, t.workingSet(name).Choose(backends, t.engagedFor)...)
+	}
+	t.scheduler.SetFleet(fleet)
+	for _, task := range t.scheduler.SyncEngines(nowMillis(), t.engaged, t.catalog.Models) {
+		// It waits again once its run has told what there is of its text.
+		t.cancel(task)
+	}
+}
+
+// workingSet returns what chooses the service's engines.
+func (t *tenure) workingSet(service string) *scheduler.WorkingSet {
+	known := t.workingSets[service]
+	if known == nil {
+		known = scheduler.NewWorkingSet(t.usedBefore)
+		t.workingSets[service] = known
 	}
-	return backends
+	return known
 }
 
 // endClosed stops the tasks of steps that are not open any more.
