--- /dev/null
+++ b/server/fleet_test.go
@@ -0,0 +1,140 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dillchute/dillchute/config"
+	"github.com/dillchute/dillchute/directory"
+)
+
+// The tests here put the load of a fleet on a directory, in one process and without its backends:
+// what is counted grows with the work, whatever the machine's speed.
+
+const (
+	fleetReplicas = 3
+	fleetWatchers = 60
+	fleetBackends = 3000
+	// fleetCallers are the backends that wait for an answer at one moment.
+	fleetCallers = 300
+)
+
+// startFleetDirectory runs the replicas of a directory.
+func startFleetDirectory(t *testing.T) []*Directory {
+	logger := zerolog.Nop()
+	var listeners []net.Listener
+	var peers []string
+	for range fleetReplicas {
+		listeners = append(listeners, listenLoopback(t))
+		peers = append(peers, listeners[len(listeners)-1].Addr().String())
+	}
+	var replicas []*Directory
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for number, listener := range listeners {
+		settings := config.DefaultDirectory()
+		settings.Name, settings.Zone = fmt.Sprint("directory-", number), fmt.Sprint("zone-", number)
+		settings.InternalAddress, settings.Peers = peers[number], peers
+		settings.DataFolder, settings.FirstStart = t.TempDir(), true
+		process := settings.Process
+		d, err := NewDirectory(settings, NewSeeds(process, func() (config.Process, error) { return process, nil }, &logger), nil, &logger)
+		require.NoError(t, err)
+		replicas = append(replicas, d)
+		running.Go(func() { _ = d.Run(ctx, listener) })
+	}
+	t.Cleanup(func() {
+		stop()
+		running.Wait()
+	})
+	return replicas
+}
+
+// followAll runs watchers of all zones, and returns them.
+func followAll(t *testing.T, replicas []*Directory) []*Watcher {
+	logger := zerolog.Nop()
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	var watchers []*Watcher
+	for number := range fleetWatchers {
+		process := config.DefaultGateway().Process
+		process.Peers = []string{replicas[0].settings.InternalAddress}
+		seeds := NewSeeds(process, func() (config.Process, error) { return process, nil }, &logger)
+		w := NewWatcher(seeds, fmt.Sprint("zone-", number%fleetReplicas), number, &logger)
+		watchers = append(watchers, w)
+		running.Go(func() { w.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		stop()
+		running.Wait()
+	})
+	return watchers
+}
+
+// TestFleetRegisters: thousands of backends register at all replicas at once. Each is answered,
+// the log grows by few entries, each watcher learns of all of them in few answers, and it asks
+// the replica of its zone.
+func TestFleetRegisters(t *testing.T) {
+	replicas := startFleetDirectory(t)
+	serving := func() bool {
+		for _, d := range replicas {
+			if d.Status().Serving {
+				return true
+			}
+		}
+		return false
+	}
+	require.Eventually(t, serving, watchSoon, watchInterval)
+	watchers := followAll(t, replicas)
+	knowZones := func() bool {
+		for _, w := range watchers {
+			if len(w.Catalog().Zones) < fleetReplicas {
+				return false
+			}
+		}
+		return true
+	}
+	require.Eventually(t, knowZones, watchSoon, watchInterval)
+	before := replicas[0].Status().Commit
+	registerFleet(t, replicas)
+	entries := replicas[0].Status().Commit - before
+	require.Less(t, entries, uint64(fleetBackends/4), "many registrations share an entry")
+	for _, w := range watchers {
+		require.Eventually(t, func() bool { return w.Catalog().BackendCount() == fleetBackends }, watchSoon, watchInterval)
+		first := w.addresses()[0]
+		require.Equal(t, w.zone, w.Catalog().Zones[first].Zone)
+	}
+}
+
+// registerFleet has all backends send a heartbeat until it is answered.
+func registerFleet(t *testing.T, replicas []*Directory) {
+	numbers := make(chan int)
+	var callers sync.WaitGroup
+	for range fleetCallers {
+		callers.Go(func() {
+			for number := range numbers {
+				backend := directory.Backend{
+					ID: fmt.Sprintf("b-%05d", number), Service: [...]string{"engines", "portal"}[number%5/4], Address: fmt.Sprint("10.0.0.1:", number), Zone: "z", Slots: 6,
+				}
+				for {
+					if _, err := replicas[number%len(replicas)].Heartbeat(t.Context(), Heartbeat{Backend: backend, Sequence: 1}); err == nil {
+						break
+					}
+					if t.Context().Err() != nil {
+						return
+					}
+				}
+			}
+		})
+	}
+	for number := range fleetBackends {
+		numbers <- number
+	}
+	close(numbers)
+	callers.Wait()
+}
