Watchers follow the backends that they need

Change: a watcher names its scope: all (stores that may lead the ledger's group), the services to which single requests go, without what they hold (gateways), or none (all other stores). What is out of scope neither is told nor wakes a watcher. Where routes change what is in scope, or a store comes to be a member, it is told everything anew; what a watcher holds is named in each delta, so that any replica tells. A backend that goes to another service under its ID is told as gone first: found by the model test.

--- a/directory/machine.go
+++ b/directory/machine.go
@@ -90,8 +90,10 @@
 	byName, byAddress map[string]string
 	// journal lists the latest changes of backends.
 	journal journal
-	// urgent is the revision of the newest change that is urgent, see Urgent.
-	urgent uint64
+	// urgent is the revision of the newest change that is urgent, see Urgent, and versionAt that
+	// at which the configuration's version changed, or a later one.
+	urgent, versionAt uint64
+	forwarded         forwarded
 }
 
 // NewMachine returns the state before the first command.
@@ -120,7 +122,8 @@
 
 // indexBackends makes the indexes of backends anew, and begins a journal of their changes.
 func (m *Machine) indexBackends() {
-	m.journal, m.urgent = journal{floor: m.state.Revision}, m.state.Revision
+	m.journal, m.urgent, m.versionAt = journal{floor: m.state.Revision}, m.state.Revision, m.state.Revision
+	m.forwarded = forwardedBy(m.state.Routes)
 	m.byName, m.byAddress = map[string]string{}, map[string]string{}
 	for id, known := range m.state.Backends {
 		m.byName[known.Object.OwnName()] = id
@@ -302,7 +305,7 @@
 		return
 	}
 	m.state.Version, m.state.Source = configuration.Version, command.Source
-	m.next()
+	m.versionAt = m.next()
 	routes := make(map[string]routing.Route, len(configuration.Routes))
 	for _, route := range configuration.Routes {
 		routes[route.Key()] = route
@@ -317,6 +320,7 @@
 	}
 	syncObjects(m, m.state.Tenants, tenants, KindTenant)
 	syncObjects(m, m.state.Routes, routes, KindRoute)
+	m.forwarded = forwardedBy(m.state.Routes)
 	syncObjects(m, m.state.Services, services, KindService)
 	if m.state.Limits.Object != configuration.Limits {
 		m.state.Limits = versioned[routing.Limits]{Revision: m.next(), Object: configuration.Limits}
@@ -354,6 +358,10 @@
 			return
 		}
 		delete(m.byAddress, known.Address)
+		if known.Service != backend.Service {
+			// Whoever follows only its earlier service is told that it has gone.
+			m.bury(KindBackend, known.ID)
+		}
 	case ok && !backend.Incarnation().follows(known.Born):
 		return
 	case ok:
--- /dev/null
+++ b/directory/scope_test.go
@@ -0,0 +1,114 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dillchute/dillchute/routing"
+)
+
+// routesTo returns a configuration with a route of single requests to each service named, and one
+// for samples to the engines.
+func routesTo(version uint64, services ...string) *PutConfiguration {
+	put := &PutConfiguration{Configuration: routing.Configuration{Version: version}}
+	add := func(name, service string, kind routing.Kind) {
+		put.Configuration.Routes = append(put.Configuration.Routes, routing.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, TimeoutMillis: 1, Shares: []routing.Share{{Service: service, Weight: 1}},
+		})
+	}
+	for _, service := range services {
+		add("to-"+service, service, routing.Repeatable)
+	}
+	add("steps", "engines", routing.Rollout)
+	return put
+}
+
+// follower is a watcher of one scope.
+type follower struct {
+	scope   Scope
+	catalog *Catalog
+}
+
+func (f *follower) take(m *Machine) Delta {
+	delta := m.DeltaFor(Watch{Since: f.catalog.Revision, Scope: f.scope, Held: f.catalog.Held})
+	f.catalog = f.catalog.With(delta)
+	return delta
+}
+
+// TestScopes: after any changes, also of routes, a watcher holds just the backends of its scope, and
+// nothing else differs.
+func TestScopes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewMachine()
+		followers := []*follower{{scope: ScopeAll}, {scope: ScopeForwarded}, {scope: ScopeNone}}
+		for _, f := range followers {
+			f.catalog = NewCatalog()
+		}
+		names := []string{"plain", "other", "engines"}
+		routed := map[string]bool{}
+		for version := range rapid.IntRange(1, 15).Draw(t, "steps") {
+			id := fmt.Sprint(rapid.IntRange(0, 8).Draw(t, "id"))
+			service := rapid.SampledFrom(names).Draw(t, "service")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				routed = map[string]bool{}
+				var services []string
+				for _, name := range names {
+					if rapid.Bool().Draw(t, "routed") {
+						services, routed[name] = append(services, name), true
+					}
+				}
+				apply(t, m, Command{PutConfiguration: routesTo(uint64(version+1), services...)})
+			case 1, 2:
+				backend := Backend{ID: id, Address: id, Service: service, Models: []ModelVersion{{Model: "m", Version: uint64(version + 1)}}}
+				apply(t, m, Command{PutBackend: &backend})
+			case 3:
+				apply(t, m, Command{RemoveBackend: &RemoveBackend{ID: id}})
+			}
+			for _, f := range followers {
+				if rapid.Bool().Draw(t, "looks") {
+					continue
+				}
+				f.take(m)
+				require.Equal(t, m.Version(), f.catalog.Version)
+				require.Equal(t, m.Revision(), f.catalog.Revision)
+				for _, backend := range m.Backends() {
+					held, ok := f.catalog.Backend(backend.ID)
+					wanted := f.scope == ScopeAll || f.scope == ScopeForwarded && routed[backend.Service]
+					require.Equal(t, wanted, ok, "%s of %s in %q", backend.ID, backend.Service, f.scope)
+					require.Equal(t, f.scope == ScopeAll, len(held.Models) > 0)
+				}
+			}
+		}
+	})
+}
+
+// TestScopedWatchersSleep: what is out of a watcher's scope is no news to it.
+func TestScopedWatchersSleep(t *testing.T) {
+	m := NewMachine()
+	apply(t, m, Command{PutConfiguration: routesTo(1, "plain")})
+	gateway, runner := &follower{scope: ScopeForwarded, catalog: NewCatalog()}, &follower{scope: ScopeNone, catalog: NewCatalog()}
+	require.False(t, gateway.take(m).IsEmpty())
+	require.False(t, runner.take(m).IsEmpty())
+	for _, c := range []struct {
+		command         Command
+		gateway, runner bool
+	}{
+		{Command{PutBackend: &Backend{ID: "e", Address: "1", Service: "engines"}}, false, false},
+		{Command{NameVersion: &ModelVersion{Model: "m", Version: 2}}, false, false},
+		{Command{PutBackend: &Backend{ID: "p", Address: "2", Service: "plain"}}, true, false},
+		{Command{RemoveBackend: &RemoveBackend{ID: "p"}}, true, false},
+		{Command{PutStore: &Store{Name: "s"}}, true, true},
+		{Command{PutConfiguration: routesTo(2, "plain")}, true, true},
+		{Command{PutConfiguration: routesTo(3, "plain", "engines")}, true, true},
+	} {
+		apply(t, m, c.command)
+		require.Equal(t, c.gateway, !gateway.take(m).IsEmpty(), "%+v", c.command)
+		require.Equal(t, c.runner, !runner.take(m).IsEmpty(), "%+v", c.command)
+	}
+	_, ok := gateway.catalog.Backend("e")
+	require.True(t, ok, "a service that gateways forward to by now")
+}
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -30,6 +30,11 @@
 	Suspects []quarantine.Suspect `cbor:"14,keyasint,omitempty"`
 	// Zones are those of the directory's own replicas.
 	Zones []ReplicaZone `cbor:"15,keyasint,omitempty"`
+	// Held names the backends that a watcher of the scope holds with it, see Watch.
+	Held string `cbor:"16,keyasint,omitempty"`
+
+	// otherVersion is set where the configuration's version has changed.
+	otherVersion bool
 }
 
 // Removed names an object that is there no more.
@@ -42,7 +47,7 @@
 // DeltaSince returns what changed after the revision.
 func (m *Machine) DeltaSince(since uint64) Delta {
 	s := &m.state
-	delta := Delta{Revision: s.Revision, Version: s.Version}
+	delta := Delta{Revision: s.Revision, Version: s.Version, otherVersion: m.versionAt > since}
 	if since < s.Floor || since > s.Revision {
 		delta.Full, since = true, 0
 	}
@@ -122,6 +127,8 @@
 	Suspects map[quarantine.Fingerprint]quarantine.Suspect
 	// Zones are those of the directory's replicas, as far as they are known, by their addresses.
 	Zones map[string]ReplicaZone
+	// Held names the backends that are held, see Watch.
+	Held string
 
 	routes    map[string]routing.Route
 	backends  *shards
@@ -181,7 +188,7 @@
 	}
 	next := &Catalog{
 		Revision: delta.Revision, Version: delta.Version, Limits: base.Limits, Group: base.Group,
-		Table: base.Table, Replicas: c.Replicas, byService: base.byService, byKey: base.byKey, ended: base.ended,
+		Table: base.Table, Replicas: c.Replicas, byService: base.byService, byKey: base.byKey, ended: base.ended, Held: delta.Held,
 	}
 	next.routes = merge(base.routes, delta.Routes, routing.Route.Key, delta.removed(KindRoute))
 	next.Services = merge(base.Services, delta.Services, func(s routing.Service) string { return s.Name }, delta.removed(KindService))
--- a/server/directory_watch.go
+++ b/server/directory_watch.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/dillchute/dillchute/clock"
-	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/replica"
 )
@@ -30,7 +29,8 @@
 	}
 	d.evidence.beginWatch(clock.Now())
 	defer func() { d.evidence.endWatch(clock.Now()) }()
-	answer := &watchAnswer{response: response, members: request.URL.Query().Get(watchMembersParameter)}
+	query := request.URL.Query()
+	answer := &watchAnswer{response: response, members: query.Get(watchMembersParameter)}
 	least := since + 1
 	if since == 0 {
 		newest, err := d.firstRevision(request.Context(), answer)
@@ -40,7 +40,8 @@
 		}
 		least = max(least, newest)
 	}
-	d.answerWatch(request.Context(), answer, since, least)
+	watch := directory.Watch{Since: since, Scope: directory.Scope(query.Get(watchScopeParameter)), Held: query.Get(watchHeldParameter)}
+	d.answerWatch(request.Context(), answer, watch, least)
 }
 
 // firstRevision returns the revision that a watcher is to be told that knows nothing.
@@ -61,9 +62,9 @@
 	return d.confirmedRevision(limited, directoryCall{Newest: true})
 }
 
-// answerWatch waits until the machine has reached the least revision, and answers with what
-// changed since.
-func (d *Directory) answerWatch(ctx context.Context, answer *watchAnswer, since, least uint64) {
+// answerWatch waits until the machine has reached the least revision and holds something new for
+// the watcher, and answers with it.
+func (d *Directory) answerWatch(ctx context.Context, answer *watchAnswer, watch directory.Watch, least uint64) {
 	hold := watchWait
 	if answer.members != "" {
 		hold = watchHold
@@ -73,6 +74,7 @@
 	line := time.NewTicker(watchLineInterval)
 	defer line.Stop()
 	lapsed := d.evidence.Lapsed()
+	version := uint64(0)
 	for {
 		status := d.replica.Status()
 		round := d.feed.current()
@@ -80,8 +82,19 @@
 			answer.refuse("no leader is known")
 			return
 		}
-		if round.revision >= least && d.answerRound(answer, round, since, least, status.Members) {
-			return
+		if round.revision >= least {
+			news := d.answerSince(round, watch, status.Members)
+			switch {
+			case !news.ok:
+				answer.refuse("the replica has stopped")
+				return
+			case news.empty:
+				// The watcher misses nothing up to there.
+				watch.Since, least, version = news.revision, news.revision+1, news.version
+			case news.revision >= least:
+				answer.giveEncoded(news.body)
+				return
+			}
 		}
 		if !answer.begun && !answer.hold() {
 			return
@@ -94,27 +107,13 @@
 			answer.refuse("this replica trails")
 			return
 		case watchTimesOut:
-			d.answerUnchanged(answer, since, round.revision == since)
+			current := d.feed.current().revision <= watch.Since
+			d.answerUnchanged(answer, directory.Delta{Revision: watch.Since, Version: version, Held: watch.Held}, current)
 			return
 		}
 	}
 }
 
-// answerRound answers with what has changed since the revision, as of the round. It returns false
-// if that does not reach the least revision.
-func (d *Directory) answerRound(answer *watchAnswer, round *feedRound, since, least uint64, members []consensus.Member) bool {
-	news := d.answerSince(round, since, members)
-	switch {
-	case !news.ok:
-		answer.refuse("the replica has stopped")
-	case news.revision < least:
-		return false
-	default:
-		answer.giveEncoded(news.body)
-	}
-	return true
-}
-
 // watchSignals are what a watch waits for.
 type watchSignals struct {
 	changed, lapsed <-chan struct{}
@@ -164,12 +163,13 @@
 	return answer.members != "" && answer.members != membersDigest(d.replica.Status().Members) && d.evidence.proves(clock.Now())
 }
 
-// answerUnchanged answers that nothing has changed, which only a replica can say that
-// is certain to hold everything.
-func (d *Directory) answerUnchanged(answer *watchAnswer, since uint64, current bool) {
+// answerUnchanged answers with a delta that says that nothing has changed, which only a replica can
+// say that is certain to hold everything.
+func (d *Directory) answerUnchanged(answer *watchAnswer, unchanged directory.Delta, current bool) {
 	if !current || !d.evidence.proves(clock.Now()) {
 		answer.refuse("this replica trails")
 		return
 	}
-	answer.give(directory.Delta{Revision: since, Version: 0, Replicas: d.replica.Status().Members})
+	unchanged.Replicas = d.replica.Status().Members
+	answer.give(unchanged)
 }
--- a/server/feed.go
+++ b/server/feed.go
@@ -38,13 +38,13 @@
 	next chan struct{}
 
 	mutex sync.Mutex
-	// answers are encoded deltas, by the revision that the watcher knows.
+	// answers are encoded deltas, by what the watcher knows and wants to know.
 	answers map[feedKey]*feedAnswer
 }
 
 // feedKey tells answers apart.
 type feedKey struct {
-	since uint64
+	watch directory.Watch
 	// members is the digest of the replicas that the answer names.
 	members string
 }
@@ -52,10 +52,12 @@
 // feedAnswer is an encoded delta, once it is made.
 type feedAnswer struct {
 	once sync.Once
-	// revision is what the watcher knows once it has taken it in.
-	revision uint64
-	body     []byte
-	ok       bool
+	// revision and version are what the watcher knows once it has taken it in, and empty is set
+	// where it would learn nothing else.
+	revision, version uint64
+	empty             bool
+	body              []byte
+	ok                bool
 }
 
 func newFeedRound(revision uint64) *feedRound {
@@ -95,7 +97,8 @@
 	answer.once.Do(func() {
 		var delta directory.Delta
 		if delta, answer.ok = make(); answer.ok {
-			answer.revision, answer.body = delta.Revision, encodeInternal(delta)
+			answer.revision, answer.version, answer.empty = delta.Revision, delta.Version, delta.IsEmpty()
+			answer.body = encodeInternal(delta)
 		}
 	})
 	return answer
@@ -158,11 +161,11 @@
 	}
 }
 
-// answerSince returns what a watcher is told that knows the revision, as of the round.
-func (d *Directory) answerSince(round *feedRound, since uint64, members []consensus.Member) *feedAnswer {
-	return round.answer(feedKey{since: since, members: membersDigest(members)}, func() (directory.Delta, bool) {
+// answerSince returns what a watcher is told, as of the round.
+func (d *Directory) answerSince(round *feedRound, watch directory.Watch, members []consensus.Member) *feedAnswer {
+	return round.answer(feedKey{watch: watch, members: membersDigest(members)}, func() (directory.Delta, bool) {
 		var delta directory.Delta
-		read := d.replica.Do(func() { delta = d.machine.DeltaSince(since) })
+		read := d.replica.Do(func() { delta = d.machine.DeltaFor(watch) })
 		delta.Replicas = members
 		return delta, read
 	})
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -65,6 +65,7 @@
 // NewGateway returns a gateway that reaches backends through the client.
 func NewGateway(settings config.Gateway, seeds *Seeds, backends forward.Client, logger *zerolog.Logger) *Gateway {
 	watcher := NewWatcher(seeds, settings.Zone, spread(settings.Name), logger)
+	watcher.scope = func() directory.Scope { return directory.ScopeForwarded }
 	guard := newGuard(watcher)
 	work, endWork := context.WithCancel(context.Background())
 	return &Gateway{
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -57,6 +57,7 @@
 		watcher:  NewWatcher(seeds, settings.Zone, spread(settings.Name), logger),
 		identity: replica.NewIdentity(),
 	}
+	l.watcher.scope = l.scope
 	l.metrics = newLedgerMetrics()
 	l.executor = newExecutor(settings, l.watcher, engines, backends, l.metrics, logger)
 	l.runs = runner.NewServer(&guardedEngine{engine: engines, guard: l.executor.guard, hasEnded: l.executor.forwarder.HasEnded}, logger)
@@ -186,6 +187,21 @@
 	return err == nil
 }
 
+// scope returns the backends that this store must know: all of them if it may come to lead the
+// group, and otherwise none, since a leader tells a runner where each run goes.
+func (l *Ledger) scope() directory.Scope {
+	members := l.watcher.Catalog().Group.Members
+	if status := l.Status(); status != nil {
+		members = append(slices.Clone(members), status.Members...)
+	}
+	for _, member := range members {
+		if member.Address == l.settings.InternalAddress {
+			return directory.ScopeAll
+		}
+	}
+	return directory.ScopeNone
+}
+
 // contacts returns the addresses of the group's members as the directory knows them. The replica
 // adds those that it knew last itself.
 func (l *Ledger) contacts() []string {
--- a/server/watch.go
+++ b/server/watch.go
@@ -41,6 +41,8 @@
 	// zone is this process's, and start spreads processes over the replicas of it.
 	zone  string
 	start int
+	// scope returns the part of the backends that this process follows now.
+	scope func() directory.Scope
 	// after calls the function once the time has passed.
 	after func(wait time.Duration, function func()) alarm
 
@@ -58,6 +60,7 @@
 func NewWatcher(seeds *Seeds, zone string, start int, logger *zerolog.Logger) *Watcher {
 	w := &Watcher{
 		logger: logger, client: replica.NewInternalClient(), seeds: seeds, zone: zone, start: start, changed: make(chan struct{}),
+		scope: func() directory.Scope { return directory.ScopeAll },
 		after: func(wait time.Duration, function func()) alarm { return time.AfterFunc(wait, function) },
 	}
 	w.catalog.Store(directory.NewCatalog())
@@ -176,7 +179,16 @@
 	defer cancel(nil)
 	silence := w.after(patience, func() { cancel(replica.ErrUnavailable.New("%s is silent", address)) })
 	defer silence.Stop()
-	err := w.pollWithin(limited, address, silence)
+	scope := w.scope()
+	err := w.pollWithin(limited, address, scope, func() {
+		silence.Reset(watchSilence)
+		if w.scope() != scope {
+			cancel(errOtherScope)
+		}
+	})
+	if errors.Is(context.Cause(limited), errOtherScope) {
+		return nil
+	}
 	if err != nil && limited.Err() != nil && ctx.Err() == nil {
 		// Others of the connections that are kept may be as silent.
 		w.client.CloseIdleConnections()
@@ -185,11 +197,14 @@
 	return err
 }
 
-// pollWithin puts the alarm off with whatever comes.
-func (w *Watcher) pollWithin(ctx context.Context, address string, silence alarm) error {
+// errOtherScope ends a watch of which this process wants another part by now: it asks again.
+var errOtherScope = errors.New("the watcher follows another part")
+
+// pollWithin calls the function with whatever comes.
+func (w *Watcher) pollWithin(ctx context.Context, address string, scope directory.Scope, noteHeard func()) error {
 	catalog := w.Catalog()
-	url := fmt.Sprintf("http://%s%s?since=%d&%s=%s", address, directoryWatchPath, catalog.Revision,
-		watchMembersParameter, membersDigest(catalog.Replicas))
+	url := fmt.Sprintf("http://%s%s?since=%d&%s=%s&%s=%s&%s=%s", address, directoryWatchPath, catalog.Revision,
+		watchMembersParameter, membersDigest(catalog.Replicas), watchScopeParameter, scope, watchHeldParameter, catalog.Held)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -202,9 +217,9 @@
 	if response.StatusCode != http.StatusOK {
 		return replica.ErrUnavailable.New("%s answered %d", address, response.StatusCode)
 	}
-	silence.Reset(watchSilence)
+	noteHeard()
 	body, err := readWatch(response.Body, func() {
-		silence.Reset(watchSilence)
+		noteHeard()
 		w.syncedAt.Store(nowMillis())
 	})
 	if errors.Is(err, io.EOF) {
@@ -227,7 +242,7 @@
 		return
 	}
 	if delta.Revision == catalog.Revision {
-		delta.Version = catalog.Version
+		delta.Version, delta.Held = catalog.Version, catalog.Held
 	}
 	next := catalog.With(delta)
 	w.catalog.Store(next)
--- a/server/watch_lines.go
+++ b/server/watch_lines.go
@@ -17,6 +17,9 @@
 	// watchMembersParameter is set by watchers that want lines, to the digest of the replicas
 	// that they know.
 	watchMembersParameter = "members"
+	// watchScopeParameter and watchHeldParameter are those of directory.Watch.
+	watchScopeParameter = "scope"
+	watchHeldParameter  = "held"
 	// watchLine says that a watch is held. No answer begins with it: that is a map or packed.
 	watchLine byte = 0
 	// watchLineInterval is the time between two lines, and watchSilence how long a watcher that
