A watcher that comes to follow other backends is told at once

Cause: the answer to a watch waited for a later revision, also where the watcher had named other backends than it holds: a store that had become a member of the ledger's group knew no engine until anything changed in the directory.

Change: such a watch is answered at the revision as it stands, and one that is held ends at its next line.

TestOtherScopeIsToldAtOnce fails without it.

--- a/directory/scope.go
+++ b/directory/scope.go
@@ -72,15 +72,17 @@
 	return string(scope)
 }
 
+// Holds tells whether the watcher holds the backends that are in its scope now.
+func (m *Machine) Holds(watch Watch) bool { return m.held(watch.Scope) == watch.Held }
+
 // DeltaFor returns what a watcher is to be told.
 func (m *Machine) DeltaFor(watch Watch) Delta {
-	held := m.held(watch.Scope)
 	since := watch.Since
-	if held != watch.Held {
+	if !m.Holds(watch) {
 		since = 0
 	}
 	delta := m.DeltaSince(since)
-	delta.Held = held
+	delta.Held = m.held(watch.Scope)
 	switch watch.Scope {
 	case ScopeNone:
 		delta.Backends, delta.Models = nil, nil
--- a/server/directory_watch.go
+++ b/server/directory_watch.go
@@ -41,9 +41,20 @@
 		least = max(least, newest)
 	}
 	watch := directory.Watch{Since: since, Scope: directory.Scope(query.Get(watchScopeParameter)), Held: query.Get(watchHeldParameter)}
+	if since > 0 && !d.holdsScope(watch) {
+		least = since
+	}
 	d.answerWatch(request.Context(), answer, watch, least)
 }
 
+// holdsScope tells whether the watcher holds the backends that are in its scope now. One that does
+// not is told of them at once, though there is no other revision.
+func (d *Directory) holdsScope(watch directory.Watch) bool {
+	holds := false
+	d.replica.Do(func() { holds = d.machine.Holds(watch) })
+	return holds
+}
+
 // firstRevision returns the revision that a watcher is to be told that knows nothing.
 func (d *Directory) firstRevision(ctx context.Context, answer *watchAnswer) (uint64, error) {
 	if !d.replica.Status().Heard {
--- a/server/directory_watch_test.go
+++ b/server/directory_watch_test.go
@@ -317,3 +317,36 @@
 func watchURL(address string, since uint64, members string) string {
 	return "http://" + address + directoryWatchPath + "?since=" + strconv.FormatUint(since, 10) + "&" + watchMembersParameter + "=" + members
 }
+
+// TestOtherScopeIsToldAtOnce: a watcher that comes to follow other backends is told of them though
+// nothing has changed since, also by a watch that is held already.
+func TestOtherScopeIsToldAtOnce(t *testing.T) {
+	backend := directory.Backend{ID: "b", Service: "s", Address: "10.0.0.1:80", Slots: 1}
+	d, _, revision := followedDirectory(t, putVersion(1), directory.Command{PutBackend: &backend})
+	w := newTestWatcher(t, d.settings.InternalAddress)
+	var follows atomic.Bool
+	w.scope = func() directory.Scope {
+		if follows.Load() {
+			return directory.ScopeAll
+		}
+		return directory.ScopeNone
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+	})
+	holds := func(backends int) func() bool {
+		return func() bool { return w.Catalog().Revision == revision && w.Catalog().BackendCount() == backends }
+	}
+	require.Eventually(t, holds(0), watchSoon, watchInterval)
+	follows.Store(true)
+	require.Eventually(t, holds(1), watchSoon, watchInterval)
+	follows.Store(false)
+	require.Eventually(t, holds(0), watchSoon, watchInterval)
+}
--- a/server/watch.go
+++ b/server/watch.go
@@ -238,10 +238,11 @@
 
 func (w *Watcher) take(catalog *directory.Catalog, delta directory.Delta) {
 	w.syncedAt.Store(nowMillis())
-	if delta.Revision == catalog.Revision && slices.Equal(delta.Replicas, catalog.Replicas) {
+	unchanged := delta.Revision == catalog.Revision && !delta.Full
+	if unchanged && slices.Equal(delta.Replicas, catalog.Replicas) {
 		return
 	}
-	if delta.Revision == catalog.Revision {
+	if unchanged {
 		delta.Version, delta.Held = catalog.Version, catalog.Held
 	}
 	next := catalog.With(delta)
