A watch that was held is answered whatever has changed out of its scope

Change: at the end of its time a watch is answered from the machine, and refused where that is behind the watcher; the proof looks at the machine's revision.

TestHeldWatchIsAnswered (of a call that did not exist).

--- a/server/directory_watch.go
+++ b/server/directory_watch.go
@@ -85,7 +85,6 @@
 	line := time.NewTicker(watchLineInterval)
 	defer line.Stop()
 	lapsed := d.evidence.Lapsed()
-	version := uint64(0)
 	for {
 		status := d.replica.Status()
 		round := d.feed.current()
@@ -101,7 +100,7 @@
 				return
 			case news.empty:
 				// The watcher misses nothing up to there.
-				watch.Since, least, version = news.revision, news.revision+1, news.version
+				watch.Since, least = news.revision, news.revision+1
 			case news.revision >= least:
 				answer.giveEncoded(news.body)
 				return
@@ -118,8 +117,7 @@
 			answer.refuse("this replica trails")
 			return
 		case watchTimesOut:
-			current := d.feed.current().revision <= watch.Since
-			d.answerUnchanged(answer, directory.Delta{Revision: watch.Since, Version: version, Held: watch.Held}, current)
+			d.answerHeld(answer, watch)
 			return
 		}
 	}
@@ -174,13 +172,23 @@
 	return answer.members != "" && answer.members != membersDigest(d.replica.Status().Members) && d.evidence.proves(clock.Now())
 }
 
-// answerUnchanged answers with a delta that says that nothing has changed, which only a replica can
-// say that is certain to hold everything.
-func (d *Directory) answerUnchanged(answer *watchAnswer, unchanged directory.Delta, current bool) {
-	if !current || !d.evidence.proves(clock.Now()) {
+// answerHeld answers a watch that has been held for long enough, with what is new for the watcher by
+// now, if anything. Only a replica that is certain to hold everything can say so.
+func (d *Directory) answerHeld(answer *watchAnswer, watch directory.Watch) {
+	var delta directory.Delta
+	read := d.replica.Do(func() { delta = d.machine.DeltaFor(watch) })
+	trails := delta.Revision < watch.Since || watch.Since == 0 && delta.Revision > 0
+	if !read || trails || !d.evidence.proves(clock.Now()) {
 		answer.refuse("this replica trails")
 		return
 	}
-	unchanged.Replicas = d.replica.Status().Members
-	answer.give(unchanged)
+	delta.Replicas = d.replica.Status().Members
+	answer.give(delta)
+}
+
+// revision returns the machine's revision.
+func (d *Directory) revision() uint64 {
+	revision := uint64(0)
+	d.replica.Do(func() { revision = d.machine.Revision() })
+	return revision
 }
--- a/server/directory_watch_test.go
+++ b/server/directory_watch_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -350,3 +351,32 @@
 	follows.Store(false)
 	require.Eventually(t, holds(0), watchSoon, watchInterval)
 }
+
+// TestHeldWatchIsAnswered: a watch that was held for long enough is answered though there have been
+// changes out of its scope meanwhile, and never by a replica that trails what the watcher knows.
+func TestHeldWatchIsAnswered(t *testing.T) {
+	backend := directory.Backend{ID: "b", Service: "s", Address: "10.0.0.1:80", Slots: 1}
+	d, _, revision := followedDirectory(t, putVersion(1), directory.Command{PutBackend: &backend})
+	ask := func(watch directory.Watch) *directory.Delta {
+		recorder := httptest.NewRecorder()
+		d.answerHeld(&watchAnswer{response: recorder, members: "m"}, watch)
+		if recorder.Code != http.StatusOK {
+			return nil
+		}
+		var delta directory.Delta
+		require.NoError(t, decodeInternal(recorder.Body.Bytes(), &delta))
+		return &delta
+	}
+	none := string(directory.ScopeNone)
+	var answered *directory.Delta
+	require.Eventually(t, func() bool {
+		answered = ask(directory.Watch{Since: revision - 1, Scope: directory.ScopeNone, Held: none})
+		return answered != nil
+	}, watchSoon, watchInterval)
+	require.Equal(t, revision, answered.Revision)
+	require.Equal(t, uint64(1), answered.Version)
+	require.Equal(t, none, answered.Held)
+	require.True(t, answered.IsEmpty())
+	require.Nil(t, ask(directory.Watch{Since: revision + 1}), "the watcher knows more")
+	require.Nil(t, ask(directory.Watch{}), "a first answer needs a quorum's revision")
+}
--- a/server/evidence.go
+++ b/server/evidence.go
@@ -180,7 +180,7 @@
 			return
 		case <-ticker.C:
 		}
-		if d.evidence.review(clock.Now(), d.view.Load().Revision) {
+		if d.evidence.review(clock.Now(), d.revision()) {
 			d.logEvidence()
 		}
 		if d.evidence.beginQuestion(clock.Now()) {
@@ -195,7 +195,7 @@
 	if d.evidence.hasLapsed() {
 		message = event.WatchesLetGo
 	}
-	message.On(d.logger).Uint("revision", d.view.Load().Revision).Str("leader", d.replica.Status().Leader).Send()
+	message.On(d.logger).Uint("revision", d.revision()).Str("leader", d.replica.Status().Leader).Send()
 }
 
 // askEvidence asks once. The question takes along whom this replica has heard, which saves a
--- a/server/feed.go
+++ b/server/feed.go
@@ -52,12 +52,12 @@
 // feedAnswer is an encoded delta, once it is made.
 type feedAnswer struct {
 	once sync.Once
-	// revision and version are what the watcher knows once it has taken it in, and empty is set
-	// where it would learn nothing else.
-	revision, version uint64
-	empty             bool
-	body              []byte
-	ok                bool
+	// revision is what the watcher knows once it has taken it in, and empty is set where it
+	// would learn nothing else.
+	revision uint64
+	empty    bool
+	body     []byte
+	ok       bool
 }
 
 func newFeedRound(revision uint64) *feedRound {
@@ -97,7 +97,7 @@
 	answer.once.Do(func() {
 		var delta directory.Delta
 		if delta, answer.ok = make(); answer.ok {
-			answer.revision, answer.version, answer.empty = delta.Revision, delta.Version, delta.IsEmpty()
+			answer.revision, answer.empty = delta.Revision, delta.IsEmpty()
 			answer.body = encodeInternal(delta)
 		}
 	})
