--- a/server/directory_watch_test.go
+++ b/server/directory_watch_test.go
@@ -332,16 +332,7 @@
 		}
 		return directory.ScopeNone
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		w.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		stop()
-		<-ended
-	})
+	runWatcher(t, w)
 	holds := func(backends int) func() bool {
 		return func() bool { return w.Catalog().Revision == revision && w.Catalog().BackendCount() == backends }
 	}
--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -58,8 +58,6 @@
 // followAll runs watchers of all zones, and returns them.
 func followAll(t *testing.T, replicas []*Directory) []*Watcher {
 	logger := zerolog.Nop()
-	ctx, stop := context.WithCancel(context.Background())
-	var running sync.WaitGroup
 	var watchers []*Watcher
 	for number := range fleetWatchers {
 		process := config.DefaultGateway().Process
@@ -70,12 +68,8 @@
 			w.scope = func() directory.Scope { return directory.ScopeNone }
 		}
 		watchers = append(watchers, w)
-		running.Go(func() { w.Run(ctx) })
+		runWatcher(t, w)
 	}
-	t.Cleanup(func() {
-		stop()
-		running.Wait()
-	})
 	return watchers
 }
 
