--- a/server/quarantine_simulation_test.go
+++ b/server/quarantine_simulation_test.go
@@ -71,8 +71,11 @@
 
 type simBackend struct {
 	id, address string
-	up          bool
-	runs        map[*simRun]bool
+	// keepsName is set on one that starts again under the name that it had.
+	keepsName bool
+	life      directory.Incarnation
+	up        bool
+	runs      map[*simRun]bool
 }
 
 type simGateway struct {
@@ -238,20 +241,35 @@
 
 func (s *simulation) startBackend(b *simBackend) {
 	s.started++
-	b.id, b.up, b.runs = fmt.Sprint("b", s.started), true, map[*simRun]bool{}
-	s.register(b, b.id)
+	life := directory.Incarnation{Name: fmt.Sprint("b", s.started)}
+	if b.keepsName {
+		life = directory.Incarnation{Name: b.address, Born: s.now + 1}
+	}
+	earlier := b.life
+	b.life, b.id, b.up, b.runs = life, life.ID(), true, map[*simRun]bool{}
+	s.register(b, life)
+	if b.keepsName && earlier.Name != "" {
+		// A heartbeat of the life before comes late, after this one's or before it.
+		s.after(s.between(0, 3000), func() { s.put(b, earlier) })
+	}
 }
 
 // register has the backend's heartbeat reach the directory once there is a leader.
-func (s *simulation) register(b *simBackend, id string) {
-	if b.id != id {
+func (s *simulation) register(b *simBackend, life directory.Incarnation) {
+	if b.life != life {
 		return
 	}
 	if s.now < s.leaderAt {
-		s.after(s.leaderAt-s.now, func() { s.register(b, id) })
+		s.after(s.leaderAt-s.now, func() { s.register(b, life) })
 		return
 	}
-	s.apply(directory.Command{PutBackend: &directory.Backend{ID: id, Service: simService, Address: b.address, Slots: 1}})
+	s.put(b, life)
+}
+
+// put registers a life of the backend.
+func (s *simulation) put(b *simBackend, life directory.Incarnation) {
+	backend := directory.Backend{Service: simService, Address: b.address, Slots: 1}.Named(life)
+	s.apply(directory.Command{PutBackend: &backend})
 }
 
 // crash ends a backend with all that runs on it.
@@ -385,7 +403,7 @@
 		unserved: map[quarantine.Fingerprint]int64{}, knownAt: map[string]int64{},
 	}
 	for number := range simBackends {
-		b := &simBackend{address: fmt.Sprint("address-", number)}
+		b := &simBackend{address: fmt.Sprint("address-", number), keepsName: number%2 == 0}
 		s.startBackend(b)
 		s.backends = append(s.backends, b)
 	}
