A backend that is heard again comes back; the directory's commands have a version

What callers saw: a backend that a cut had kept from the directory for 20 heartbeats (24 s of the users' 1.2 s) got no request for the rest of its life, without an alarm. A cut of a zone took all of its backends.

Cause: the review takes a silent backend out by the command that a leaving one is taken out by, and the state remembered both alike. So nobody knew why one was out, and its heartbeats changed nothing, as they should for one that has left.

Mend: the state keeps the reason, and a backend that was only not heard is registered again with two heartbeats of rising numbers at their pace, none of them while another one at its address is heard of. The new meaning must not be applied by some replicas only, so the state has a version in use: members say once a second what they know, the leader raises it once all have, looking at the members in the same step as it proposes, and from then on nobody is let in who does not know it. Until then the old meaning holds (5036); what this leader has taken out itself before the raise comes with the command that raises it. A replica that meets a later version fails instead of going on.

Found on the way, by the model test: the review goes by a view that trails and may take one out twice; the second removal would have buried the reason.

Ruled out: heartbeats that were refused as late, and silences counted wrongly (5004 comes at the right time, and no 5001 follows). Weighed: checks by the directory (refused just where the cut is), never taking out (dead ones hold addresses), more heartbeats (each costs an interval).

--- a/directory/command.go
+++ b/directory/command.go
@@ -46,6 +46,11 @@
 	PutZone *ReplicaZone `cbor:"19,keyasint,omitempty"`
 	// Order is an order of backends that is about to be sent, or has been answered.
 	Order *capacity.Order `cbor:"20,keyasint,omitempty"`
+	// RaiseVersion has later meanings of commands used.
+	RaiseVersion *RaiseVersion `cbor:"21,keyasint,omitempty"`
+	// ReturnBackend registers a backend again that was taken out only because nobody heard it. It
+	// is written from ReturnVersion on.
+	ReturnBackend *Backend `cbor:"22,keyasint,omitempty"`
 }
 
 // ReplicaZone tells in which zone the replica of the directory at an address is.
@@ -70,9 +75,10 @@
 	Source []byte `cbor:"2,keyasint"`
 }
 
-// RemoveBackend takes out a backend, which does not come back. Either the ID of one incarnation is
-// set or a name.
+// RemoveBackend takes out a backend. Either the ID of one incarnation is set or a name.
 type RemoveBackend struct {
+	// ID takes out an incarnation that nobody hears. From ReturnVersion on it may return; before
+	// it does not come back, as one that is named never does.
 	ID string `cbor:"1,keyasint"`
 	// Name takes out whichever incarnation is registered under it.
 	Name string `cbor:"2,keyasint,omitempty"`
--- a/directory/incarnation.go
+++ b/directory/incarnation.go
@@ -72,12 +72,17 @@
 	}
 }
 
+// drop forgets whatever has left under the name.
+func (d departures) drop(name string) {
+	delete(d.at, name)
+	delete(d.born, name)
+}
+
 // forget drops the names whose newest life left before the revision.
 func (d departures) forget(revision uint64) {
 	for name, left := range d.at {
 		if left < revision {
-			delete(d.at, name)
-			delete(d.born, name)
+			d.drop(name)
 		}
 	}
 }
--- a/directory/machine.go
+++ b/directory/machine.go
@@ -84,6 +84,10 @@
 	Zones map[string]*versioned[string] `cbor:"19,keyasint,omitempty"`
 	// Orders are the newest orders of backends, by what they are about.
 	Orders map[string]capacity.Order `cbor:"20,keyasint,omitempty"`
+	// InUse is the version whose meanings commands have, see RaiseVersion.
+	InUse uint64 `cbor:"21,keyasint,omitempty"`
+	// Silenced are the births of the lives that may come back, by their names: nobody heard them.
+	Silenced map[string]int64 `cbor:"22,keyasint,omitempty"`
 }
 
 // Machine is the replicated state. Its methods must not be called concurrently.
@@ -120,6 +124,7 @@
 		GoneBorn: map[string]int64{},
 		Zones:    map[string]*versioned[string]{},
 		Orders:   map[string]capacity.Order{},
+		Silenced: map[string]int64{},
 	}
 	m.indexBackends()
 }
@@ -144,12 +149,13 @@
 	state.Stores, state.Gone = maps.Clone(state.Stores), maps.Clone(state.Gone)
 	state.Suspects, state.GoneBorn = maps.Clone(state.Suspects), maps.Clone(state.GoneBorn)
 	state.Zones, state.Orders = maps.Clone(state.Zones), maps.Clone(state.Orders)
+	state.Silenced = maps.Clone(state.Silenced)
 	state.Tenants, state.Acts, state.Usage = maps.Clone(state.Tenants), maps.Clone(state.Acts), state.Usage.Clone()
 	return func(writer io.Writer) error { return deterministic.NewEncoder(writer).Encode(state) }
 }
 
 // Restore replaces the state by a written one; nothing to read is the state
-// before the first command.
+// before the first command. It returns an ErrLaterVersion error for one of a later build.
 func (m *Machine) Restore(reader io.Reader) error {
 	m.clear()
 	err := cbor.NewDecoder(reader).Decode(&m.state)
@@ -157,7 +163,10 @@
 		return nil
 	}
 	m.indexBackends()
-	return err
+	if err != nil {
+		return err
+	}
+	return m.Err()
 }
 
 // Revision grows with each change of an object.
@@ -232,7 +241,7 @@
 func (m *Machine) Apply(data []byte) []byte {
 	var command Command
 	result := Result{}
-	if cbor.Unmarshal(data, &command) == nil {
+	if m.Err() == nil && cbor.Unmarshal(data, &command) == nil {
 		result.Retire = m.apply(command)
 		result.Granted = m.takeTrial(command.TakeTrial)
 	}
@@ -276,6 +285,10 @@
 		m.state.Acts[command.Act.Subject] = *command.Act
 	case command.Order != nil:
 		m.putOrder(*command.Order)
+	case command.RaiseVersion != nil:
+		m.raiseVersion(*command.RaiseVersion)
+	case command.ReturnBackend != nil:
+		m.returnBackend(*command.ReturnBackend)
 	}
 	m.applySuspects(command)
 	for _, totals := range command.CountUsage {
@@ -375,6 +388,7 @@
 		m.takeOut(known)
 	}
 	m.releaseAddress(backend)
+	delete(m.state.Silenced, backend.OwnName())
 	next := m.nextPatient
 	if backend.Draining && !known.Draining {
 		next = m.next
@@ -395,12 +409,8 @@
 // removeBackend carries out a command. A name that nobody is registered under stays out, too:
 // its last heartbeat may still be on its way.
 func (m *Machine) removeBackend(command RemoveBackend) {
-	if known, ok := m.Backend(command.ID); ok {
-		m.takeOut(known)
-		return
-	}
 	if command.Name == "" {
-		m.noteGone(Incarnation{Name: command.ID})
+		m.removeSilent(command.ID)
 		return
 	}
 	known, ok := m.BackendNamed(command.Name)
@@ -412,7 +422,20 @@
 	}
 }
 
-// takeOut removes a registered backend, which stays out.
+// removeSilent takes out a backend that nobody hears. Whoever reviews them may not know yet that it
+// has been taken out already.
+func (m *Machine) removeSilent(id string) {
+	known, ok := m.Backend(id)
+	switch {
+	case ok:
+		m.takeOut(known)
+		m.noteSilenced(known)
+	case m.state.InUse < ReturnVersion:
+		m.noteGone(Incarnation{Name: id})
+	}
+}
+
+// takeOut removes a registered backend, which stays out unless it may return.
 func (m *Machine) takeOut(known Backend) {
 	delete(m.state.Backends, known.ID)
 	delete(m.byName, known.OwnName())
@@ -423,6 +446,7 @@
 
 // noteGone remembers that the incarnation has left.
 func (m *Machine) noteGone(incarnation Incarnation) {
+	m.forgetSilenced(incarnation)
 	if m.Gone(incarnation) {
 		return
 	}
@@ -430,6 +454,7 @@
 	if len(m.state.Gone) > maxTombstones {
 		revisions := slices.Sorted(maps.Values(m.state.Gone))
 		m.departures().forget(revisions[len(revisions)/2])
+		maps.DeleteFunc(m.state.Silenced, func(name string, _ int64) bool { return m.state.Gone[name] == 0 })
 	}
 }
 
--- /dev/null
+++ b/directory/version.go
@@ -0,0 +1,105 @@
+package directory
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/joomcode/errorx"
+)
+
+// Versions of what commands mean. All replicas of a group apply a command in the same way only if
+// each of them knows its meaning, so a meaning that has come later is used from the version on that
+// is recorded in the state, which the leader raises once all members have said that they know it.
+const (
+	// ReturnVersion is the version from which on it is recorded which backends were taken out only
+	// because nobody heard them, so that they may come back.
+	ReturnVersion uint64 = 1
+	// KnownVersion is the newest version that this build knows.
+	KnownVersion = ReturnVersion
+)
+
+// ErrLaterVersion: the state is of a later build, whose commands this one would misread.
+var ErrLaterVersion = errorx.NewNamespace("directory").NewType("later_version")
+
+// RaiseVersion has the meanings of a version used. A version is never lowered.
+type RaiseVersion struct {
+	Version uint64 `cbor:"1,keyasint"`
+	// Silenced are the IDs of backends that the leader has taken out before, only because nobody
+	// heard them.
+	Silenced []string `cbor:"2,keyasint,omitempty"`
+}
+
+// InUse returns the version whose meanings are used, 0 where none was ever raised.
+func (m *Machine) InUse() uint64 { return m.state.InUse }
+
+// Err returns an ErrLaterVersion error if the log has raised a version that this build does not
+// know. Nothing is applied any more then.
+func (m *Machine) Err() error {
+	if m.state.InUse <= KnownVersion {
+		return nil
+	}
+	return ErrLaterVersion.New("the directory is in use with version %d of its commands; this build knows %d", m.state.InUse, KnownVersion)
+}
+
+func (m *Machine) raiseVersion(command RaiseVersion) {
+	if command.Version <= m.state.InUse {
+		return
+	}
+	m.state.InUse = command.Version
+	for _, id := range command.Silenced {
+		if incarnation := IncarnationOf(id); m.isNewestGone(incarnation) {
+			m.state.Silenced[incarnation.Name] = incarnation.Born
+		}
+	}
+}
+
+// isNewestGone tells whether the incarnation is the newest of its name that has left.
+func (m *Machine) isNewestGone(incarnation Incarnation) bool {
+	_, isRegistered := m.byName[incarnation.Name]
+	return !isRegistered && m.Gone(incarnation) && m.state.GoneBorn[incarnation.Name] == incarnation.Born
+}
+
+// IncarnationOf returns the incarnation that has the ID.
+func IncarnationOf(id string) Incarnation {
+	name, birth, found := strings.Cut(id, birthSeparator)
+	if !found {
+		return Incarnation{Name: id}
+	}
+	born, err := strconv.ParseInt(birth, 10, 64)
+	if err != nil {
+		return Incarnation{Name: id}
+	}
+	return Incarnation{Name: name, Born: born}
+}
+
+// MayReturn tells whether the incarnation was taken out only because nobody heard it, and has not
+// left since.
+func (m *Machine) MayReturn(incarnation Incarnation) bool {
+	born, silenced := m.state.Silenced[incarnation.Name]
+	return silenced && born == incarnation.Born
+}
+
+// noteSilenced remembers that a backend which was taken out may come back. One that drained was
+// about to leave, and stays out.
+func (m *Machine) noteSilenced(known Backend) {
+	if m.state.InUse >= ReturnVersion && !known.Draining {
+		m.state.Silenced[known.OwnName()] = known.Born
+	}
+}
+
+// forgetSilenced has what was silenced under the name stay out, if it was born by then.
+func (m *Machine) forgetSilenced(incarnation Incarnation) {
+	if born, silenced := m.state.Silenced[incarnation.Name]; silenced && born <= incarnation.Born {
+		delete(m.state.Silenced, incarnation.Name)
+	}
+}
+
+// returnBackend registers a backend again that was only not heard.
+func (m *Machine) returnBackend(backend Backend) {
+	incarnation := backend.Incarnation()
+	if !m.MayReturn(incarnation) {
+		return
+	}
+	m.departures().drop(incarnation.Name)
+	m.putBackend(backend)
+}
--- a/event/event.go
+++ b/event/event.go
@@ -95,6 +95,12 @@
 	CopyRenewed    = Event{5032, zerolog.InfoLevel, "a copy of the directory that grew old was asked for"}
 	CopyOutOfTouch = Event{5033, zerolog.WarnLevel, "a copy of the directory is too old, and no replica answers"}
 
+	BackendReturned = Event{5034, zerolog.InfoLevel, "a backend that was taken out for its silence is heard again"}
+	VersionInUse    = Event{5035, zerolog.InfoLevel, "the directory's commands are used in the meanings of another version"}
+	VersionAwaited  = Event{5036, zerolog.WarnLevel, "the directory's commands keep an earlier meaning until all members know the later one"}
+	MemberTooEarly  = Event{5037, zerolog.ErrorLevel, "members of the directory do not know the meanings that are in use"}
+	BuildsChanged   = Event{5038, zerolog.InfoLevel, "the builds of the directory's members have changed"}
+
 	StepTaken         = Event{6001, zerolog.InfoLevel, "a step was handed in"}
 	StepKnown         = Event{6002, zerolog.InfoLevel, "a step was handed in again"}
 	StepEnded         = Event{6003, zerolog.InfoLevel, "a step was ended"}
@@ -145,7 +151,7 @@
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream,
 	HTTPServerFailed, LinesDropped, ReloadAsked, SettingsTaken, SettingsRefused, ProcessStoodStill, NoBootClock,
-	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed, UsageReported, UsageUnfixed, UsageUntold, AddressContested, CrashTold, TrialOffered, TrialTaken, CrashesUntold, ReviewFailed, EarlierLifeHeard, HeartbeatSpoiled, CapacityPlanned, BackendsOrdered, OrderUnrecorded, DemandUntold, WatchesLetGo, WatchesHeld, CopyRenewed, CopyOutOfTouch,
+	BackendRegistered, BackendLeft, BackendSilent, BackendGone, ConfigurationPut, ConfigurationRefused, VersionNamed, StoreRegistered, GroupFormed, RetireAsked, ConfigurationTaken, DirectoryReachable, DirectoryUnreachable, CallNotServed, UsageReported, UsageUnfixed, UsageUntold, AddressContested, CrashTold, TrialOffered, TrialTaken, CrashesUntold, ReviewFailed, EarlierLifeHeard, HeartbeatSpoiled, CapacityPlanned, BackendsOrdered, OrderUnrecorded, DemandUntold, WatchesLetGo, WatchesHeld, CopyRenewed, CopyOutOfTouch, BackendReturned, VersionInUse, VersionAwaited, MemberTooEarly, BuildsChanged,
 	StepTaken, StepKnown, StepEnded, SampleStarted, SampleRunEnded, SampleDead, ResultsRecorded, OrderSent, LoadEnded, SampleKept, SampleMoved, TextsCheckpointed, StepWhole, SampleTakenOver, RunAheadEnded, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkEnded, RunnerFound, RunnerLost, RunsUnclaimed, RunAdopted, SampleHeldBack, FailuresKept, EngineReborn, GroupsPutBack,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, NearStoreAvoided, RequestHeldBack, LimitBegun, LimitEnded,
 }
--- a/protocol/message.go
+++ b/protocol/message.go
@@ -36,6 +36,9 @@
 	Address string              `cbor:"2,keyasint"`
 	// PassedOn is set once a replica that does not lead has passed the question to the leader.
 	PassedOn bool `cbor:"3,keyasint,omitempty"`
+	// Knows is the newest version of the group's commands that the replica knows, 0 for a build that
+	// does not say it.
+	Knows uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // PoolSummary is a node's free capacity for one engine group.
--- a/replica/admission.go
+++ b/replica/admission.go
@@ -120,7 +120,7 @@
 	for _, one := range questions {
 		r.transport.Send(one.address, protocol.Message{
 			From: r.settings.Address,
-			Join: &protocol.Join{ID: id, Address: r.settings.Address, PassedOn: !one.passOn},
+			Join: &protocol.Join{ID: id, Address: r.settings.Address, PassedOn: !one.passOn, Knows: r.settings.Knows},
 		})
 	}
 }
--- a/replica/core.go
+++ b/replica/core.go
@@ -26,6 +26,12 @@
 	Restore(reader io.Reader) error
 }
 
+// Checked is a Machine that may meet what it cannot apply.
+type Checked interface {
+	// Err returns why nothing can be applied any more, or nil.
+	Err() error
+}
+
 // CoreConfig holds what a Core needs to start.
 type CoreConfig struct {
 	Consensus consensus.Config
@@ -95,6 +101,8 @@
 	retiring map[consensus.ReplicaID]bool
 	// superseded are replicas whose process has come back under another identity.
 	superseded map[consensus.ReplicaID]bool
+	// required is the version of the machine's commands that whoever is let in must know.
+	required uint64
 
 	logBytes     int
 	snapshotSize int
@@ -242,7 +250,7 @@
 
 // Advance carries on after the Ready has been persisted: it sends its messages
 // and applies its committed entries. If the Ready holds a snapshot, state reads
-// its data; it fails if that cannot be decoded.
+// its data; it fails if that cannot be decoded, or the machine cannot apply an entry.
 func (c *Core) Advance(ready consensus.Ready, state io.Reader) error {
 	for _, message := range ready.Messages {
 		consensusMessage := message
@@ -260,6 +268,9 @@
 	for _, entry := range ready.Committed {
 		c.applyEntry(entry)
 	}
+	if checked, ok := c.machine.(Checked); ok && checked.Err() != nil {
+		return checked.Err()
+	}
 	c.raft.Advance(ready)
 	c.raft.ForgetSnapshotData()
 	c.noticeLeadership()
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -21,7 +21,7 @@
 		c.passOnJoin(join)
 		return
 	}
-	if c.isOfEarlierLife(join) {
+	if join.Knows < c.required || c.isOfEarlierLife(join) {
 		return
 	}
 	membership := c.raft.Membership()
@@ -90,6 +90,10 @@
 	return learners >= c.config.Standby+max(c.config.Voters-voters, 0)
 }
 
+// Require has only those let in from now on that know the version of the machine's commands: others
+// would apply them in another way.
+func (c *Core) Require(version uint64) { c.required = max(c.required, version) }
+
 // SetRetiring names the replicas that are to leave the group.
 func (c *Core) SetRetiring(retiring map[consensus.ReplicaID]bool) { c.retiring = retiring }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -75,6 +75,8 @@
 	// Founders are the first members, if this process is one of them and the
 	// folder is empty; otherwise a replica without data joins the group.
 	Founders consensus.Membership
+	// Knows is the newest version of the machine's commands that this build knows.
+	Knows uint64
 	// Replica is the identity for an empty folder.
 	Replica consensus.ReplicaID
 	// Contacts returns addresses of processes that may be members. It is called again and
--- a/replica/request.go
+++ b/replica/request.go
@@ -80,6 +80,31 @@
 	return r.executeAt(ctx, leader, command)
 }
 
+// ExecuteFor carries out a command of the version, on the leader alone and if the members know it,
+// which the function tells with the command: whoever is let in later must know it, too. Nobody joins
+// between the question and the command.
+func (r *Replica) ExecuteFor(ctx context.Context, version uint64, command func(members []consensus.Member) ([]byte, bool)) ([]byte, error) {
+	reply := r.ask(ctx, func(id uint64) {
+		encoded, known := command(r.core.Raft().Membership().Members)
+		if !known {
+			r.core.answer(id, NotLeader, nil)
+			return
+		}
+		r.core.Require(version)
+		r.core.Propose(id, encoded)
+	})
+	switch reply.Outcome {
+	case Done:
+		return reply.Result, nil
+	case Unknown:
+		return nil, ErrUnknown.New("leadership was lost before the command was committed")
+	}
+	return nil, ErrUnavailable.New("this replica does not lead, or a member does not know version %d", version)
+}
+
+// Require has only replicas let in that know the version of the machine's commands.
+func (r *Replica) Require(version uint64) { r.loop.Call(func() { r.core.Require(version) }) }
+
 func (r *Replica) executeAt(ctx context.Context, leader string, command []byte) ([]byte, error) {
 	response, err := PostInternal(ctx, r.client, "http://"+leader+ExecutePath, command)
 	if err != nil {
--- a/server/directory.go
+++ b/server/directory.go
@@ -89,6 +89,8 @@
 	feed          *feed
 	usage         *usageKeeper
 	duties        *dutyKeeper
+	versions      *versionKeeper
+	returning     *returning
 	scale         *scaleKeeper
 	standstill    standstill
 	spoiled       spoiledLog
@@ -115,7 +117,7 @@
 	opened, err := replica.Open(replica.Settings{
 		Cluster: settings.Cluster + "-directory", Address: settings.InternalAddress, DataFolder: settings.DataFolder,
 		Voters: config.Voters(settings.ToleratedLosses), Founders: founders, Replica: identity,
-		Contacts: seeds.Current,
+		Contacts: seeds.Current, Knows: directory.KnownVersion,
 	}, machine, logger)
 	if err != nil {
 		return nil, err
@@ -129,6 +131,8 @@
 		settings: settings, replica: opened, machine: machine, client: client, clock: usage.NewClock(settings.ToleratedLosses + 1), duties: d.duties,
 		metrics: d.metrics, logger: logger,
 	}
+	d.versions = newVersionKeeper(settings.InternalAddress, opened, machine, logger)
+	d.returning = newReturning()
 	d.scale = &scaleKeeper{settings: settings, duties: d.duties, client: client, metrics: d.metrics, logger: logger}
 	d.scale.begin()
 	d.registrations = &gather[Heartbeat]{carry: d.registerAll}
--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -10,6 +10,7 @@
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/replica"
+	"github.com/dillchute/dillchute/upgrade"
 )
 
 // directoryCall is a call to the directory's leader. Exactly one field is set; Heard comes
@@ -40,6 +41,8 @@
 	Demands []capacity.Demand `cbor:"19,keyasint,omitempty"`
 	// Missed comes with Newest, and asks for what a copy misses up to there.
 	Missed *missedCall `cbor:"18,keyasint,omitempty"`
+	// Says is what the replica that sends Clock says of its build.
+	Says *upgrade.Statement `cbor:"20,keyasint,omitempty"`
 	// Passed is set on a call that another replica passes on, which is not passed on again.
 	Passed bool `cbor:"15,keyasint,omitempty"`
 }
@@ -161,6 +164,7 @@
 		err = d.handleHeartbeats(ctx, call.Heartbeats)
 	case call.Clock != nil:
 		d.usage.noteClock(call.Clock.Machine, call.Clock.Millis)
+		d.versions.note(call.Clock.At.Address, call.Says)
 		err = d.noteZone(ctx, call.Clock.At)
 	case call.Usage != nil:
 		answer.Usage, err = d.usage.take(ctx, call.Usage)
@@ -195,6 +199,7 @@
 }
 
 func (d *Directory) execute(ctx context.Context, command directory.Command) (directory.Result, error) {
+	d.versions.noteCommand(command)
 	data, err := d.replica.Execute(ctx, command.Encode())
 	if err != nil {
 		return directory.Result{}, err
--- a/server/directory_review.go
+++ b/server/directory_review.go
@@ -40,11 +40,13 @@
 		serving := d.replica.Status().Serving
 		d.beginServing(serving)
 		d.duties.noteActs()
+		d.versions.follow()
 		if !serving {
 			d.tellHeard(ctx)
 			continue
 		}
 		limited, cancel := context.WithTimeout(ctx, time.Second)
+		d.versions.review(limited)
 		d.reviewBackends(limited)
 		d.reviewSuspects(limited)
 		d.formGroup(limited)
--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -27,32 +27,65 @@
 
 // startFleetDirectory runs the replicas of a directory.
 func startFleetDirectory(t *testing.T) []*Directory {
-	logger := zerolog.Nop()
+	var replicas []*Directory
+	for _, member := range startMembers(t, func(int, *Directory) {}) {
+		replicas = append(replicas, member.directory)
+	}
+	return replicas
+}
+
+// fleetMember is a replica of a directory that runs, and may be started anew in the same folder.
+type fleetMember struct {
+	directory *Directory
+	settings  config.Directory
+	stop      func()
+}
+
+// startMembers runs the replicas of a directory, each of which is prepared before it runs.
+func startMembers(t *testing.T, prepare func(number int, d *Directory)) []*fleetMember {
 	var listeners []net.Listener
 	var peers []string
 	for range fleetReplicas {
 		listeners = append(listeners, listenLoopback(t))
 		peers = append(peers, listeners[len(listeners)-1].Addr().String())
 	}
-	var replicas []*Directory
-	ctx, stop := context.WithCancel(context.Background())
-	var running sync.WaitGroup
+	var members []*fleetMember
 	for number, listener := range listeners {
 		settings := config.DefaultDirectory()
 		settings.Name, settings.Zone = fmt.Sprint("directory-", number), fmt.Sprint("zone-", number)
 		settings.InternalAddress, settings.Peers = peers[number], peers
 		settings.DataFolder, settings.FirstStart = t.TempDir(), true
-		process := settings.Process
-		d, err := NewDirectory(settings, NewSeeds(process, func() (config.Process, error) { return process, nil }, &logger), nil, &logger)
-		require.NoError(t, err)
-		replicas = append(replicas, d)
-		running.Go(func() { _ = d.Run(ctx, listener) })
+		member := &fleetMember{settings: settings}
+		members = append(members, member)
+		member.start(t, listener, func(d *Directory) { prepare(number, d) })
 	}
-	t.Cleanup(func() {
+	return members
+}
+
+// start runs the replica on the listener until it is stopped, by the test's end at the latest.
+func (m *fleetMember) start(t *testing.T, listener net.Listener, prepare func(d *Directory)) {
+	logger := zerolog.Nop()
+	process := m.settings.Process
+	d, err := NewDirectory(m.settings, NewSeeds(process, func() (config.Process, error) { return process, nil }, &logger), nil, &logger)
+	require.NoError(t, err)
+	prepare(d)
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = d.Run(ctx, listener) })
+	m.directory, m.stop = d, func() {
 		stop()
 		running.Wait()
-	})
-	return replicas
+	}
+	t.Cleanup(m.stop)
+}
+
+// startAgain stops the replica, if it runs, and runs it anew after it is prepared.
+func (m *fleetMember) startAgain(t *testing.T, prepare func(d *Directory)) {
+	m.stop()
+	listener, err := net.Listen("tcp", m.settings.InternalAddress)
+	require.NoError(t, err)
+	m.settings.FirstStart = false
+	m.start(t, listener, prepare)
 }
 
 // followAll runs watchers of all zones, and returns them.
--- a/server/heartbeat.go
+++ b/server/heartbeat.go
@@ -140,10 +140,8 @@
 	var changes []directory.Command
 	for position, heartbeat := range sound {
 		heartbeat.keepUnread(known[position].named)
-		if backend := heartbeat.Backend; d.changes(known[position], backend) {
-			event.BackendRegistered.On(d.logger).Str("backend", backend.ID).Str("service", backend.Service).
-				Str("address", backend.Address).Uint("draining", boolToUint(backend.Draining)).Send()
-			changes = append(changes, directory.Command{PutBackend: &backend})
+		if change, isNews := d.register(known[position], heartbeat); isNews {
+			changes = append(changes, change)
 		}
 	}
 	if len(changes) == 0 {
@@ -175,7 +173,8 @@
 	// address.
 	named, holder    directory.Backend
 	isNamed, hasHeld bool
-	gone             bool
+	// gone is set if the incarnation has left or was taken out, and mayReturn if it was only not heard.
+	gone, mayReturn bool
 }
 
 // registeredFor returns what the machine holds that concerns the backend. It is called in the
@@ -185,6 +184,7 @@
 	r.named, r.isNamed = d.machine.BackendNamed(backend.OwnName())
 	r.holder, r.hasHeld = d.machine.BackendAt(backend.Address)
 	r.gone = d.machine.Gone(backend.Incarnation())
+	r.mayReturn = d.machine.MayReturn(backend.Incarnation())
 	return r
 }
 
@@ -198,10 +198,16 @@
 	case known.isNamed && known.named.ID != backend.ID && known.named.Born >= backend.Born:
 		event.EarlierLifeHeard.On(d.logger).Str("backend", backend.ID).Str("registered", known.named.ID).Send()
 		return false
-	case known.hasHeld && known.holder.OwnName() != backend.OwnName() && d.keepsAddress(known.holder, backend):
-		event.AddressContested.On(d.logger).Str("backend", backend.ID).Str("holder", known.holder.ID).Str("address", backend.Address).Send()
+	}
+	return !d.isContested(known, backend)
+}
+
+// isContested tells whether another one keeps the address that the backend names.
+func (d *Directory) isContested(known registered, backend directory.Backend) bool {
+	if !known.hasHeld || known.holder.OwnName() == backend.OwnName() || !d.keepsAddress(known.holder, backend) {
 		return false
 	}
+	event.AddressContested.On(d.logger).Str("backend", backend.ID).Str("holder", known.holder.ID).Str("address", backend.Address).Send()
 	return true
 }
 
@@ -239,7 +245,7 @@
 	// What is lost is told again with the next heartbeats.
 	_, err := d.call(limited, directoryCall{Heard: heard, Clock: &clockReading{
 		Machine: d.settings.Name, Millis: time.Now().UnixMilli(), At: d.ownZone(),
-	}})
+	}, Says: &d.versions.own})
 	if err == nil {
 		d.noteTold(began)
 	}
--- /dev/null
+++ b/server/returning_test.go
@@ -0,0 +1,241 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/upgrade"
+)
+
+// beating sends a backend's heartbeats to replicas of a directory.
+type beating struct {
+	t        *testing.T
+	backend  directory.Backend
+	sequence uint64
+}
+
+func newBeating(t *testing.T, id, address string) *beating {
+	return &beating{t: t, backend: directory.Backend{ID: id, Service: "s", Address: address, Zone: "z", Slots: 6}}
+}
+
+// beat sends the next heartbeat and tells whether the replica knows the backend as registered.
+func (b *beating) beat(d *Directory) bool {
+	b.sequence++
+	if _, err := d.Heartbeat(b.t.Context(), Heartbeat{Backend: b.backend, Sequence: b.sequence}); err != nil {
+		return false
+	}
+	return isRegistered(d, b.backend.ID)
+}
+
+func isRegistered(d *Directory, id string) bool {
+	_, registered := d.view.Load().Backend(id)
+	return registered
+}
+
+// eventually waits for what takes far less than watchSoon.
+func eventually(t *testing.T, condition func() bool, why string) {
+	t.Helper()
+	require.Eventually(t, condition, watchSoon, watchInterval, why)
+}
+
+// leaderOf returns the replica that leads and serves.
+func leaderOf(t *testing.T, members []*fleetMember) *fleetMember {
+	t.Helper()
+	var leader *fleetMember
+	eventually(t, func() bool {
+		for _, member := range members {
+			if member.directory.Status().Serving {
+				leader = member
+				return true
+			}
+		}
+		return false
+	}, "a replica leads")
+	return leader
+}
+
+// takeOut has the leader take the backend out as one that nobody hears.
+func takeOut(t *testing.T, members []*fleetMember, id string) {
+	t.Helper()
+	remove := directory.Command{RemoveBackend: &directory.RemoveBackend{ID: id}}
+	_, err := leaderOf(t, members).directory.execute(t.Context(), remove)
+	require.NoError(t, err)
+	for _, member := range members {
+		eventually(t, func() bool { return !isRegistered(member.directory, id) }, "it is out")
+	}
+}
+
+func inUse(d *Directory) uint64 {
+	version := uint64(0)
+	d.replica.Do(func() { version = d.machine.InUse() })
+	return version
+}
+
+// awaitVersion waits until all replicas use the newest version.
+func awaitVersion(t *testing.T, members []*fleetMember) {
+	t.Helper()
+	for _, member := range members {
+		eventually(t, func() bool { return inUse(member.directory) == directory.KnownVersion }, "the version is raised")
+	}
+}
+
+func unprepared(int, *Directory) {}
+
+func asThisBuild(*Directory) {}
+
+// asEarlierBuild has the replica know no version, as a build before there were any.
+func asEarlierBuild(d *Directory) { d.versions.own = upgrade.Statement{} }
+
+// TestTwoHeartbeatsProveALife: one heartbeat, two that come together, two of the same number, and
+// two with a long silence between them prove nothing; two that come at their pace do.
+func TestTwoHeartbeatsProveALife(t *testing.T) {
+	const beat = time.Second
+	start := time.UnixMilli(0)
+	gap := time.Duration(returnBeats * float64(beat))
+	r := newReturning()
+	require.False(t, r.note(start, "a", 7, beat))
+	require.False(t, r.note(start.Add(gap-1), "a", 8, beat), "held up together")
+	require.False(t, r.note(start.Add(gap), "a", 7, beat), "the same again")
+	require.True(t, r.note(start.Add(gap), "a", 8, beat))
+
+	require.False(t, r.note(start, "b", 7, beat))
+	require.False(t, r.note(start.Add(silentBeats*beat+1), "b", 8, beat), "too long ago")
+	require.True(t, r.note(start.Add(silentBeats*beat+1+gap), "b", 9, beat))
+
+	require.False(t, r.note(start, "c", 7, beat))
+	r.forget("c")
+	require.False(t, r.note(start.Add(gap), "c", 8, beat), "another one held its address meanwhile")
+}
+
+// TestLateHeartbeatsBringNobodyBack: a backend was taken out for its silence, and has ended. Its
+// heartbeats, which a cut has held up, come while another one lives at its address: that one stays.
+func TestLateHeartbeatsBringNobodyBack(t *testing.T) {
+	members := startMembers(t, unprepared)
+	d := members[0].directory
+	ended, living := newBeating(t, "ended", "10.0.0.1:80"), newBeating(t, "living", "10.0.0.1:80")
+	awaitVersion(t, members)
+	eventually(t, func() bool { return ended.beat(d) }, "it registers")
+	takeOut(t, members, "ended")
+	eventually(t, func() bool { return living.beat(d) }, "the next one at the address registers")
+	until := time.Now().Add(3 * d.settings.HeartbeatInterval)
+	for time.Now().Before(until) {
+		require.True(t, living.beat(d))
+		require.False(t, ended.beat(d))
+		time.Sleep(watchInterval)
+	}
+}
+
+// TestOneLateHeartbeatBringsNobodyBack: nobody is at the address, and one heartbeat comes late.
+func TestOneLateHeartbeatBringsNobodyBack(t *testing.T) {
+	members := startMembers(t, unprepared)
+	d := members[0].directory
+	ended := newBeating(t, "ended", "10.0.0.1:80")
+	awaitVersion(t, members)
+	eventually(t, func() bool { return ended.beat(d) }, "it registers")
+	takeOut(t, members, "ended")
+	require.False(t, ended.beat(d))
+	time.Sleep(2 * d.settings.HeartbeatInterval)
+	require.False(t, isRegistered(d, "ended"))
+}
+
+// TestWhoHasLeftStaysOut: a backend that has said that it leaves may go on sending heartbeats; it is
+// not registered again, also if it had fallen silent before.
+func TestWhoHasLeftStaysOut(t *testing.T) {
+	members := startMembers(t, unprepared)
+	d := members[0].directory
+	left, silent := newBeating(t, "left", "10.0.0.1:80"), newBeating(t, "silent", "10.0.0.2:80")
+	awaitVersion(t, members)
+	eventually(t, func() bool { return left.beat(d) && silent.beat(d) }, "they register")
+	takeOut(t, members, "silent")
+	for _, id := range []string{"left", "silent"} {
+		require.NoError(t, d.Leave(t.Context(), directory.Incarnation{Name: id}))
+		eventually(t, func() bool { return !isRegistered(d, id) }, "it has left")
+	}
+	until := time.Now().Add(3 * d.settings.HeartbeatInterval)
+	for time.Now().Before(until) {
+		require.False(t, left.beat(d) || silent.beat(d))
+		time.Sleep(watchInterval)
+	}
+}
+
+// TestBackendOutAtOneLeaderIsHeardByTheNext: a backend was taken out for its silence, and the leader
+// that did so is gone as it is heard again.
+func TestBackendOutAtOneLeaderIsHeardByTheNext(t *testing.T) {
+	members := startMembers(t, unprepared)
+	backend := newBeating(t, "b", "10.0.0.1:80")
+	awaitVersion(t, members)
+	eventually(t, func() bool { return backend.beat(members[0].directory) }, "it registers")
+	takeOut(t, members, "b")
+	earlier := leaderOf(t, members)
+	earlier.stop()
+	var others []*fleetMember
+	for _, member := range members {
+		if member != earlier {
+			others = append(others, member)
+		}
+	}
+	next := leaderOf(t, others)
+	eventually(t, func() bool { return backend.beat(next.directory) }, "it is heard by the next")
+	earlier.startAgain(t, asThisBuild)
+	eventually(t, func() bool { return isRegistered(earlier.directory, "b") }, "the earlier one learns of it")
+}
+
+// TestSilenceOfAllEnds: all backends of a directory fall silent, are taken out by its own review, and
+// come back with their own heartbeats.
+func TestSilenceOfAllEnds(t *testing.T) {
+	members := startMembers(t, func(_ int, d *Directory) { d.settings.HeartbeatInterval = 50 * time.Millisecond })
+	d := members[0].directory
+	var backends []*beating
+	for _, id := range []string{"a", "b", "c"} {
+		backends = append(backends, newBeating(t, id, id+":80"))
+	}
+	areHeard := func() bool {
+		all := true
+		for _, backend := range backends {
+			all = backend.beat(d) && all
+		}
+		return all
+	}
+	awaitVersion(t, members)
+	eventually(t, areHeard, "they register")
+	eventually(t, func() bool { return d.view.Load().BackendCount() == 0 }, "they are taken out")
+	eventually(t, areHeard, "they are back")
+}
+
+// TestVersionWaitsForAllMembers: while a member is of a build that does not know the newest version,
+// commands keep their earlier meaning for all; once it runs this build, the version is raised, under
+// whichever leader, and stays.
+func TestVersionWaitsForAllMembers(t *testing.T) {
+	members := startMembers(t, func(_ int, d *Directory) { asEarlierBuild(d) })
+	earlier := leaderOf(t, members)
+	for _, member := range members {
+		if member != earlier {
+			member.startAgain(t, asThisBuild)
+		}
+	}
+	for leaderOf(t, members) == earlier {
+		earlier.startAgain(t, asEarlierBuild)
+	}
+	backend := newBeating(t, "b", "10.0.0.1:80")
+	d := leaderOf(t, members).directory
+	eventually(t, func() bool { return backend.beat(d) }, "it registers")
+	time.Sleep(upgrade.StatementLife)
+	takeOut(t, members, "b")
+	until := time.Now().Add(2 * d.settings.HeartbeatInterval)
+	for time.Now().Before(until) {
+		require.False(t, backend.beat(d), "it stays out as before")
+		time.Sleep(watchInterval)
+	}
+	for _, member := range members {
+		require.Zero(t, inUse(member.directory))
+	}
+	earlier.startAgain(t, asThisBuild)
+	awaitVersion(t, members)
+	other := newBeating(t, "c", "10.0.0.2:80")
+	eventually(t, func() bool { return other.beat(d) }, "another one registers")
+	takeOut(t, members, "c")
+	eventually(t, func() bool { return other.beat(d) }, "it comes back")
+}
