A backend whose address a late heartbeat took returns to it

What callers saw: a living backend that was not heard for one and a half heartbeats (1.8 s of the users' 1.2 s) lost its address to the late heartbeat of one that had ended there, and was out for good.

Cause: whoever's address another one registers at was taken out by the same function, without a reason in the state. Evidence: TestBackendReturnsToItsAddress and two cases of TestWhoMayReturn fail without the mend (run), and pass with it. Mend: such a backend may return, by the same proof; while the other one is heard, it does not.

--- a/directory/machine.go
+++ b/directory/machine.go
@@ -399,10 +399,12 @@
 	m.byAddress[backend.Address] = backend.ID
 }
 
-// releaseAddress takes out another backend that has the address of this one.
+// releaseAddress takes out another backend that has the address of this one. It may return: a late
+// heartbeat of one that has ended takes the address of a living one that is not heard for a moment.
 func (m *Machine) releaseAddress(backend Backend) {
 	if earlier, ok := m.BackendAt(backend.Address); ok && earlier.ID != backend.ID {
 		m.takeOut(earlier)
+		m.noteSilenced(earlier)
 	}
 }
 
--- a/directory/version_test.go
+++ b/directory/version_test.go
@@ -18,6 +18,7 @@
 	silenced  = Command{RemoveBackend: &RemoveBackend{ID: "i/100"}}
 	comesBack = Command{ReturnBackend: life("i", 100, "a:1")}
 	born      = Command{PutBackend: life("i", 100, "a:1")}
+	other     = Command{PutBackend: life("other", 150, "a:1")}
 	bornLater = Command{PutBackend: life("i", 200, "a:1")}
 )
 
@@ -53,6 +54,9 @@
 		"a later life is registered":           {[]Command{raised, born, silenced, bornLater, comesBack}, false},
 		"a later life has left":                {[]Command{raised, born, silenced, bornLater, {RemoveBackend: &RemoveBackend{Name: "i", Born: 200}}, comesBack}, false},
 		"a later life is silent":               {[]Command{raised, born, silenced, bornLater, {RemoveBackend: &RemoveBackend{ID: "i/200"}}, comesBack}, false},
+		"its address is taken":                 {[]Command{raised, born, other, comesBack}, true},
+		"its address is taken, never raised":   {[]Command{born, other, comesBack}, false},
+		"its address is taken, then left":      {[]Command{raised, born, other, leaves, comesBack}, false},
 		"an earlier life's leaving comes late": {[]Command{raised, born, silenced, {RemoveBackend: &RemoveBackend{Name: "i", Born: 50}}, comesBack}, true},
 	} {
 		m := NewMachine()
--- a/server/returning_test.go
+++ b/server/returning_test.go
@@ -239,3 +239,18 @@
 	takeOut(t, members, "c")
 	eventually(t, func() bool { return other.beat(d) }, "it comes back")
 }
+
+// TestBackendReturnsToItsAddress: a late heartbeat of a backend that has ended took the address of one
+// that was not heard for a moment. The living one is heard again, and the other one is not.
+func TestBackendReturnsToItsAddress(t *testing.T) {
+	members := startMembers(t, unprepared)
+	d := members[0].directory
+	living, ended := newBeating(t, "living", "10.0.0.1:80"), newBeating(t, "ended", "10.0.0.1:80")
+	awaitVersion(t, members)
+	eventually(t, func() bool { return living.beat(d) }, "it registers")
+	// It is not heard now until the other one is taken in.
+	eventually(t, func() bool { return ended.beat(d) }, "the late heartbeat takes the address")
+	eventually(t, func() bool { return !isRegistered(d, "living") }, "it is out")
+	eventually(t, func() bool { return living.beat(d) }, "it has its address again")
+	require.False(t, isRegistered(d, "ended"))
+}
