An end counts by whoever knew most of the ends before it

What callers risk: a kind of requests that ends engines is sent a fourth time after its third end (BUDGET).

Ruled out: a loss of power counted as a crash (it counts once, as meant), the leader's own count (right; it is gone after 5 s).

Mend: the record remembers which ends are not among its crashes, and counts one that is told again by somebody who knew. That is another meaning of a command: the directory's leader writes it so from version 2 of the commands on.

TestEndCountsByWhoKnewMost failed before in four of its six orders and passes. Mutants: exact ignored, counted without knowledge, counted each time, an earlier form changed, told in the earlier form, never written in the earlier form: all found.

--- a/directory/version.go
+++ b/directory/version.go
@@ -14,8 +14,11 @@
 	// ReturnVersion is the version from which on it is recorded which backends were taken out only
 	// because nobody heard them, so that they may come back.
 	ReturnVersion uint64 = 1
+	// EndsVersion is the version from which on an end that is told more than once counts by whoever
+	// knew most, see quarantine.Crash.
+	EndsVersion uint64 = 2
 	// KnownVersion is the newest version that this build knows.
-	KnownVersion = ReturnVersion
+	KnownVersion = EndsVersion
 )
 
 // ErrLaterVersion: the state is of a later build, whose commands this one would misread.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -179,6 +179,7 @@
 }
 
 func (g *Guard) note(crash Crash) int {
+	crash.Exact = true
 	fingerprint := crash.Fingerprint
 	shared := g.shared()[fingerprint]
 	g.mutex.Lock()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -8,7 +8,8 @@
 //
 // Crashes count one after the other: a crash counts if whoever sent the request knew of all
 // crashes that were counted before. Backends that fall together, by a loss of power or by
-// requests sent side by side, count once. An answer ends all suspicion, and a request that is
+// requests sent side by side, count once. A backend that ends under several requests of a kind
+// counts if one of those who sent them knew. An answer ends all suspicion, and a request that is
 // held back is tried again now and then, so that a sound one which was near the crashes of
 // others is served again.
 //
@@ -91,6 +92,9 @@
 	Known int `cbor:"3,keyasint"`
 	// Of is the content that crashed the backend where Fingerprint is that of its kind, or "".
 	Of Fingerprint `cbor:"4,keyasint,omitempty"`
+	// Exact has an end that is told more than once count by whoever knew most. Without it, whoever
+	// tells first decides.
+	Exact bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Suspect is a request under which backends have ended. It is never changed.
@@ -106,6 +110,9 @@
 	// Of are the contents that have crashed backends where this is a kind, kindContents of them
 	// at the most.
 	Of []Fingerprint `cbor:"6,keyasint,omitempty"`
+	// Uncounted are those of Ended that are not among the crashes so far: whoever has told of them
+	// knew of too few.
+	Uncounted []string `cbor:"7,keyasint,omitempty"`
 }
 
 // isKind tells whether this is a kind of requests.
@@ -130,19 +137,38 @@
 // With returns the suspect after the crash, and whether that is news.
 func (s Suspect) With(crash Crash) (Suspect, bool) {
 	next := s.withOf(crash.Of)
+	counts := crash.Known >= s.Crashes
 	if slices.Contains(s.Ended, crash.Backend) {
-		return next, len(next.Of) != len(s.Of)
+		if counts && slices.Contains(s.Uncounted, crash.Backend) {
+			next.Crashes++
+			next.Uncounted = without(s.Uncounted, crash.Backend)
+		}
+		return next, next.Crashes != s.Crashes || len(next.Of) != len(s.Of)
 	}
 	next.Fingerprint = crash.Fingerprint
-	if crash.Known >= s.Crashes {
+	if counts {
 		next.Crashes++
 	}
 	if len(s.Ended) < mostEnded {
 		next.Ended = append(slices.Clone(s.Ended), crash.Backend)
+		if crash.Exact && !counts {
+			next.Uncounted = append(slices.Clone(s.Uncounted), crash.Backend)
+		}
 	}
 	return next, next.Crashes != s.Crashes || len(next.Ended) != len(s.Ended) || len(next.Of) != len(s.Of)
 }
 
+// without returns the list without the name, nil if nothing is left.
+func without(list []string, name string) []string {
+	var rest []string
+	for _, one := range list {
+		if one != name {
+			rest = append(rest, one)
+		}
+	}
+	return rest
+}
+
 // withOf returns the suspect after the content has crashed a backend, if it is a kind.
 func (s Suspect) withOf(content Fingerprint) Suspect {
 	if content != "" && len(s.Of) < kindContents && !slices.Contains(s.Of, content) {
--- a/server/quarantine.go
+++ b/server/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -80,7 +81,8 @@
 
 // handleQuarantine carries out a call about suspects, on the directory's leader.
 func (d *Directory) handleQuarantine(ctx context.Context, call *quarantineCall, answer *directoryAnswer) error {
-	result, err := d.execute(ctx, directory.Command{Crashes: call.Crashes, Answered: call.Answered, TakeTrial: call.TakeTrial})
+	crashes := crashesKnown(call.Crashes, d.versions.inUse.Load())
+	result, err := d.execute(ctx, directory.Command{Crashes: crashes, Answered: call.Answered, TakeTrial: call.TakeTrial})
 	if err != nil {
 		return err
 	}
@@ -94,6 +96,18 @@
 	return nil
 }
 
+// crashesKnown returns the crashes in the form that every member reads alike in the version in use.
+func crashesKnown(crashes []quarantine.Crash, inUse uint64) []quarantine.Crash {
+	if inUse >= directory.EndsVersion {
+		return crashes
+	}
+	known := slices.Clone(crashes)
+	for position := range known {
+		known[position].Exact = false
+	}
+	return known
+}
+
 func (d *Directory) logSuspect(crash quarantine.Crash) {
 	var suspect quarantine.Suspect
 	d.replica.Do(func() { suspect, _, _ = d.machine.Suspect(crash.Fingerprint) })
