Trials under way count against the bound, also those taken between two looks

What callers risk: a fourth send after the third end of a kind (BUDGET), by a trial that is given out beside another.

A trial that runs for longer than the wait (7.5 s) has no end yet, so another one was offered beside it, and its offer, or the permit that another sample took by it, was used as soon as the first had ended its engine.

Mend: trials offered that have not ended an engine count as ends to come; a new leader of the directory takes one to be under way. A decision of the leader alone.

--- a/server/quarantine.go
+++ b/server/quarantine.go
@@ -131,6 +131,21 @@
 	// the number of ends right after it.
 	thirdAt time.Time
 	early   int
+	// trying is how many trials were offered of which nothing has come: their ends are to come.
+	trying int
+}
+
+// newSuspectSince returns what a leader knows of a suspect that it has not looked at before: a trial
+// may be under way.
+func newSuspectSince(suspect quarantine.Suspect) suspectSince {
+	return suspectSince{trying: min(suspect.Trials, 1)}
+}
+
+// noteTrials takes in which trials were offered, and which have ended their backends.
+func (s *suspectSince) noteTrials(before, suspect quarantine.Suspect) {
+	offered := suspect.Trials - before.Trials
+	ended := len(suspect.Ended) - len(before.Ended)
+	s.trying = max(s.trying+offered-ended, 0)
 }
 
 // noteEnds takes in how many backends have ended under the suspect, which was known before.
@@ -152,6 +167,9 @@
 		since, ok := c.since[fingerprint]
 		if ok {
 			since.noteEnds(now, since.suspect, one.suspect)
+			since.noteTrials(since.suspect, one.suspect)
+		} else {
+			since = newSuspectSince(one.suspect)
 		}
 		if !ok || since.revision != one.revision {
 			since.revision, since.at = one.revision, now
@@ -162,7 +180,7 @@
 		switch age := now.Sub(since.at); {
 		case !one.suspect.IsHeld() && age >= quarantine.ForgetAfter:
 			forget = append(forget, at)
-		case one.suspect.IsHeld() && !one.suspect.Offered && age >= one.suspect.TrialWait(since.early):
+		case one.suspect.IsHeld() && !one.suspect.Offered && age >= one.suspect.TrialWait(since.early-since.trying):
 			try = append(try, at)
 		}
 	}
--- a/server/quarantine_trace_test.go
+++ b/server/quarantine_trace_test.go
@@ -87,6 +87,81 @@
 	}
 }
 
+// TestNoTrialBesideTheLastOne: a trial takes longer than the wait for the next one. What the bound
+// leaves is given out once, whether the next trial is asked for by the same sample or by another.
+func TestNoTrialBesideTheLastOne(t *testing.T) {
+	for _, asking := range []int{0, 3} {
+		// A trial may be taken right after its offer, before the directory's leader looks again, and
+		// another one may lead while it is under way.
+		for _, step := range []int{1, pause, 2 * pause} {
+			isLost := step > pause
+			t.Run(fmt.Sprintf("sample %d, each %d reviews", asking, step), func(t *testing.T) {
+				s := newScript(t, []int{0, 1, 2})
+				for sample := range 3 {
+					require.True(t, s.send(sample, 0, sample))
+				}
+				for engine := range 3 {
+					s.ends(engine)
+				}
+				s.pass(pause)
+				s.learn()
+				require.True(t, s.send(0, 0, 1), "the first after the third end")
+				s.ends(1)
+				require.True(t, s.kind().IsHeld())
+				for sends := 2; sends <= boundSends; sends++ {
+					s.awaitTrial(step, 0, asking)
+					if isLost {
+						s.clock = suspectClock{}
+					}
+					s.pass(4 * pause)
+					s.learn()
+					require.False(t, s.send(0, 0, 2) || s.send(asking, 0, 2), "one at a time")
+					s.ends(1)
+				}
+				s.requireSpent()
+			})
+		}
+	}
+}
+
+// awaitTrial lets time pass, that many reviews at once, until one of the samples is sent.
+func (s *script) awaitTrial(step int, samples ...int) {
+	for range 4 * pause / step {
+		s.pass(step)
+		s.learn()
+		for _, sample := range samples {
+			if s.send(sample, 0, 1) {
+				return
+			}
+		}
+	}
+	require.Fail(s.t, "the bound leaves a trial, and none is offered")
+}
+
+// TestTrialThatIsLostComesAgain: a trial was taken and nothing came of it. What the bound leaves beside
+// it is still tried, and an answer ends the suspicion.
+func TestTrialThatIsLostComesAgain(t *testing.T) {
+	s := newScript(t, []int{0, 1, 2})
+	for sample := range 3 {
+		require.True(t, s.send(sample, 0, sample))
+	}
+	for engine := range 3 {
+		s.ends(engine)
+	}
+	s.pass(pause)
+	s.learn()
+	require.True(t, s.send(0, 0, 1))
+	s.ends(1)
+	for !s.kind().Offered {
+		s.pass(pause)
+		s.learn()
+	}
+	require.True(t, s.apply(directory.Command{TakeTrial: s.kind().Fingerprint}).Granted, "by a leader that is lost then")
+	s.learn()
+	s.awaitTrial(pause, 0)
+	require.Less(t, s.after[s.kind().Fingerprint], boundSends)
+}
+
 // TestCrashesAreWrittenAsAllReadThem: before all members know that an end may count by a later telling,
 // none is written so.
 func TestCrashesAreWrittenAsAllReadThem(t *testing.T) {
