Property of the bound: a send follows a third end only where one stands

The check counted a send as following the third end of a kind by a time that is not there after an answer (the zero time, long ago).

Allowed, since the bound is of sends after the third end, and an answer ends all suspicion of a kind; a content that ends engines is never answered, and its own count stays as it is. The check is as strict wherever a third end stands.

--- a/server/quarantine_bound_test.go
+++ b/server/quarantine_bound_test.go
@@ -199,7 +199,10 @@
 	content, kind := w.view.Suspects[subject.Content], w.view.Suspects[subject.Kind]
 	require.False(w.t, content.Crashes >= quarantine.HeldFrom && !trial, "%s was sent after its third end", subject.Content)
 	for _, suspect := range []quarantine.Suspect{content, kind} {
-		if w.now.Sub(w.thirdAt[suspect.Fingerprint]) <= boundTime {
+		// After an answer there is no third end until the directory hears of another one, whatever
+		// the leader has heard of yet.
+		third, stands := w.thirdAt[suspect.Fingerprint]
+		if !stands || w.now.Sub(third) <= boundTime {
 			continue
 		}
 		if len(suspect.Ended) >= quarantine.HeldFrom && (suspect.Fingerprint == subject.Content || len(suspect.Of) > 1) {
--- a/server/quarantine_trace_test.go
+++ b/server/quarantine_trace_test.go
@@ -170,3 +170,28 @@
 	require.Equal(t, []quarantine.Crash{{Fingerprint: "f", Backend: "b", Known: 1, Of: "c"}}, crashesKnown(told, directory.EndsVersion-1))
 	require.True(t, told[0].Exact)
 }
+
+// TestSendAfterAnAnswerIsNotOfTheEndsBefore: a kind has ended three engines, and one of it was answered
+// since. What is sent next, by a leader that has not heard of either, follows no third end.
+func TestSendAfterAnAnswerIsNotOfTheEndsBefore(t *testing.T) {
+	s := newScript(t, []int{0, 1, 2})
+	kind := s.samples[0].subject.Kind
+	sound := s.samples[boundDeadly]
+	sound.subject.Kind = kind
+	require.True(t, s.send(boundDeadly, 0, 3), "sound, and slow")
+	for sample := range 3 {
+		require.True(t, s.send(sample, 0, sample))
+	}
+	for engine := range 3 {
+		s.ends(engine)
+	}
+	s.pass(pause)
+	s.engines[3].runs, sound.run = nil, nil
+	s.leader.NoteServed(sound.subject)
+	s.tell(s.leader)
+	_, _, isSuspect := s.machine.Suspect(kind)
+	require.False(t, isSuspect, "an answer ends the suspicion")
+	require.Len(t, s.kind().Ended, 3, "its news is still to come")
+	require.True(t, s.send(0, 0, 0))
+	require.Zero(t, s.after[kind])
+}
