--- a/server/directory_review.go
+++ b/server/directory_review.go
@@ -29,35 +29,33 @@
 // review looks for silent backends and forms the first group of stores, while
 // this replica leads.
 func (d *Directory) review(ctx context.Context) {
-	ticker := time.NewTicker(reviewInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, reviewInterval, func() {
 		serving := d.replica.Status().Serving
 		d.beginServing(serving)
 		d.duties.noteActs()
 		d.versions.follow()
 		if !serving {
 			d.tellHeard(ctx)
-			continue
+			return
 		}
 		limited, cancel := context.WithTimeout(ctx, time.Second)
-		d.versions.review(limited)
-		d.reviewBackends(limited)
-		d.reviewSuspects(limited)
-		d.formGroup(limited)
-		if err := d.noteZone(limited, d.ownZone()); err != nil {
-			event.ReviewFailed.On(d.logger).Err(err).Send()
-		}
-		d.usage.noteClock(d.settings.Name, time.Now().UnixMilli())
-		d.usage.review(limited, d.view.Load().HasTenants())
-		d.scale.review(d.view.Load())
-		cancel()
+		defer cancel()
+		d.reviewAsLeader(limited)
+	})
+}
+
+// reviewAsLeader does what is the leader's alone.
+func (d *Directory) reviewAsLeader(ctx context.Context) {
+	d.versions.review(ctx)
+	d.reviewBackends(ctx)
+	d.reviewSuspects(ctx)
+	d.formGroup(ctx)
+	if err := d.noteZone(ctx, d.ownZone()); err != nil {
+		event.ReviewFailed.On(d.logger).Err(err).Send()
 	}
+	d.usage.noteClock(d.settings.Name, time.Now().UnixMilli())
+	d.usage.review(ctx, d.view.Load().HasTenants())
+	d.scale.review(d.view.Load())
 }
 
 // beginServing forgets, when a leadership begins, what was heard in an earlier one.
--- a/server/evidence.go
+++ b/server/evidence.go
@@ -172,21 +172,14 @@
 
 // keepEvidence asks the leader what a quorum has confirmed, as long as the replica is watched.
 func (d *Directory) keepEvidence(ctx context.Context) {
-	ticker := time.NewTicker(evidenceTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, evidenceTick, func() {
 		if d.evidence.review(clock.Now(), d.revision()) {
 			d.logEvidence()
 		}
 		if d.evidence.beginQuestion(clock.Now()) {
 			go d.askEvidence(ctx)
 		}
-	}
+	})
 }
 
 // logEvidence says whether watches are let go or held from now on.
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -232,14 +232,7 @@
 // maintain keeps the store's registration and, on the leader, what the
 // directory knows of the group.
 func (l *Ledger) maintain(ctx context.Context, opened *replica.Replica) {
-	ticker := time.NewTicker(registerInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, registerInterval, func() {
 		catalog, status := l.watcher.Catalog(), opened.Status()
 		known, ok := catalog.Stores[l.settings.Name]
 		if catalog.Revision > 0 && (!ok || known.Replica != status.ID || known.Address != l.settings.InternalAddress) {
@@ -249,7 +242,7 @@
 		if status.Serving {
 			l.lead(ctx, opened, catalog, status)
 		}
-	}
+	})
 }
 
 func (l *Ledger) lead(ctx context.Context, opened *replica.Replica, catalog *directory.Catalog, status *replica.Status) {
--- a/server/quarantine_trace_test.go
+++ b/server/quarantine_trace_test.go
@@ -44,6 +44,22 @@
 
 func (s *script) kind() quarantine.Suspect { return s.view.Suspects[s.samples[0].subject.Kind] }
 
+// holdBack has three deadly samples end an engine each, and one more after that, so that the kind is
+// held back.
+func (s *script) holdBack() {
+	for sample := range 3 {
+		require.True(s.t, s.send(sample, 0, sample))
+	}
+	for engine := range 3 {
+		s.ends(engine)
+	}
+	s.pass(pause)
+	s.learn()
+	require.True(s.t, s.send(0, 0, 1), "the first after the third end")
+	s.ends(1)
+	require.True(s.t, s.kind().IsHeld())
+}
+
 // requireSpent has the deadly samples sent as soon and as often as they may be, each of which ends its
 // engine; count, which each send goes through, holds them to the bound.
 func (s *script) requireSpent() {
@@ -97,17 +113,7 @@
 			isLost := step > pause
 			t.Run(fmt.Sprintf("sample %d, each %d reviews", asking, step), func(t *testing.T) {
 				s := newScript(t, []int{0, 1, 2})
-				for sample := range 3 {
-					require.True(t, s.send(sample, 0, sample))
-				}
-				for engine := range 3 {
-					s.ends(engine)
-				}
-				s.pass(pause)
-				s.learn()
-				require.True(t, s.send(0, 0, 1), "the first after the third end")
-				s.ends(1)
-				require.True(t, s.kind().IsHeld())
+				s.holdBack()
 				for sends := 2; sends <= boundSends; sends++ {
 					s.awaitTrial(step, 0, asking)
 					if isLost {
@@ -142,16 +148,7 @@
 // it is still tried, and an answer ends the suspicion.
 func TestTrialThatIsLostComesAgain(t *testing.T) {
 	s := newScript(t, []int{0, 1, 2})
-	for sample := range 3 {
-		require.True(t, s.send(sample, 0, sample))
-	}
-	for engine := range 3 {
-		s.ends(engine)
-	}
-	s.pass(pause)
-	s.learn()
-	require.True(t, s.send(0, 0, 1))
-	s.ends(1)
+	s.holdBack()
 	for !s.kind().Offered {
 		s.pass(pause)
 		s.learn()
--- a/server/renewal.go
+++ b/server/renewal.go
@@ -57,18 +57,11 @@
 // keepCurrent looks at the copy's age again and again until the context ends, so that the directory
 // is asked before work comes that would wait for it.
 func (w *Watcher) keepCurrent(ctx context.Context) {
-	ticker := time.NewTicker(lookInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, lookInterval, func() {
 		if w.Catalog().Revision > 0 && w.age.state(nowMillis()) != copyFresh {
 			w.askAside()
 		}
-	}
+	})
 }
 
 // askAside has the directory asked without waiting.
