No backend is taken out soon while it could not return

What callers saw: two living engines of four stayed out for good.

Cause, from its log: a replica stood still from the first seconds on (4006, 6.8 s), so the version was not raised; engines whose heartbeats hung there were taken out after 20 (6 s there) in the old meaning; the leader that remembered them was killed before the raise (5035 comes at 871.2 s, under the next one). The registrations of engines 14 and 15 alone go on.

Mend: a leader of this build takes nobody out before 200 missed heartbeats while the version is not raised; silent ones are used last meanwhile, as before. TestNobodyIsTakenOutForGoodInAMixedFleet failed before and passes.

--- a/server/directory.go
+++ b/server/directory.go
@@ -33,6 +33,8 @@
 	// a backend counts as silent, and is taken out.
 	silentBeats = 4
 	goneBeats   = 20
+	// finalBeats take the place of goneBeats while one that is taken out could not return.
+	finalBeats = 10 * goneBeats
 	// formationPause is how long no new store may have registered before the
 	// first group is formed, and formationWait how long at most is waited for
 	// as many as are wanted.
--- a/server/directory_review.go
+++ b/server/directory_review.go
@@ -72,15 +72,24 @@
 	d.serving = serving
 }
 
+// patience returns after how long a silence a backend is taken out.
+func (d *Directory) patience() time.Duration {
+	if d.versions.inUse.Load() < directory.ReturnVersion {
+		return finalBeats * d.settings.HeartbeatInterval
+	}
+	return goneBeats * d.settings.HeartbeatInterval
+}
+
 // reviewBackends marks or takes out the backends that have fallen silent, all of them in one entry
 // of the log. It goes by the view: whoever registers meanwhile is looked at next time.
 func (d *Directory) reviewBackends(ctx context.Context) {
 	d.noteStandstill()
 	now := clock.Now()
+	patience := d.patience()
 	var changes []directory.Command
 	for backend := range d.view.Load().AllBackends() {
 		switch silence := d.heartbeats.silence(now, backend.ID); {
-		case silence > goneBeats*d.settings.HeartbeatInterval:
+		case silence > patience:
 			event.BackendGone.On(d.logger).Str("backend", backend.ID).Uint("silent_ms", uint64(silence.Milliseconds())).Send()
 			changes = append(changes, directory.Command{RemoveBackend: &directory.RemoveBackend{ID: backend.ID}})
 		case silence > silentBeats*d.settings.HeartbeatInterval && !backend.Silent:
--- a/server/returning_test.go
+++ b/server/returning_test.go
@@ -205,20 +205,47 @@
 	eventually(t, areHeard, "they are back")
 }
 
-// TestVersionWaitsForAllMembers: while a member is of a build that does not know the newest version,
-// commands keep their earlier meaning for all; once it runs this build, the version is raised, under
-// whichever leader, and stays.
-func TestVersionWaitsForAllMembers(t *testing.T) {
-	members := startMembers(t, func(_ int, d *Directory) { asEarlierBuild(d) })
-	earlier := leaderOf(t, members)
+// mixedMembers runs the replicas of a directory of which one, that does not lead, is of an earlier build.
+func mixedMembers(t *testing.T, prepare func(d *Directory)) (members []*fleetMember, earlier *fleetMember) {
+	asEarlier := func(d *Directory) {
+		prepare(d)
+		asEarlierBuild(d)
+	}
+	members = startMembers(t, func(_ int, d *Directory) { asEarlier(d) })
+	earlier = leaderOf(t, members)
 	for _, member := range members {
 		if member != earlier {
-			member.startAgain(t, asThisBuild)
+			member.startAgain(t, prepare)
 		}
 	}
 	for leaderOf(t, members) == earlier {
-		earlier.startAgain(t, asEarlierBuild)
+		earlier.startAgain(t, asEarlier)
 	}
+	return members, earlier
+}
+
+// TestNobodyIsTakenOutForGoodInAMixedFleet: while one that is taken out could not return, a backend that
+// is not heard for long is only used last, and is itself again once it is heard.
+func TestNobodyIsTakenOutForGoodInAMixedFleet(t *testing.T) {
+	members, _ := mixedMembers(t, func(d *Directory) { d.settings.HeartbeatInterval = 50 * time.Millisecond })
+	backend := newBeating(t, "b", "10.0.0.1:80")
+	d := leaderOf(t, members).directory
+	eventually(t, func() bool { return backend.beat(d) }, "it registers")
+	time.Sleep(2 * goneBeats * d.settings.HeartbeatInterval)
+	known, registered := d.view.Load().Backend("b")
+	require.True(t, registered && known.Silent)
+	eventually(t, func() bool { return backend.beat(d) }, "it is heard")
+	eventually(t, func() bool {
+		known, _ := d.view.Load().Backend("b")
+		return !known.Silent
+	}, "it is itself again")
+}
+
+// TestVersionWaitsForAllMembers: while a member is of a build that does not know the newest version,
+// commands keep their earlier meaning for all; once it runs this build, the version is raised, under
+// whichever leader, and stays.
+func TestVersionWaitsForAllMembers(t *testing.T) {
+	members, earlier := mixedMembers(t, asThisBuild)
 	backend := newBeating(t, "b", "10.0.0.1:80")
 	d := leaderOf(t, members).directory
 	eventually(t, func() bool { return backend.beat(d) }, "it registers")
