--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,7 +22,7 @@
 // script is one case. It returns whether the rule was broken, or an error if the case could not run.
 type script func(f *fleet, record *record, trouble bool) (broken bool, err error)
 
-var scripts = map[string]script{"surplus-refusal": surplusRefusal, "lost-snapshot": lostSnapshot}
+var scripts = map[string]script{"surplus-refusal": surplusRefusal, "lost-snapshot": lostSnapshot, "foreign-failure": foreignFailure}
 
 func main() {
 	if len(os.Args) != 4 || scripts[os.Args[1]] == nil {
