--- a/event/event.go
+++ b/event/event.go
@@ -46,6 +46,7 @@
 	PeerUnreachable = Event{3001, zerolog.WarnLevel, "peer is unreachable; messages to it are dropped"}
 	PeerReachable   = Event{3002, zerolog.InfoLevel, "peer is reachable again"}
 	MalformedStream = Event{3003, zerolog.WarnLevel, "malformed message stream closed"}
+	ForeignResponse = Event{3004, zerolog.WarnLevel, "backend response belongs to another request; it is discarded"}
 
 	HTTPServerFailed = Event{4001, zerolog.ErrorLevel, "HTTP server failed"}
 	LogLinesDropped  = Event{4002, zerolog.WarnLevel, "log lines were dropped"}
@@ -147,7 +148,7 @@
 	ControlStarted, ControlStopping, LeadershipGained, LeadershipLost, SnapshotSaved,
 	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged, StorageUnavailable, StorageRecovered, SnapshotSent, SnapshotSendFailed, AdmissionPending, VotersMissing, VotersComplete,
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
-	PeerUnreachable, PeerReachable, MalformedStream,
+	PeerUnreachable, PeerReachable, MalformedStream, ForeignResponse,
 	HTTPServerFailed, LogLinesDropped, ReloadRequested, SettingsApplied, SettingsRejected, ProcessStalled, BootClockUnavailable,
 	BackendRegistered, BackendDeregistered, BackendSilent, BackendRemoved, ConfigurationSubmitted, ConfigurationRejected, WeightsPublished, StoreRegistered, GroupFormed, RetireRequested, ConfigurationApplied, DirectoryReachable, DirectoryUnreachable, CallFailed, UsageReported, UsageUpdateFailed, UsageSendFailed, AddressConflict, CrashReported, TrialOffered, TrialStarted, QuarantineCallFailed, LeaderUpdateFailed, StaleHeartbeatIgnored, InvalidHeartbeatIgnored, CapacityPlanned, ScalingOrderFinished, ScalingResultNotRecorded, DemandSendFailed, WatchesSuspended, WatchesResumed, CopyRefreshed, CopyStale, BackendReturned, CommandVersionChanged, CommandVersionPending, MemberOutdated, BuildsChanged,
 	StepSubmitted, StepResubmitted, StepEnded, SampleStarted, SampleRunEnded, SampleFailed, ResultsRecorded, LoadOrdered, LoadEnded, SampleTextReused, SampleMoved, TextsCheckpointed, StepCompleted, SpeculativeRunPromoted, SpeculativeRunCancelled, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkClosed, RunnerConnected, RunnerDisconnected, OrphanedRunsEnded, RunAdopted, SampleQuarantined, FailuresRecorded, EngineRestarted, GroupsDeferred,
