--- a/event/event.go
+++ b/event/event.go
@@ -34,6 +34,7 @@
 	AdmissionPending    = Event{1017, zerolog.WarnLevel, "this replica is still waiting for admission to the group"}
 	VotersMissing       = Event{1018, zerolog.WarnLevel, "group has fewer voters than configured"}
 	VotersComplete      = Event{1019, zerolog.InfoLevel, "group has all its voters"}
+	SnapshotNotHeld     = Event{1020, zerolog.WarnLevel, "received snapshot is no longer held; it is not installed"}
 
 	NodeStarted       = Event{2001, zerolog.InfoLevel, "node started"}
 	NodeDraining      = Event{2002, zerolog.InfoLevel, "node is draining"}
@@ -146,7 +147,7 @@
 // All lists the events in the order of their numbers.
 var All = []Event{
 	ControlStarted, ControlStopping, LeadershipGained, LeadershipLost, SnapshotSaved,
-	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged, StorageUnavailable, StorageRecovered, SnapshotSent, SnapshotSendFailed, AdmissionPending, VotersMissing, VotersComplete,
+	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged, StorageUnavailable, StorageRecovered, SnapshotSent, SnapshotSendFailed, AdmissionPending, VotersMissing, VotersComplete, SnapshotNotHeld,
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream, ForeignResponse,
 	HTTPServerFailed, LogLinesDropped, ReloadRequested, SettingsApplied, SettingsRejected, ProcessStalled, BootClockUnavailable,
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -3,9 +3,12 @@
 import (
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/protocol"
+	"github.com/dillchute/dillchute/storage"
 )
 
 // receiveFromPeer handles messages from the transport. It drops those that carry a snapshot, which must
@@ -51,6 +54,9 @@
 			go r.writeSnapshot(job)
 		}
 	}
+	if err := r.discardUnneededSnapshots(); err != nil {
+		return err
+	}
 	r.updateStatus()
 	for _, outgoing := range r.core.TakeMessages() {
 		if outgoing.Message.Consensus != nil && outgoing.Message.Consensus.Snapshot != nil {
@@ -103,12 +109,17 @@
 }
 
 // persistWithRetry repeats a write until it succeeds or the replica stops, so that a full or faulty disk
-// does not end the process. Until then the replica sends no messages, so another one can become leader.
+// does not end the process. Until then the replica sends no messages, so another one can become leader. A
+// snapshot whose data is lost cannot be saved later: the replica must start again with what is on its disk.
 func (r *Replica) persistWithRetry(write func() error) error {
 	err := write()
 	if err == nil {
 		return nil
 	}
+	if errorx.IsOfType(err, storage.ErrNotReceived) {
+		event.StorageFailed.On(r.logger).Err(err).Send()
+		return err
+	}
 	event.StorageUnavailable.On(r.logger).Err(err).Send()
 	for err != nil {
 		select {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -89,6 +90,8 @@
 // Store persists a replica's state. Data is durable once a call has returned without an error. A failed
 // call may be repeated.
 type Store interface {
+	// Save persists a Ready. It returns a storage.ErrNotReceived error, and changes nothing, if the data of the
+	// Ready's snapshot is neither in it nor received.
 	Save(ready consensus.Ready) error
 	// WriteSnapshot makes a snapshot durable, with the data that the function writes, and
 	// returns the data's size. It may be called while Save or DropLog run.
@@ -99,6 +102,11 @@
 	// ReceiveSnapshot stores a snapshot from another replica, with data of the given size, until Save
 	// is called with it. It may be called concurrently with the other methods.
 	ReceiveSnapshot(snapshot consensus.Snapshot, data io.Reader, size int64) error
+	// HasReceived reports whether the snapshot at the index was received and neither installed nor
+	// discarded. It may be called at any time.
+	HasReceived(index uint64) bool
+	// DiscardReceived removes the received snapshots up to the index, which Save will not be called with.
+	DiscardReceived(through uint64) error
 	// DropLog deletes the entries up to the index, which a snapshot covers.
 	DropLog(through uint64) error
 	Close() error
@@ -119,7 +127,9 @@
 	nextID        uint64
 	pending       map[uint64]chan Reply
 	pauseDetector *clock.PauseDetector
-	status        atomic.Pointer[Status]
+	// mayHaveUnneeded is set once a snapshot was received, until the unneeded ones are discarded.
+	mayHaveUnneeded bool
+	status          atomic.Pointer[Status]
 	// changed is closed and replaced with each change of the machine.
 	changed atomic.Pointer[chan struct{}]
 }
@@ -133,6 +143,11 @@
 	if err != nil {
 		return nil, err
 	}
+	// The messages that came with received snapshots are gone.
+	if err := store.DiscardReceived(math.MaxUint64); err != nil {
+		store.Close()
+		return nil, err
+	}
 	_, state, _, err := store.OpenSnapshot()
 	if err != nil {
 		store.Close()
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -45,6 +45,8 @@
 	return consensus.Snapshot{}, io.NopCloser(strings.NewReader("")), 0, nil
 }
 func (s *refusingStore) ReceiveSnapshot(consensus.Snapshot, io.Reader, int64) error { return nil }
+func (s *refusingStore) HasReceived(uint64) bool                                    { return false }
+func (s *refusingStore) DiscardReceived(uint64) error                               { return nil }
 func (s *refusingStore) DropLog(uint64) error                                       { return nil }
 func (s *refusingStore) Close() error                                               { return nil }
 
--- a/replica/transfer.go
+++ b/replica/transfer.go
@@ -121,7 +121,29 @@
 		http.Error(response, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	r.receive(message)
+	r.loop.Submit(func() { r.receiveSnapshot(message) })
+}
+
+// receiveSnapshot passes the message to the core, unless the core would install its snapshot and the store does
+// not hold the data any more. The leader sends a snapshot until it is acknowledged.
+func (r *Replica) receiveSnapshot(message protocol.Message) {
+	index := message.Consensus.Snapshot.Index
+	if index > r.core.Raft().Commit() && !r.store.HasReceived(index) {
+		event.SnapshotNotHeld.On(r.logger).Uint("index", index).Send()
+		return
+	}
+	r.core.Receive(message)
+	r.mayHaveUnneeded = true
+}
+
+// discardUnneededSnapshots removes the received snapshots that are not newer than the state, and so will not be
+// installed.
+func (r *Replica) discardUnneededSnapshots() error {
+	if !r.mayHaveUnneeded {
+		return nil
+	}
+	r.mayHaveUnneeded = false
+	return r.persistWithRetry(func() error { return r.store.DiscardReceived(r.core.Raft().Commit()) })
 }
 
 // readSnapshotMessage reads the message at the start of a transfer, and returns it and the size of the
--- a/storage/snapshot.go
+++ b/storage/snapshot.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"encoding/binary"
 	"errors"
-	"fmt"
 	"hash/crc32"
 	"io"
 	"io/fs"
@@ -33,7 +32,7 @@
 // the entries that it covers.
 func (s *Store) WriteSnapshot(snapshot consensus.Snapshot, write func(io.Writer) error) (int, error) {
 	path := filepath.Join(s.folder, snapshotFileName)
-	size, err := writeSnapshotFile(path+".new", snapshot, write)
+	size, err := writeSnapshotFile(path+unfinishedSuffix, snapshot, write)
 	if err != nil {
 		return 0, ErrIO.Wrap(err, "write %s", path)
 	}
@@ -41,9 +40,9 @@
 	defer s.filesMutex.Unlock()
 	if s.snapshotFileIndex >= snapshot.Index {
 		// A newer snapshot from another replica was installed meanwhile.
-		return size, os.Remove(path + ".new")
+		return size, os.Remove(path + unfinishedSuffix)
 	}
-	if err := os.Rename(path+".new", path); err != nil {
+	if err := os.Rename(path+unfinishedSuffix, path); err != nil {
 		return 0, ErrIO.Wrap(err, "rename the new snapshot to %s", path)
 	}
 	if err := syncFolder(s.folder); err != nil {
@@ -117,7 +116,11 @@
 
 // openSnapshotFile opens and verifies the folder's snapshot file. It returns nil if there is none.
 func openSnapshotFile(folder string) (*snapshotReader, error) {
-	path := filepath.Join(folder, snapshotFileName)
+	return openSnapshot(filepath.Join(folder, snapshotFileName))
+}
+
+// openSnapshot opens and verifies a snapshot file. It returns nil if there is none.
+func openSnapshot(path string) (*snapshotReader, error) {
 	file, err := os.Open(path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
@@ -178,19 +181,28 @@
 }
 
 // openNewest opens the snapshot file if it holds the newest snapshot. Otherwise it returns nil and the
-// snapshot in the database.
+// snapshot in the database. It returns an ErrCorrupt error if the newest snapshot has no data although it is not
+// the initial one.
 func (s *Store) openNewest() (*snapshotReader, consensus.Snapshot, error) {
 	s.mutex.Lock()
 	fromDatabase := s.databaseSnapshot
 	s.mutex.Unlock()
 	opened, err := openSnapshotFile(s.folder)
-	if err != nil || opened == nil {
+	if err != nil {
 		return nil, fromDatabase, err
 	}
-	if opened.snapshot.Index < fromDatabase.Index {
-		return nil, fromDatabase, opened.Close()
+	if opened != nil && opened.snapshot.Index >= fromDatabase.Index {
+		return opened, consensus.Snapshot{}, nil
+	}
+	if opened != nil {
+		if err := opened.Close(); err != nil {
+			return nil, fromDatabase, ErrIO.Wrap(err, "close the snapshot file")
+		}
 	}
-	return opened, consensus.Snapshot{}, nil
+	if needsFile(fromDatabase) {
+		return nil, fromDatabase, ErrCorrupt.New("the file of the snapshot at %d is missing", fromDatabase.Index)
+	}
+	return nil, fromDatabase, nil
 }
 
 // OpenSnapshot returns the newest snapshot without its data, and a reader and the size of the data. It may
@@ -208,62 +220,6 @@
 	return fromDatabase, io.NopCloser(bytes.NewReader(data)), int64(len(data)), nil
 }
 
-// receivedPath is the path of a snapshot from another replica that Save has not installed yet.
-func (s *Store) receivedPath(index uint64) string {
-	return filepath.Join(s.folder, fmt.Sprintf("%s.received-%d", snapshotFileName, index))
-}
-
-// ReceiveSnapshot stores a snapshot from another replica, with data of the given size, until Save is called
-// with it. It may be called concurrently with other methods.
-func (s *Store) ReceiveSnapshot(snapshot consensus.Snapshot, data io.Reader, size int64) error {
-	s.filesMutex.Lock()
-	defer s.filesMutex.Unlock()
-	path := s.receivedPath(snapshot.Index)
-	_, err := writeSnapshotFile(path+".new", snapshot, func(writer io.Writer) error {
-		copied, err := io.Copy(writer, io.LimitReader(data, size))
-		if err == nil && copied < size {
-			err = io.ErrUnexpectedEOF
-		}
-		return err
-	})
-	if err == nil {
-		err = os.Rename(path+".new", path)
-	}
-	if err != nil {
-		return ErrIO.Wrap(err, "receive a snapshot")
-	}
-	return nil
-}
-
-func (s *Store) hasReceived(index uint64) bool {
-	_, err := os.Stat(s.receivedPath(index))
-	return err == nil
-}
-
-// installReceived makes the received snapshot the newest one and removes all others that were received.
-func (s *Store) installReceived(index uint64) error {
-	s.filesMutex.Lock()
-	defer s.filesMutex.Unlock()
-	if err := os.Rename(s.receivedPath(index), filepath.Join(s.folder, snapshotFileName)); err != nil {
-		return ErrIO.Wrap(err, "install the received snapshot at %d", index)
-	}
-	s.snapshotFileIndex = index
-	s.removeReceived()
-	return syncFolder(s.folder)
-}
-
-// removeReceived removes received snapshots.
-func (s *Store) removeReceived() {
-	paths, err := filepath.Glob(filepath.Join(s.folder, snapshotFileName+".received-*"))
-	if err != nil {
-		return
-	}
-	for _, path := range paths {
-		// A file that cannot be removed does no harm.
-		_ = os.Remove(path)
-	}
-}
-
 // DropLog deletes the entries up to the index, which a durable snapshot covers.
 func (s *Store) DropLog(through uint64) error {
 	err := s.database.Update(func(transaction *bolt.Tx) error {
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -32,6 +32,8 @@
 	ErrExists = namespace.NewType("exists")
 	// ErrMissing: the folder has not been initialised.
 	ErrMissing = namespace.NewType("missing")
+	// ErrNotReceived: the store does not hold the snapshot that it is to install. Nothing was changed.
+	ErrNotReceived = namespace.NewType("not_received")
 	// ErrIO: a file operation failed.
 	ErrIO = namespace.NewType("io")
 )
@@ -72,17 +74,21 @@
 	Entries   []consensus.Entry
 	// databaseSnapshot is the snapshot in the database, or empty if the snapshot file is newer.
 	databaseSnapshot consensus.Snapshot
+	// snapshotFileIndex is the index of the snapshot file, 0 if there is none.
+	snapshotFileIndex uint64
 }
 
-// Store is an open data folder. Methods other than WriteSnapshot, OpenSnapshot and ReceiveSnapshot must not
-// be called concurrently with each other.
+// Store is an open data folder. Methods other than WriteSnapshot, OpenSnapshot, ReceiveSnapshot and HasReceived
+// must not be called concurrently with each other.
 type Store struct {
 	database *bolt.DB
 	folder   string
-	// filesMutex guards changes of the snapshot files and snapshotFileIndex, the index of the newest
-	// snapshot.
+	// filesMutex guards changes of the snapshot file and snapshotFileIndex, its index, which is 0 if there is no
+	// file.
 	filesMutex        sync.Mutex
 	snapshotFileIndex uint64
+	// receiveMutex serializes the receipt of snapshots. It may be held for as long as their data takes to arrive.
+	receiveMutex sync.Mutex
 
 	mutex sync.Mutex
 	// databaseSnapshot is the snapshot in the database, or empty if the snapshot file is newer.
@@ -187,7 +193,12 @@
 		}
 		return nil, Contents{}, err
 	}
-	return &Store{database: database, folder: folder, databaseSnapshot: contents.databaseSnapshot, snapshotFileIndex: contents.Snapshot.Index}, contents, nil
+	store := &Store{database: database, folder: folder, databaseSnapshot: contents.databaseSnapshot, snapshotFileIndex: contents.snapshotFileIndex}
+	if err := store.removeUnfinished(); err != nil {
+		database.Close()
+		return nil, Contents{}, err
+	}
+	return store, contents, nil
 }
 
 // openChecked opens the database and returns its contents. bbolt doesn't verify pages: it reads past the
@@ -241,10 +252,13 @@
 		return contents, err
 	}
 	contents.databaseSnapshot = contents.Snapshot
+	if fileSnapshot != nil {
+		contents.snapshotFileIndex = fileSnapshot.Index
+	}
 	if fileSnapshot != nil && fileSnapshot.Index > contents.Snapshot.Index {
 		contents.Snapshot, contents.databaseSnapshot = *fileSnapshot, consensus.Snapshot{}
 	}
-	if contents.isDataMissing(fileSnapshot) {
+	if needsFile(contents.databaseSnapshot) && contents.snapshotFileIndex < contents.databaseSnapshot.Index {
 		return contents, ErrCorrupt.New("the file of the snapshot at %d is missing", contents.Snapshot.Index)
 	}
 	expected := contents.Snapshot.Index + 1
@@ -266,12 +280,13 @@
 	return contents, nil
 }
 
-// Save persists a Ready and returns once it is synced.
+// Save persists a Ready and returns once it is synced. It returns an ErrNotReceived error, and changes nothing, if
+// the Ready has a snapshot whose data is neither in it nor received.
 func (s *Store) Save(ready consensus.Ready) error {
 	if ready.HardState == nil && ready.Snapshot == nil && len(ready.Entries) == 0 {
 		return nil
 	}
-	if ready.Snapshot != nil && s.hasReceived(ready.Snapshot.Index) {
+	if ready.Snapshot != nil && (needsFile(*ready.Snapshot) || s.HasReceived(ready.Snapshot.Index)) {
 		// The file is installed first. If the process then ends before the transaction, the log still holds
 		// entries, which the snapshot covers or the leader will replace.
 		if err := s.installReceived(ready.Snapshot.Index); err != nil {
@@ -304,12 +319,9 @@
 // initialIndex is the index of a group's initial snapshot, which has no data.
 const initialIndex = 1
 
-// isDataMissing reports whether the snapshot's data should be in the snapshot file but isn't.
-func (c Contents) isDataMissing(fileSnapshot *consensus.Snapshot) bool {
-	if c.databaseSnapshot.Index <= initialIndex || c.databaseSnapshot.Data != nil {
-		return false
-	}
-	return fileSnapshot == nil || fileSnapshot.Index < c.databaseSnapshot.Index
+// needsFile reports whether the data of the snapshot in the database is in the snapshot file.
+func needsFile(fromDatabase consensus.Snapshot) bool {
+	return fromDatabase.Index > initialIndex && fromDatabase.Data == nil
 }
 
 func (s *Store) setDatabaseSnapshot(snapshot consensus.Snapshot) {
