--- a/replica/replica.go
+++ b/replica/replica.go
@@ -127,9 +127,9 @@
 	nextID        uint64
 	pending       map[uint64]chan Reply
 	pauseDetector *clock.PauseDetector
-	// mayHaveUnneeded is set once a snapshot was received, until the unneeded ones are discarded.
-	mayHaveUnneeded bool
-	status          atomic.Pointer[Status]
+	// mayHaveUnneededSnapshots is set once a snapshot was received, until the unneeded ones are discarded.
+	mayHaveUnneededSnapshots bool
+	status                   atomic.Pointer[Status]
 	// changed is closed and replaced with each change of the machine.
 	changed atomic.Pointer[chan struct{}]
 }
@@ -143,7 +143,7 @@
 	if err != nil {
 		return nil, err
 	}
-	// The messages that came with received snapshots are gone.
+	// Snapshots that an earlier process received are not installed: their messages are lost.
 	if err := store.DiscardReceived(math.MaxUint64); err != nil {
 		store.Close()
 		return nil, err
--- a/replica/transfer.go
+++ b/replica/transfer.go
@@ -133,16 +133,16 @@
 		return
 	}
 	r.core.Receive(message)
-	r.mayHaveUnneeded = true
+	r.mayHaveUnneededSnapshots = true
 }
 
 // discardUnneededSnapshots removes the received snapshots that are not newer than the state, and so will not be
 // installed.
 func (r *Replica) discardUnneededSnapshots() error {
-	if !r.mayHaveUnneeded {
+	if !r.mayHaveUnneededSnapshots {
 		return nil
 	}
-	r.mayHaveUnneeded = false
+	r.mayHaveUnneededSnapshots = false
 	return r.persistWithRetry(func() error { return r.store.DiscardReceived(r.core.Raft().Commit()) })
 }
 
