--- a/replica/received_snapshot_test.go
+++ b/replica/received_snapshot_test.go
@@ -23,7 +23,7 @@
 }
 
 // newFollower returns a follower in a new folder, or in that of an earlier one.
-func newFollower(t *testing.T, folder string) *follower {
+func newFollower(t require.TestingT, folder string) *follower {
 	f := &follower{machine: &numbers{}, folder: folder, members: consensus.Membership{Members: []consensus.Member{
 		{ID: 1, Address: "127.0.0.1:1", Voter: true}, {ID: 2, Address: "127.0.0.1:2", Voter: true}, {ID: 3, Address: "127.0.0.1:3", Voter: true},
 	}}}
@@ -47,12 +47,12 @@
 }
 
 // receiveData stores the data of a snapshot, as the handler of transfers does first.
-func (f *follower) receiveData(t *testing.T, message protocol.Message, data []byte) {
+func (f *follower) receiveData(t require.TestingT, message protocol.Message, data []byte) {
 	require.NoError(t, f.store.ReceiveSnapshot(*message.Consensus.Snapshot, bytes.NewReader(data), int64(len(data))))
 }
 
 // receivedFiles returns the names of the received snapshots that are on disk.
-func (f *follower) receivedFiles(t *testing.T) []string {
+func (f *follower) receivedFiles(t require.TestingT) []string {
 	names, err := filepath.Glob(filepath.Join(f.folder, "*received*"))
 	require.NoError(t, err)
 	return names
