Comments: reasons and figures that the rewording dropped

Compared: all removed comments of the packages that decide (admission, quarantine, scheduler, routing, capacity) and, by their words of reason, those of forward, consensus, directory, server, platform, replica, storage, runner, ledger, clock, config and state.

No code is changed; the build passes.

--- a/admission/service.go
+++ b/admission/service.go
@@ -60,7 +60,8 @@
 	// baselineRaiseDelay is how long answers must be slow under a limit before the baseline is raised,
 	// if no backend has refused requests: without refusals the work itself has probably become slower.
 	baselineRaiseDelay = time.Second
-	// maxRaisedBaseline is the largest fraction of the target to which the baseline is raised.
+	// maxRaisedBaseline is the largest fraction of the target to which the baseline is raised. Beyond it a
+	// limit helps in any case.
 	maxRaisedBaseline = 0.5
 	// baselineWeight is the weight of an answer in the moving average of the baseline, and
 	// limitedBaselineWeight that of a faster answer under a limit.
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -26,7 +26,8 @@
 	classCount     = 2 * priorityLevels
 	// Each priority gets at least minLowerPriorityFraction of the fraction of the next higher one, and
 	// retries get at least minRetryFraction of that of first attempts. The latter is for first
-	// attempts that are wrongly classified as retries.
+	// attempts that are wrongly classified as retries. It is small, since a first attempt that is admitted
+	// in place of a retry is answered sooner.
 	minLowerPriorityFraction = 0.25
 	minRetryFraction         = 0.05
 	// bisectionSteps bounds the search for the level; its precision is finer than any count.
--- a/config/roles.go
+++ b/config/roles.go
@@ -177,7 +177,7 @@
 }
 
 // minCopyLimit is the lowest accepted copy_limit. With a healthy watch copies are up to 1.2 s old, so
-// low limits cause frequent refreshes.
+// low limits cause frequent refreshes: below 2 s often, and below 1.5 s before most sends.
 const minCopyLimit = time.Second
 
 func (p Process) checks() []fieldCheck {
--- a/directory/journal.go
+++ b/directory/journal.go
@@ -7,7 +7,8 @@
 const maxJournalEntries = 20000
 
 // journal lists the latest changes of backends by revision, so that the time to compute a delta
-// depends on the number of changes and not on that of all backends.
+// depends on the number of changes and not on that of all backends: 0.5 microseconds instead of 230 for
+// one change among 10,000 backends.
 type journal struct {
 	changes []journalEntry
 	// floor is the revision after which all changes are listed.
--- a/directory/shards.go
+++ b/directory/shards.go
@@ -7,7 +7,7 @@
 )
 
 // shardCount is the number of shards of a catalog's backends. A change copies only the shards that it
-// affects.
+// affects: of 10,000 backends some 80, with 8 bytes each beside their IDs.
 const shardCount = 128
 
 // shardSeed seeds the hash that assigns IDs to shards. It may differ between processes.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -11,7 +11,8 @@
 	// localTTL is how long a process applies crashes that it observed itself. The shared record
 	// normally includes them within milliseconds after they were reported.
 	localTTL = 5 * time.Second
-	// maxObservations bounds each list of observations that a process keeps. Further ones are dropped.
+	// maxObservations bounds each list of observations that a process keeps. Further ones are dropped: a
+	// process that sees so many crashes at once sees more than requests that crash their backends.
 	maxObservations = 1000
 )
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -24,7 +24,7 @@
 	// Kinds need none: requests of a suspected kind are sent one at a time.
 	reservedSends = 1
 	// kindContentThreshold is the number of different contents that must have crashed backends
-	// before their kind is quarantined.
+	// before their kind is quarantined. A single content is quarantined by itself.
 	kindContentThreshold = 2
 	// maxCrashedBackends is the number of crashed backends after which a request is tried only rarely.
 	maxCrashedBackends = CrashThreshold + sendBudget
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -59,8 +59,9 @@
 }
 
 // forwardJoin forwards a join request to the leader, since a replica that knows only the few addresses
-// of its settings may not reach the leader itself. A request is forwarded once, so that replicas that
-// consider each other the leader don't send it in a loop.
+// of its settings may not reach the leader itself. Without this it would stay outside while none of them
+// leads, and the group would be a voter short without anybody noticing. A request is forwarded once, so
+// that replicas that consider each other the leader don't send it in a loop.
 func (c *Core) forwardJoin(join protocol.Join) {
 	if join.PassedOn || c.raft.Leader() == consensus.None {
 		return
--- a/scheduler/group_work.go
+++ b/scheduler/group_work.go
@@ -15,7 +15,8 @@
 }
 
 // overrunPredictionFraction is the expected remainder of a text near or beyond its predicted length,
-// as a fraction of the prediction.
+// as a fraction of the prediction. Predictions are right in the median and off by a factor that varies
+// widely (log-normal, about 0.5); this is the median of what is left.
 const overrunPredictionFraction = 0.4
 
 // overrunTextFraction is the minimum expected remainder of a text, as a fraction of its current length.
--- a/server/feed.go
+++ b/server/feed.go
@@ -12,7 +12,9 @@
 const (
 	// minFeedInterval is the minimum time between two rounds of answers to watchers, and
 	// feedIntervalPerWatcher is added for each watcher. This limits a replica to about 200 answers a second
-	// while thousands of backends register. Urgent changes do not wait; see directory.Machine.UrgentRevision.
+	// while thousands of backends register, and each of a thousand watchers to a few round trips a second
+	// instead of dozens. Urgent changes do not wait; see directory.Machine.UrgentRevision. A registration
+	// waits for half an interval on average, and nobody misses the new backend meanwhile.
 	minFeedInterval        = 10 * time.Millisecond
 	feedIntervalPerWatcher = 5 * time.Millisecond
 	// maxFeedInterval limits the interval on a replica with many watchers, so that changes reach them within
--- a/server/gather.go
+++ b/server/gather.go
@@ -17,7 +17,8 @@
 )
 
 // batcher processes values in batches, to reduce the number of calls and log entries. A value is processed
-// immediately if a worker is available; otherwise it joins the next batch. It is safe for concurrent use.
+// immediately if a worker is available; otherwise it joins the next batch. A thousand values at a time take
+// some ten calls and log entries. It is safe for concurrent use.
 type batcher[T any] struct {
 	process func(ctx context.Context, batch []T) error
 
--- a/server/reward_limit.go
+++ b/server/reward_limit.go
@@ -11,7 +11,7 @@
 
 // rewardSlotFraction is the fraction of a service's slots available to reward calls. These are sent in bursts
 // when the samples of a step end. Without a limit they would delay callers' requests or cause refusals, and
-// a lower limit would delay steps when few backends are left.
+// a lower limit would delay steps when few backends are left. docs/design/shifted-desk.md compares the limits.
 const rewardSlotFraction = 5.0 / 6
 
 // rewardLimiter limits the concurrent reward calls on each route. Waiting calls are admitted in the order
--- a/server/watch.go
+++ b/server/watch.go
@@ -21,7 +21,8 @@
 
 const (
 	// watchBackoff is the pause before the next replica is queried, and watchRoundBackoff that after all
-	// replicas have failed, which limits the load on a directory without a leader.
+	// replicas have failed, which limits the load of hundreds of watchers on a directory without a leader. A
+	// change that the directory accepts after that is still in force within half a second.
 	watchBackoff      = 50 * time.Millisecond
 	watchRoundBackoff = 200 * time.Millisecond
 )
