--- a/replica/received_snapshot_test.go
+++ b/replica/received_snapshot_test.go
@@ -51,6 +51,14 @@
 	require.NoError(t, f.store.ReceiveSnapshot(*message.Consensus.Snapshot, bytes.NewReader(data), int64(len(data))))
 }
 
+// transferSnapshot delivers a snapshot and its message, and runs the loop.
+func (f *follower) transferSnapshot(t *testing.T, index, number uint64) {
+	message, data := f.snapshotOf(index, number)
+	f.receiveData(t, message, data)
+	f.receiveSnapshot(message)
+	require.NoError(t, f.flush())
+}
+
 // receivedFiles returns the names of the received snapshots that are on disk.
 func (f *follower) receivedFiles(t require.TestingT) []string {
 	names, err := filepath.Glob(filepath.Join(f.folder, "*received*"))
@@ -81,18 +89,13 @@
 // whose data it does not have.
 func TestSnapshotThatIsNotHeldIsIgnored(t *testing.T) {
 	f := newFollower(t, t.TempDir())
-	first, data := f.snapshotOf(20, 7)
-	f.receiveData(t, first, data)
-	f.receiveSnapshot(first)
-	require.NoError(t, f.flush())
-	missing, data := f.snapshotOf(30, 8)
+	f.transferSnapshot(t, 20, 7)
+	missing, _ := f.snapshotOf(30, 8)
 	f.receiveSnapshot(missing)
 	require.NoError(t, f.flush())
 	require.Equal(t, []uint64{7}, f.machine.list)
 	require.Equal(t, uint64(20), f.core.Raft().Commit())
-	f.receiveData(t, missing, data)
-	f.receiveSnapshot(missing)
-	require.NoError(t, f.flush())
+	f.transferSnapshot(t, 30, 8)
 	require.Equal(t, []uint64{8}, f.machine.list, "the leader sends it again")
 }
 
@@ -100,15 +103,9 @@
 // state, and those that were received before a restart, are never installed.
 func TestUnneededSnapshotsAreDiscarded(t *testing.T) {
 	f := newFollower(t, t.TempDir())
-	newer, data := f.snapshotOf(30, 8)
-	f.receiveData(t, newer, data)
-	f.receiveSnapshot(newer)
-	require.NoError(t, f.flush())
+	f.transferSnapshot(t, 30, 8)
 	for _, index := range []uint64{20, 30} {
-		late, data := f.snapshotOf(index, 7)
-		f.receiveData(t, late, data)
-		f.receiveSnapshot(late)
-		require.NoError(t, f.flush())
+		f.transferSnapshot(t, index, 7)
 		require.Empty(t, f.receivedFiles(t), "an older one")
 	}
 	later, data := f.snapshotOf(40, 9)
@@ -124,10 +121,7 @@
 // what the follower has, whether or not the data is still held.
 func TestOldSnapshotIsAnswered(t *testing.T) {
 	f := newFollower(t, t.TempDir())
-	newer, data := f.snapshotOf(30, 8)
-	f.receiveData(t, newer, data)
-	f.receiveSnapshot(newer)
-	require.NoError(t, f.flush())
+	f.transferSnapshot(t, 30, 8)
 	older, _ := f.snapshotOf(20, 7)
 	f.receiveSnapshot(older)
 	require.True(t, f.core.HasReady())
