--- a/event/event.go
+++ b/event/event.go
@@ -100,6 +100,8 @@
 	CommandVersionPending = Event{5036, zerolog.WarnLevel, "newer directory command version awaits support by all members"}
 	MemberOutdated        = Event{5037, zerolog.ErrorLevel, "directory members do not support the command version in use"}
 	BuildsChanged         = Event{5038, zerolog.InfoLevel, "builds of the directory members changed"}
+	HeartbeatIgnored      = Event{5039, zerolog.WarnLevel, "heartbeat of a backend ignored; its registration stays as it is"}
+	LeaveAcknowledged     = Event{5040, zerolog.InfoLevel, "departure of a backend acknowledged"}
 
 	StepSubmitted     = Event{6001, zerolog.InfoLevel, "step submitted"}
 	StepResubmitted   = Event{6002, zerolog.InfoLevel, "step resubmitted"}
@@ -151,7 +153,7 @@
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream, ForeignResponse,
 	HTTPServerFailed, LogLinesDropped, ReloadRequested, SettingsApplied, SettingsRejected, ProcessStalled, BootClockUnavailable,
-	BackendRegistered, BackendDeregistered, BackendSilent, BackendRemoved, ConfigurationSubmitted, ConfigurationRejected, WeightsPublished, StoreRegistered, GroupFormed, RetireRequested, ConfigurationApplied, DirectoryReachable, DirectoryUnreachable, CallFailed, UsageReported, UsageUpdateFailed, UsageSendFailed, AddressConflict, CrashReported, TrialOffered, TrialStarted, QuarantineCallFailed, LeaderUpdateFailed, StaleHeartbeatIgnored, InvalidHeartbeatIgnored, CapacityPlanned, ScalingOrderFinished, ScalingResultNotRecorded, DemandSendFailed, WatchesSuspended, WatchesResumed, CopyRefreshed, CopyStale, BackendReturned, CommandVersionChanged, CommandVersionPending, MemberOutdated, BuildsChanged,
+	BackendRegistered, BackendDeregistered, BackendSilent, BackendRemoved, ConfigurationSubmitted, ConfigurationRejected, WeightsPublished, StoreRegistered, GroupFormed, RetireRequested, ConfigurationApplied, DirectoryReachable, DirectoryUnreachable, CallFailed, UsageReported, UsageUpdateFailed, UsageSendFailed, AddressConflict, CrashReported, TrialOffered, TrialStarted, QuarantineCallFailed, LeaderUpdateFailed, StaleHeartbeatIgnored, InvalidHeartbeatIgnored, CapacityPlanned, ScalingOrderFinished, ScalingResultNotRecorded, DemandSendFailed, WatchesSuspended, WatchesResumed, CopyRefreshed, CopyStale, BackendReturned, CommandVersionChanged, CommandVersionPending, MemberOutdated, BuildsChanged, HeartbeatIgnored, LeaveAcknowledged,
 	StepSubmitted, StepResubmitted, StepEnded, SampleStarted, SampleRunEnded, SampleFailed, ResultsRecorded, LoadOrdered, LoadEnded, SampleTextReused, SampleMoved, TextsCheckpointed, StepCompleted, SpeculativeRunPromoted, SpeculativeRunCancelled, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkClosed, RunnerConnected, RunnerDisconnected, OrphanedRunsEnded, RunAdopted, SampleQuarantined, FailuresRecorded, EngineRestarted, GroupsDeferred,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, LocalReplicaUnavailable, RequestQuarantined, LimitStarted, LimitEnded,
 }
--- a/server/directory.go
+++ b/server/directory.go
@@ -85,15 +85,16 @@
 	view       atomic.Pointer[directory.Catalog]
 	heartbeats *heartbeats
 	// registrations sends heartbeats that change a registration to the leader, in batches.
-	registrations  *batcher[Heartbeat]
-	feed           *feed
-	usage          *usageAggregator
-	duties         *dutyCoordinator
-	versions       *versionCoordinator
-	returns        *returnTracker
-	scale          *scaleController
-	stalls         stallDetector
-	invalidReports invalidHeartbeatLog
+	registrations *batcher[Heartbeat]
+	feed          *feed
+	usage         *usageAggregator
+	duties        *dutyCoordinator
+	versions      *versionCoordinator
+	returns       *returnTracker
+	scale         *scaleController
+	stalls        stallDetector
+	// invalidReports and ignoredReports limit the log lines about heartbeats without effect.
+	invalidReports, ignoredReports heartbeatLog
 	// suspects is used only by review.
 	suspects suspectTracker
 	// clockSentAt is when this machine's clock was last sent to the leader. It is used only by review.
@@ -180,6 +181,9 @@
 // registered under the name.
 func (d *Directory) Leave(ctx context.Context, leaving directory.Incarnation) error {
 	_, err := d.call(ctx, directoryCall{Leave: leaving.Name, LeaveBorn: leaving.StartTime})
+	if err == nil {
+		d.logDeparture(leaving.ID(), departureLeft, false)
+	}
 	return err
 }
 
--- a/server/heartbeat.go
+++ b/server/heartbeat.go
@@ -48,6 +48,13 @@
 	return true
 }
 
+// newestSequence returns the highest sequence number of the backend's recorded heartbeats.
+func (h *heartbeats) newestSequence(id string) uint64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.sequences[id]
+}
+
 // recordReported records the backends whose heartbeats another replica has reported.
 func (h *heartbeats) recordReported(now time.Time, ids []string) {
 	h.mutex.Lock()
@@ -99,10 +106,16 @@
 	registered, isRegistered := d.view.Load().Backend(heartbeat.Backend.ID)
 	heartbeat.mergeRegisteredModels(registered)
 	if isRegistered && sameRegistration(registered, heartbeat.Backend) && d.isReportingToLeader() {
-		d.heartbeats.record(clock.Now(), heartbeat.Backend.ID, heartbeat.Sequence)
+		if !d.heartbeats.record(clock.Now(), heartbeat.Backend.ID, heartbeat.Sequence) {
+			d.logIgnored(heartbeat, ignoredOutdated)
+		}
 		return d.settings.InternalAddress, nil
 	}
-	return d.settings.InternalAddress, d.registrations.do(ctx, heartbeat)
+	err := d.registrations.do(ctx, heartbeat)
+	if err == nil && heartbeat.Backend.Draining {
+		d.logDeparture(heartbeat.Backend.ID, departureDraining, isRegistered && registered.Draining)
+	}
+	return d.settings.InternalAddress, err
 }
 
 // maxReportAgeHeartbeats is the number of heartbeat intervals since its last report to the leader for
@@ -142,8 +155,11 @@
 	var changes []directory.Command
 	for position, heartbeat := range current {
 		heartbeat.mergeRegisteredModels(registrations[position].registered)
-		if change, isChange := d.registrationCommand(registrations[position], heartbeat); isChange {
+		change, isChange := d.registrationCommand(registrations[position], heartbeat)
+		if isChange {
 			changes = append(changes, change)
+		} else if registrations[position].isRemoved {
+			d.logIgnored(heartbeat, ignoredRemoved)
 		}
 	}
 	if len(changes) == 0 {
@@ -162,9 +178,11 @@
 			d.RecordInvalidHeartbeat(InvalidHeartbeat{Backend: heartbeat.Backend.ID, Field: "born", Reason: "in the future"})
 			continue
 		}
-		if d.heartbeats.record(now, heartbeat.Backend.ID, heartbeat.Sequence) {
-			current = append(current, heartbeat)
+		if !d.heartbeats.record(now, heartbeat.Backend.ID, heartbeat.Sequence) {
+			d.logIgnored(heartbeat, ignoredOutdated)
+			continue
 		}
+		current = append(current, heartbeat)
 	}
 	return current
 }
--- a/server/heartbeat_log.go
+++ b/server/heartbeat_log.go
@@ -4,8 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/dillchute/dillchute/event"
 )
 
@@ -17,32 +15,69 @@
 	Field, Reason string
 }
 
-// invalidHeartbeatLogInterval is the minimum time between two log lines about invalid heartbeats.
-const invalidHeartbeatLogInterval = time.Second
+// heartbeatLogInterval is the minimum time between two log lines about heartbeats that have no effect.
+const heartbeatLogInterval = time.Second
 
-// invalidHeartbeatLog logs invalid heartbeats at a limited rate. It is safe for concurrent use.
-type invalidHeartbeatLog struct {
+// heartbeatLog limits the rate of log lines about heartbeats that have no effect. It is safe for concurrent
+// use.
+type heartbeatLog struct {
 	mutex sync.Mutex
 	// loggedAt is when the last line was logged, and suppressed counts the heartbeats since then.
 	loggedAt   time.Time
 	suppressed uint64
 }
 
-// log logs an invalid heartbeat unless one was logged within invalidHeartbeatLogInterval.
-func (l *invalidHeartbeatLog) log(now time.Time, invalid InvalidHeartbeat, logger *zerolog.Logger) {
+// admit reports whether a line may be logged now, and returns the number of heartbeats without one since the
+// last line.
+func (l *heartbeatLog) admit(now time.Time) (suppressed uint64, admitted bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !l.loggedAt.IsZero() && now.Sub(l.loggedAt) < invalidHeartbeatLogInterval {
+	if !l.loggedAt.IsZero() && now.Sub(l.loggedAt) < heartbeatLogInterval {
 		l.suppressed++
-		return
+		return 0, false
 	}
-	event.InvalidHeartbeatIgnored.On(logger).Str("backend", invalid.Backend).Str("field", invalid.Field).
-		Str("reason", invalid.Reason).Uint("untold", l.suppressed).Send()
+	suppressed = l.suppressed
 	l.loggedAt, l.suppressed = now, 0
+	return suppressed, true
 }
 
 // RecordInvalidHeartbeat counts and logs an invalid heartbeat, which changes nothing else.
 func (d *Directory) RecordInvalidHeartbeat(invalid InvalidHeartbeat) {
 	d.metrics.invalidHeartbeats.WithLabelValues(invalid.Reason).Inc()
-	d.invalidReports.log(time.Now(), invalid, d.logger)
+	suppressed, admitted := d.invalidReports.admit(time.Now())
+	if !admitted {
+		return
+	}
+	event.InvalidHeartbeatIgnored.On(d.logger).Str("backend", invalid.Backend).Str("field", invalid.Field).
+		Str("reason", invalid.Reason).Uint("untold", suppressed).Send()
+}
+
+// Reasons why a valid heartbeat is ignored.
+const (
+	// ignoredOutdated: a heartbeat with a higher sequence number came before.
+	ignoredOutdated = "outdated"
+	// ignoredRemoved: the incarnation was removed and may not return.
+	ignoredRemoved = "removed"
+)
+
+// logIgnored logs a valid heartbeat that is ignored, at a limited rate.
+func (d *Directory) logIgnored(heartbeat Heartbeat, reason string) {
+	suppressed, admitted := d.ignoredReports.admit(time.Now())
+	if !admitted {
+		return
+	}
+	event.HeartbeatIgnored.On(d.logger).Str("backend", heartbeat.Backend.ID).Str("reason", reason).Uint("sequence", heartbeat.Sequence).
+		Uint("newest", d.heartbeats.newestSequence(heartbeat.Backend.ID)).Uint("draining", boolToUint(heartbeat.Backend.Draining)).Uint("untold", suppressed).Send()
+}
+
+// How a backend announces its departure.
+const (
+	departureDraining = "draining"
+	departureLeft     = "left"
+)
+
+// logDeparture logs that this replica acknowledges a departure. known is set if its copy had it before.
+func (d *Directory) logDeparture(backend, how string, known bool) {
+	event.LeaveAcknowledged.On(d.logger).Str("backend", backend).Str("how", how).Uint("known", boolToUint(known)).
+		Uint("revision", d.view.Load().Revision).Send()
 }
