Failing tests: departures that are acknowledged without effect

Change: the tests; event 5001 has the sequence number and is no longer logged when only the versions of an engine's models change, which filled the leader's log within seconds (the users keep about 115 lines of it).

--- a/directory/incarnation_test.go
+++ b/directory/incarnation_test.go
@@ -75,6 +75,18 @@
 	require.Equal(t, []string{"unknown/5001"}, backendIDs(m))
 }
 
+// TestDepartureCoversUnregisteredIncarnation guards against a departed backend that a late heartbeat registers:
+// a departure without a start time ends every incarnation that had started, whichever was registered.
+func TestDepartureCoversUnregisteredIncarnation(t *testing.T) {
+	m := NewMachine()
+	apply(t, m, Command{PutBackend: newIncarnation("i", 100, "a:1")})
+	apply(t, m, Command{RemoveBackend: &RemoveBackend{Name: "i", LatestBirth: 5000}})
+	apply(t, m, Command{PutBackend: newIncarnation("i", 4999, "a:1")})
+	require.Empty(t, backendIDs(m), "it had started when the departure arrived")
+	apply(t, m, Command{PutBackend: newIncarnation("i", 5001, "a:1")})
+	require.Equal(t, []string{"i/5001"}, backendIDs(m))
+}
+
 // TestSnapshotWithoutStartTimes: snapshots and commands of builds without start times are read. A name
 // removed then can register only with a start time.
 func TestSnapshotWithoutStartTimes(t *testing.T) {
--- a/server/backend_return.go
+++ b/server/backend_return.go
@@ -78,8 +78,10 @@
 	backend := heartbeat.Backend
 	switch {
 	case d.changesRegistration(registration, backend):
-		event.BackendRegistered.On(d.logger).Str("backend", backend.ID).Str("service", backend.Service).
-			Str("address", backend.Address).Uint("draining", boolToUint(backend.Draining)).Send()
+		if !sameExceptModels(registration.registered, backend) {
+			event.BackendRegistered.On(d.logger).Str("backend", backend.ID).Str("service", backend.Service).Str("address", backend.Address).
+				Uint("draining", boolToUint(backend.Draining)).Uint("sequence", heartbeat.Sequence).Send()
+		}
 		return directory.Command{PutBackend: &backend}, true
 	case d.isReturning(registration, heartbeat):
 		return directory.Command{ReturnBackend: &backend}, true
--- a/server/directory_review.go
+++ b/server/directory_review.go
@@ -22,8 +22,13 @@
 			return false
 		}
 	}
+	return sameExceptModels(registered, backend)
+}
+
+// sameExceptModels reports whether a heartbeat's backend changes nothing but the versions of its models.
+func sameExceptModels(registered, backend directory.Backend) bool {
 	// A backend never stops draining, whatever a late heartbeat says.
-	return registered.Service == backend.Service && registered.Address == backend.Address && registered.Zone == backend.Zone &&
+	return registered.ID == backend.ID && registered.Service == backend.Service && registered.Address == backend.Address && registered.Zone == backend.Zone &&
 		registered.Slots == backend.Slots && (registered.Draining || !backend.Draining) && !registered.Silent
 }
 
