directory: a departure covers every incarnation that had started

What callers saw: a request can reach a backend more than drain-ms after its departure was acknowledged (DRAIN). A late heartbeat of the incarnation that had left then registered it as ready. Change: from command version 3 on, the removal is recorded up to the departure's start time, or up to the time of the departure. Replicas of earlier builds in the group keep version 2 in use, so that all replicas apply the same. TestIncarnationsMatchModel draws both versions.

--- a/directory/backends.go
+++ b/directory/backends.go
@@ -89,20 +89,23 @@
 	}
 }
 
-// removeBackend applies the command. It also records the removal of a name that is not registered, because
-// a heartbeat of the backend may still arrive.
+// removeBackend applies the command. A heartbeat of the backend may still arrive, so it records the removal
+// of a name that is not registered, too, and that of a later incarnation than the registered one.
 func (m *Machine) removeBackend(command RemoveBackend) {
 	if command.Name == "" {
 		m.removeSilentBackend(command.ID)
 		return
 	}
 	existing, isRegistered := m.BackendByName(command.Name)
-	switch {
-	case !isRegistered:
-		m.recordRemoval(Incarnation{Name: command.Name, StartTime: cmp.Or(command.Born, command.LatestBirth)})
-	case command.Born == 0 || existing.Born <= command.Born:
+	if isRegistered && command.Born != 0 && command.Born < existing.Born {
+		return
+	}
+	if isRegistered {
 		m.unregister(existing)
 	}
+	if !isRegistered || m.state.InUse >= DepartureVersion {
+		m.recordRemoval(Incarnation{Name: command.Name, StartTime: cmp.Or(command.Born, command.LatestBirth)})
+	}
 }
 
 // removeSilentBackend removes a backend that sends no heartbeats. It may already be removed: the command
--- a/directory/command.go
+++ b/directory/command.go
@@ -83,8 +83,8 @@
 	// Born is the start time of the incarnation in Unix milliseconds, or 0 if unknown. An
 	// incarnation that started later is not removed.
 	Born int64 `cbor:"3,keyasint,omitempty"`
-	// LatestBirth replaces Born if that is 0 and no incarnation is registered under the name: those
-	// that started no later cannot register.
+	// LatestBirth replaces Born if that is 0: incarnations that started no later cannot register. Before
+	// DepartureVersion it has no effect if an incarnation is registered under the name.
 	LatestBirth int64 `cbor:"4,keyasint,omitempty"`
 }
 
--- a/directory/incarnation_test.go
+++ b/directory/incarnation_test.go
@@ -79,6 +79,7 @@
 // a departure without a start time ends every incarnation that had started, whichever was registered.
 func TestDepartureCoversUnregisteredIncarnation(t *testing.T) {
 	m := NewMachine()
+	apply(t, m, Command{RaiseVersion: &RaiseVersion{Version: KnownVersion}})
 	apply(t, m, Command{PutBackend: newIncarnation("i", 100, "a:1")})
 	apply(t, m, Command{RemoveBackend: &RemoveBackend{Name: "i", LatestBirth: 5000}})
 	apply(t, m, Command{PutBackend: newIncarnation("i", 4999, "a:1")})
@@ -120,6 +121,10 @@
 func TestIncarnationsMatchModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := NewMachine()
+		coversAllStarted := rapid.Bool().Draw(t, "departure version")
+		if coversAllStarted {
+			apply(t, m, Command{RaiseVersion: &RaiseVersion{Version: DepartureVersion}})
+		}
 		latest, removed, registered := map[string]int64{}, map[string]int64{}, map[string]*Backend{}
 		remove := func(name string) {
 			removed[name] = max(removed[name], registered[name].Born)
@@ -147,9 +152,11 @@
 				latest[name] = max(latest[name], startTime)
 			case 2:
 				apply(t, m, Command{RemoveBackend: &RemoveBackend{Name: name, LatestBirth: startTime}})
-				if registered[name] != nil {
+				wasRegistered := registered[name] != nil
+				if wasRegistered {
 					remove(name)
-				} else {
+				}
+				if !wasRegistered || coversAllStarted {
 					removed[name] = max(removed[name], startTime)
 				}
 			case 3:
--- a/directory/version.go
+++ b/directory/version.go
@@ -16,8 +16,11 @@
 	ReturnVersion uint64 = 1
 	// CrashReportVersion is the first version with quarantine.Crash.Exact.
 	CrashReportVersion uint64 = 2
+	// DepartureVersion is the first version in which a departure covers all incarnations that had started,
+	// whichever of them is registered.
+	DepartureVersion uint64 = 3
 	// KnownVersion is the newest version that this build supports.
-	KnownVersion = CrashReportVersion
+	KnownVersion = DepartureVersion
 )
 
 // ErrUnknownVersion is returned if the state uses a version that this build does not support.
