directory: a departure is acknowledged only once the state holds it

Cause, suspected for the users' play: a draining heartbeat was dropped like any other if an earlier heartbeat of its incarnation had a higher sequence number, and if another backend held its address, and was acknowledged all the same. Dropped heartbeats also made the backend silent, so that it was used only after all others had failed, which is what the record shows; the acknowledgement took 2 ms where a commit takes 7.7 or more. A backend whose sequence numbers stay lower than one of its earlier ones counts as running from its second such heartbeat on.

--- a/server/backend_return.go
+++ b/server/backend_return.go
@@ -15,32 +15,35 @@
 // together.
 const minReturnIntervals = 0.75
 
-// returnTracker tracks heartbeats of backends that were removed as silent. Such a backend is running if
+// livenessTracker tracks heartbeats that may be late ones of a backend that has ended: of backends that were
+// removed as silent, and those with a lower sequence number than an earlier one. The backend is running if
 // another heartbeat follows after at least minReturnIntervals. It is safe for concurrent use.
-type returnTracker struct {
+type livenessTracker struct {
 	mutex sync.Mutex
 	// heartbeats is keyed by backend ID.
-	heartbeats map[string]returnHeartbeats
+	heartbeats map[string]observedHeartbeats
 }
 
-type returnHeartbeats struct {
+type observedHeartbeats struct {
 	// firstAt is when the first heartbeat arrived, and lastAt when the latest did.
 	firstAt, lastAt time.Time
 	firstSequence   uint64
 }
 
-func newReturnTracker() *returnTracker {
-	return &returnTracker{heartbeats: map[string]returnHeartbeats{}}
+func newLivenessTracker() *livenessTracker {
+	return &livenessTracker{heartbeats: map[string]observedHeartbeats{}}
 }
 
 // record records a heartbeat and reports whether it confirms that the backend is running.
-func (r *returnTracker) record(now time.Time, id string, sequence uint64, interval time.Duration) bool {
+func (r *livenessTracker) record(now time.Time, id string, sequence uint64, interval time.Duration) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	maps.DeleteFunc(r.heartbeats, func(_ string, entry returnHeartbeats) bool { return now.Sub(entry.lastAt) > silentHeartbeats*interval })
+	maps.DeleteFunc(r.heartbeats, func(_ string, entry observedHeartbeats) bool {
+		return now.Sub(entry.lastAt) > silentHeartbeats*interval
+	})
 	entry, known := r.heartbeats[id]
 	if !known {
-		r.heartbeats[id] = returnHeartbeats{firstAt: now, lastAt: now, firstSequence: sequence}
+		r.heartbeats[id] = observedHeartbeats{firstAt: now, lastAt: now, firstSequence: sequence}
 		return false
 	}
 	entry.lastAt = now
@@ -49,7 +52,7 @@
 }
 
 // forget drops the heartbeats recorded for the backend.
-func (r *returnTracker) forget(id string) {
+func (r *livenessTracker) forget(id string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	delete(r.heartbeats, id)
@@ -83,6 +86,8 @@
 				Uint("draining", boolToUint(backend.Draining)).Uint("sequence", heartbeat.Sequence).Send()
 		}
 		return directory.Command{PutBackend: &backend}, true
+	case backend.Draining:
+		return d.departureCommand(registration, backend)
 	case d.isReturning(registration, heartbeat):
 		return directory.Command{ReturnBackend: &backend}, true
 	}
--- a/server/backend_return_test.go
+++ b/server/backend_return_test.go
@@ -102,7 +102,7 @@
 	const interval = time.Second
 	start := time.UnixMilli(0)
 	minGap := time.Duration(minReturnIntervals * float64(interval))
-	tracker := newReturnTracker()
+	tracker := newLivenessTracker()
 	require.False(t, tracker.record(start, "a", 7, interval))
 	require.False(t, tracker.record(start.Add(minGap-1), "a", 8, interval), "too close together")
 	require.False(t, tracker.record(start.Add(minGap), "a", 7, interval), "the same heartbeat again")
--- a/server/directory.go
+++ b/server/directory.go
@@ -90,9 +90,11 @@
 	usage         *usageAggregator
 	duties        *dutyCoordinator
 	versions      *versionCoordinator
-	returns       *returnTracker
-	scale         *scaleController
-	stalls        stallDetector
+	// returns tracks backends that were removed as silent, and outdated those whose sequence numbers are lower
+	// than before.
+	returns, outdated *livenessTracker
+	scale             *scaleController
+	stalls            stallDetector
 	// invalidReports and ignoredReports limit the log lines about heartbeats without effect.
 	invalidReports, ignoredReports heartbeatLog
 	// suspects is used only by review.
@@ -131,7 +133,7 @@
 		metrics: d.metrics, logger: logger,
 	}
 	d.versions = newVersionCoordinator(settings.InternalAddress, r, machine, logger)
-	d.returns = newReturnTracker()
+	d.returns, d.outdated = newLivenessTracker(), newLivenessTracker()
 	d.scale = &scaleController{settings: settings, duties: d.duties, client: client, metrics: d.metrics, logger: logger}
 	d.scale.reset()
 	d.registrations = &batcher[Heartbeat]{process: d.registerAll}
--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -175,7 +175,7 @@
 	case call.Leave != "":
 		event.BackendDeregistered.On(d.logger).Str("backend", call.Leave).Int("born", call.LeaveBorn).Send()
 		_, err = d.execute(ctx, directory.Command{RemoveBackend: &directory.RemoveBackend{
-			Name: call.Leave, Born: call.LeaveBorn, LatestBirth: d.latestStartTime() - maxStartTimeSkew.Milliseconds(),
+			Name: call.Leave, Born: call.LeaveBorn, LatestBirth: d.currentTime(),
 		}})
 	case call.Put != nil:
 		err = d.handlePut(ctx, call.Put, answer)
--- a/server/heartbeat.go
+++ b/server/heartbeat.go
@@ -48,6 +48,14 @@
 	return true
 }
 
+// beginSeries records a heartbeat from which on the backend's sequence numbers are lower than before.
+func (h *heartbeats) beginSeries(now time.Time, id string, sequence uint64) {
+	h.mutex.Lock()
+	delete(h.sequences, id)
+	h.mutex.Unlock()
+	h.record(now, id, sequence)
+}
+
 // newestSequence returns the highest sequence number of the backend's recorded heartbeats.
 func (h *heartbeats) newestSequence(id string) uint64 {
 	h.mutex.Lock()
@@ -106,9 +114,7 @@
 	registered, isRegistered := d.view.Load().Backend(heartbeat.Backend.ID)
 	heartbeat.mergeRegisteredModels(registered)
 	if isRegistered && sameRegistration(registered, heartbeat.Backend) && d.isReportingToLeader() {
-		if !d.heartbeats.record(clock.Now(), heartbeat.Backend.ID, heartbeat.Sequence) {
-			d.logIgnored(heartbeat, ignoredOutdated)
-		}
+		d.recordHeartbeat(heartbeat)
 		return d.settings.InternalAddress, nil
 	}
 	err := d.registrations.do(ctx, heartbeat)
@@ -169,24 +175,40 @@
 	return err
 }
 
-// recordHeartbeats records heartbeats on the leader, and returns those that are valid and not outdated.
+// recordHeartbeats records heartbeats on the leader, and returns those that are valid and not outdated. The
+// departure of a backend is never outdated.
 func (d *Directory) recordHeartbeats(heartbeats []Heartbeat) []Heartbeat {
-	now, latestStartTime := clock.Now(), d.latestStartTime()
+	latestStartTime := d.latestStartTime()
 	var current []Heartbeat
 	for _, heartbeat := range heartbeats {
 		if heartbeat.Backend.Born > latestStartTime {
 			d.RecordInvalidHeartbeat(InvalidHeartbeat{Backend: heartbeat.Backend.ID, Field: "born", Reason: "in the future"})
 			continue
 		}
-		if !d.heartbeats.record(now, heartbeat.Backend.ID, heartbeat.Sequence) {
-			d.logIgnored(heartbeat, ignoredOutdated)
-			continue
+		if d.recordHeartbeat(heartbeat) || heartbeat.Backend.Draining {
+			current = append(current, heartbeat)
 		}
-		current = append(current, heartbeat)
 	}
 	return current
 }
 
+// recordHeartbeat records a heartbeat, and returns false for one that is outdated. If further ones follow with
+// lower sequence numbers, the backend is running, and these count from then on: otherwise one wrong number would
+// make it silent for as long as it runs.
+func (d *Directory) recordHeartbeat(heartbeat Heartbeat) bool {
+	now, id := clock.Now(), heartbeat.Backend.ID
+	if d.heartbeats.record(now, id, heartbeat.Sequence) {
+		return true
+	}
+	if d.outdated.record(now, id, heartbeat.Sequence, d.settings.HeartbeatInterval) {
+		d.heartbeats.beginSeries(now, id, heartbeat.Sequence)
+		d.outdated.forget(id)
+		return true
+	}
+	d.logIgnored(heartbeat, ignoredOutdated)
+	return false
+}
+
 // registrationState is the machine's state that concerns a backend.
 type registrationState struct {
 	// registered is the incarnation registered under the backend's name, and addressHolder the backend
@@ -243,12 +265,14 @@
 const maxStartTimeSkew = time.Minute
 
 // latestStartTime returns the latest valid start time of a backend, in milliseconds since 1970.
-func (d *Directory) latestStartTime() int64 {
-	now := time.Now().UnixMilli()
+func (d *Directory) latestStartTime() int64 { return d.currentTime() + maxStartTimeSkew.Milliseconds() }
+
+// currentTime returns the time of day by the clocks of several machines, in milliseconds since 1970.
+func (d *Directory) currentTime() int64 {
 	if offset, ok := d.usage.clock.Offset(nowMillis()); ok {
-		now = nowMillis() + offset
+		return nowMillis() + offset
 	}
-	return now + maxStartTimeSkew.Milliseconds()
+	return time.Now().UnixMilli()
 }
 
 // reportToLeader reports the backends that this replica has received heartbeats from. It also reports this
