platform, forward: bytes without end are no answer

A body without end was read up to 64 MiB for each request, which the process's memory doesn't hold, and was then delivered, cut off, as a whole answer; a line without end in a stream was kept without a bound; a refusal with a body without end counted as a refusal. Cause: no bound on what is read for one answer that fits the memory of the process, and none on all together. Lines of a stream are read up to the largest event.

--- a/forward/events.go
+++ b/forward/events.go
@@ -52,11 +52,11 @@
 func (r *EventReader) Next() (Event, error) {
 	var event Event
 	for {
-		line, err := r.reader.ReadBytes('\n')
+		line, err := r.readLine(MaxEventBytes - len(event.Raw))
 		if err == io.EOF && len(line) == 0 && len(event.Raw) == 0 {
 			return event, io.EOF
 		}
-		if err != nil || len(event.Raw)+len(line) > MaxEventBytes {
+		if err != nil {
 			return event, ErrTruncated
 		}
 		event.Raw = append(event.Raw, line...)
@@ -72,3 +72,22 @@
 		}
 	}
 }
+
+// errLineTooLong is returned for a line over the limit.
+var errLineTooLong = errors.New("line too long")
+
+// readLine returns the next line with its line feed. It reads no further than the limit, in bytes: a faulty
+// backend may send bytes without end and without a line feed.
+func (r *EventReader) readLine(limit int) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		if len(line)+len(part) > limit {
+			return nil, errLineTooLong
+		}
+		line = append(line, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
