Items under which servers crashed are owed: no quarantine, no one at a time

What callers saw (in the users' report, from a system like theirs): a sound item of a batch job or of a trainer's step, under which several servers had died in a burst of crashes, was never placed again (LOST). Change: samples and reward calls are neither quarantined nor postponed nor run one at a time; repeated crashes delay a sample by 0.1 to 1.6 s. Callers' requests are quarantined as before.

--- a/event/event.go
+++ b/event/event.go
@@ -128,7 +128,6 @@
 	RunnerDisconnected      = Event{6022, zerolog.WarnLevel, "connection to a runner lost"}
 	OrphanedRunsEnded       = Event{6023, zerolog.WarnLevel, "runs ended because no leader claimed them"}
 	RunAdopted              = Event{6024, zerolog.InfoLevel, "run of an earlier leader adopted"}
-	SampleQuarantined       = Event{6025, zerolog.WarnLevel, "sample that crashes engines quarantined"}
 	FailuresRecorded        = Event{6026, zerolog.InfoLevel, "failure counts of a sample recorded"}
 	EngineRestarted         = Event{6027, zerolog.WarnLevel, "engine has restarted since it was registered"}
 
@@ -154,7 +153,7 @@
 	PeerUnreachable, PeerReachable, MalformedStream, ForeignResponse,
 	HTTPServerFailed, LogLinesDropped, ReloadRequested, SettingsApplied, SettingsRejected, ProcessStalled, BootClockUnavailable,
 	BackendRegistered, BackendDeregistered, BackendSilent, BackendRemoved, ConfigurationSubmitted, ConfigurationRejected, WeightsPublished, StoreRegistered, GroupFormed, RetireRequested, ConfigurationApplied, DirectoryReachable, DirectoryUnreachable, CallFailed, UsageReported, UsageUpdateFailed, UsageSendFailed, AddressConflict, CrashReported, TrialOffered, TrialStarted, QuarantineCallFailed, LeaderUpdateFailed, StaleHeartbeatIgnored, InvalidHeartbeatIgnored, CapacityPlanned, ScalingOrderFinished, ScalingResultNotRecorded, DemandSendFailed, WatchesSuspended, WatchesResumed, CopyRefreshed, CopyStale, BackendReturned, CommandVersionChanged, CommandVersionPending, MemberOutdated, BuildsChanged, HeartbeatIgnored, LeaveAcknowledged,
-	StepSubmitted, StepResubmitted, StepEnded, SampleStarted, SampleRunEnded, SampleFailed, ResultsRecorded, LoadOrdered, LoadEnded, SampleTextReused, SampleMoved, TextsCheckpointed, StepCompleted, SpeculativeRunPromoted, SpeculativeRunCancelled, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkClosed, RunnerConnected, RunnerDisconnected, OrphanedRunsEnded, RunAdopted, SampleQuarantined, FailuresRecorded, EngineRestarted, GroupsDeferred,
+	StepSubmitted, StepResubmitted, StepEnded, SampleStarted, SampleRunEnded, SampleFailed, ResultsRecorded, LoadOrdered, LoadEnded, SampleTextReused, SampleMoved, TextsCheckpointed, StepCompleted, SpeculativeRunPromoted, SpeculativeRunCancelled, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkClosed, RunnerConnected, RunnerDisconnected, OrphanedRunsEnded, RunAdopted, FailuresRecorded, EngineRestarted, GroupsDeferred,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, LocalReplicaUnavailable, RequestQuarantined, LimitStarted, LimitEnded,
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -21,6 +21,9 @@
 	ID string
 	// StableID is set on a request whose retries by the caller have the same ID.
 	StableID bool
+	// IsOwed is set on a request that belongs to accepted work. Such a request is sound, whatever crashed while it
+	// ran, so it is neither quarantined nor postponed.
+	IsOwed bool
 
 	Method string
 	Host   string
@@ -434,7 +437,7 @@
 	e.result.Attempts++
 	e.result.recordStart(backend.ID)
 	e.pending++
-	verdict := e.verdict
+	verdict, isSuspect := e.verdict, e.isSuspect()
 	go func() {
 		started := time.Now()
 		attempt := e.forwarder.client.Send(ctx, backend, e.request)
@@ -442,7 +445,7 @@
 		latency := time.Since(started)
 		e.forwarder.recordAttempt(backend, attempt, latency, ctx.Err() != nil)
 		e.forwarder.admissionControl.observe(ctx, backend, attempt, latency)
-		if verdict.IsSuspect() {
+		if isSuspect {
 			e.forwarder.releaseSuspect(backend.ID)
 		}
 		e.attemptResults <- attemptResult{attempt: attempt, backend: backend}
--- a/scheduler/assign_pass.go
+++ b/scheduler/assign_pass.go
@@ -22,10 +22,13 @@
 	if len(a.assignments) == a.freeSlots {
 		return false
 	}
+	if a.now < task.retryAt {
+		return false
+	}
 	s := a.scheduler
 	services, ok := a.servicesOf(task)
 	required := requirementsOf(task, services)
-	if !ok || a.unplaceable[required] || s.runsSuspectedKind(task) {
+	if !ok || a.unplaceable[required] {
 		return false
 	}
 	backend, result := s.place(a.now, task, services, a.inTimeOnly)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -54,23 +54,6 @@
 	})
 }
 
-// runsSuspectedKind reports whether the task's kind is suspected and another sample of it is
-// running. Samples of a suspected kind run one at a time until one of them completes.
-func (s *Scheduler) runsSuspectedKind(task *Task) bool {
-	if !task.KindSuspected {
-		return false
-	}
-	kind := task.Subject().Kind
-	for _, e := range s.engines {
-		for other := range e.running {
-			if other.KindSuspected && other.Subject().Kind == kind {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // countFreeSlots returns the number of free slots on available engines and updates freeEngines.
 func (s *Scheduler) countFreeSlots(now int64) int {
 	slots := 0
--- a/scheduler/run_end.go
+++ b/scheduler/run_end.go
@@ -62,6 +62,9 @@
 	case Rejected:
 		e.recordRejection(now)
 	case Broken, Crashed, Unreachable, Misdirected:
+		if end == Crashed {
+			task.recordCrash(now)
+		}
 		if !task.moving {
 			e.recordFailure(now)
 		}
@@ -75,6 +78,23 @@
 	return true
 }
 
+const (
+	// minCrashBackoffMillis is the delay of a sample after the second crash of an engine that ran it. The delay
+	// doubles with each further one, maxCrashBackoffDoublings times at most. It limits what a sample can cost the
+	// engines, and leaves it time to run well before its step is due.
+	minCrashBackoffMillis    = 100
+	maxCrashBackoffDoublings = 4
+)
+
+// recordCrash delays the task's next run after repeated crashes. A single crash does not delay it.
+func (task *Task) recordCrash(now int64) {
+	task.crashes++
+	if task.crashes > 1 {
+		backoff := int64(minCrashBackoffMillis) << min(task.crashes-2, maxCrashBackoffDoublings)
+		task.retryAt = now + backoff
+	}
+}
+
 // observeTokenTime updates the average time per token with a run that produced a complete text.
 func (s *Scheduler) observeTokenTime(now int64, task *Task) {
 	if task.startedAfter > 0 {
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -94,9 +94,10 @@
 	// dueExtension is how much later than the step's due time the plan expects the group, in
 	// milliseconds.
 	dueExtension float64
-	// KindSuspected is set by the caller while the sample's kind is suspected of crashing engines:
-	// engines have crashed running it and no sample of the kind has completed since.
-	KindSuspected bool
+	// crashes counts the engines that crashed while they ran the task under this leader, and retryAt is the earliest
+	// time of its next run.
+	crashes int
+	retryAt int64
 	// needed is set if the trainer waits for the task's group.
 	needed bool
 	// counted is set once the step's progress counts the task as finished.
--- a/server/active_run.go
+++ b/server/active_run.go
@@ -20,9 +20,8 @@
 	// stallTimer cancels the run if its engine sends nothing for stallTimeout.
 	stallTimer   *time.Timer
 	stallTimeout time.Duration
-	// verdict is the verdict on the sample when the run began. isTrial is set if the run used a permit.
+	// verdict is the verdict on the sample when the run began, with which a crash is reported.
 	verdict quarantine.Verdict
-	isTrial bool
 
 	// mutex guards the fields below and serializes batches with the end of the run.
 	mutex sync.Mutex
@@ -46,10 +45,8 @@
 	if l.scheduler.IsLoading(assignment.Backend.ID, task.Step.Model) {
 		timeout = loadStallTimeout
 	}
-	verdict, isTrial := l.checkBeforeRun(task)
-	task.KindSuspected = verdict.KnownKindCrashes > 0
 	return &activeRun{
-		verdict: verdict, isTrial: isTrial, leadership: l, assignment: assignment, context: ctx, cancel: cancel, progress: progress,
+		verdict: l.checkBeforeRun(task), leadership: l, assignment: assignment, context: ctx, cancel: cancel, progress: progress,
 		stallTimer: time.AfterFunc(timeout, cancel), stallTimeout: timeout,
 	}
 }
@@ -90,9 +87,6 @@
 	switch {
 	case end == scheduler.Complete && !guard.IsIdle():
 		guard.RecordResponse(subject())
-	case r.isTrial && (end == scheduler.Rejected || end == scheduler.Misdirected || end == scheduler.Unreachable):
-		// The sample did not run, so the trial remains available.
-		guard.Permit(subject().Content)
 	case end == scheduler.Crashed:
 		guard.RecordCrash(subject(), r.assignment.Backend.ID, r.verdict)
 	}
--- a/server/demand.go
+++ b/server/demand.go
@@ -8,7 +8,6 @@
 	"github.com/dillchute/dillchute/capacity"
 	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/event"
-	"github.com/dillchute/dillchute/scheduler"
 )
 
 const (
@@ -30,7 +29,7 @@
 // demands returns the demand of the open steps for each scalable service.
 func (l *leadership) demands() []capacity.Demand {
 	reported := map[string]bool{}
-	demands := slices.DeleteFunc(l.scheduler.Demand(nowMillis(), l.servicesNeededBy), func(demand capacity.Demand) bool {
+	demands := slices.DeleteFunc(l.scheduler.Demand(nowMillis(), l.routedServices), func(demand capacity.Demand) bool {
 		return l.catalog.Services[demand.Service].Scale == nil
 	})
 	for _, demand := range demands {
@@ -45,15 +44,6 @@
 	return demands
 }
 
-// servicesNeededBy returns the services that the task needs. It has no side effects: in particular it
-// requests no trial for a quarantined sample.
-func (l *leadership) servicesNeededBy(task *scheduler.Task) ([]string, bool) {
-	if task.State == scheduler.Waiting && !l.guard.IsIdle() && l.guard.CheckSubject(task.Subject()).Quarantined {
-		return nil, false
-	}
-	return l.routedServices(task)
-}
-
 func (l *leadership) sendDemand(demands []capacity.Demand) {
 	ctx, cancel := context.WithTimeout(l.context, demandTimeout)
 	defer cancel()
--- a/server/executor.go
+++ b/server/executor.go
@@ -82,9 +82,8 @@
 		Executor: x, context: leaderContext, replica: r, machine: machine, term: term,
 		loop: eventloop.New(), scheduler: scheduler.New(),
 		cancels: map[*scheduler.Task]context.CancelFunc{}, progress: map[*scheduler.Task]*runProgress{},
-		checkpointed: map[*scheduler.Task]uint64{}, knownSteps: map[string]bool{}, rewardLimiter: newRewardLimiter(), kindLocks: newKindLocks(),
+		checkpointed: map[*scheduler.Task]uint64{}, knownSteps: map[string]bool{}, rewardLimiter: newRewardLimiter(),
 		workingSets: map[string]*scheduler.WorkingSet{},
-		quarantined: map[quarantine.Fingerprint]bool{}, requestingTrial: map[quarantine.Fingerprint]bool{},
 	}
 	l.runners = runner.NewPool(leaderContext, term, l.adoptRuns, x.logger)
 	l.deferLoads()
--- a/server/leadership.go
+++ b/server/leadership.go
@@ -10,7 +10,6 @@
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/eventloop"
 	"github.com/dillchute/dillchute/ledger"
-	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/replica"
 	"github.com/dillchute/dillchute/runner"
 	"github.com/dillchute/dillchute/scheduler"
@@ -38,9 +37,6 @@
 	selectedForSamples int
 	usedBefore         map[string]bool
 	cancels            map[*scheduler.Task]context.CancelFunc
-	// quarantined holds the samples already logged as quarantined, requestingTrial those with an open
-	// request for a trial.
-	quarantined, requestingTrial map[quarantine.Fingerprint]bool
 	// progress holds the output of each active run.
 	progress map[*scheduler.Task]*runProgress
 	// checkpointed holds the number of events of each task's text that the ledger has stored.
@@ -63,8 +59,6 @@
 	knownSteps map[string]bool
 	// rewardLimiter limits concurrent reward calls.
 	rewardLimiter *rewardLimiter
-	// kindLocks serializes reward calls of suspected kinds.
-	kindLocks *kindLocks
 	// recordedPaces are the paces stored in the ledger.
 	recordedPaces  map[string]float64
 	pacesCheckedAt time.Time
@@ -263,7 +257,7 @@
 	if !l.runners.Ready() || l.freshness.isStale(now) || !l.copyIsCurrent(now) {
 		return nil
 	}
-	for _, assignment := range l.scheduler.Assign(now, l.servicesOf) {
+	for _, assignment := range l.scheduler.Assign(now, l.routedServices) {
 		l.startRun(assignment)
 	}
 	return nil
@@ -284,15 +278,6 @@
 	}
 }
 
-// servicesOf returns the services that may run the task's sample now.
-func (l *leadership) servicesOf(task *scheduler.Task) ([]string, bool) {
-	if l.isQuarantined(task) {
-		return nil, false
-	}
-	services, ok := l.routedServices(task)
-	return services, ok && !l.isPostponed(task, services)
-}
-
 // routedServices returns the services of the task's route, and whether a route exists.
 func (l *leadership) routedServices(task *scheduler.Task) ([]string, bool) {
 	path, _, _ := strings.Cut(task.Sample.Path, "?")
--- a/server/quarantined_sample.go
+++ b/server/quarantined_sample.go
@@ -4,63 +4,21 @@
 	"context"
 
 	"github.com/dillchute/dillchute/directory"
-	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/runner"
 	"github.com/dillchute/dillchute/scheduler"
 )
 
-// isQuarantined reports whether the task's sample is quarantined. If a trial is offered, it starts a request
-// for it outside the event loop.
-func (l *leadership) isQuarantined(task *scheduler.Task) bool {
-	if l.guard.IsIdle() {
-		return false
-	}
-	verdict := l.guard.CheckSubject(task.Subject())
-	if !verdict.Quarantined {
-		return false
-	}
-	if !l.quarantined[verdict.Subject.Content] {
-		l.quarantined[verdict.Subject.Content] = true
-		event.SampleQuarantined.On(l.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).Str("content", string(verdict.Fingerprint)).Send()
-	}
-	if verdict.TrialOffered && !l.requestingTrial[verdict.Fingerprint] {
-		l.requestingTrial[verdict.Fingerprint] = true
-		go l.requestTrial(verdict)
-	}
-	return true
-}
-
-// isPostponed reports whether the task's sample is a suspect that must wait, because too many backends
-// are unavailable after crashes.
-func (l *leadership) isPostponed(task *scheduler.Task, services []string) bool {
-	if l.guard.IsIdle() {
-		task.KindSuspected = false
-		return false
-	}
-	verdict := l.guard.CheckSubject(task.Subject())
-	task.KindSuspected = verdict.KnownKindCrashes > 0
-	return verdict.IsSuspect() && l.forwarder.PostponesSuspects(l.catalog, services)
-}
-
-// requestTrial requests a trial and permits the sample if it is granted. A trial of a kind permits no other
-// sample.
-func (l *leadership) requestTrial(verdict quarantine.Verdict) {
-	if l.guard.TakeTrial(l.context, verdict.Fingerprint) {
-		l.guard.Permit(verdict.Subject.Content)
-	}
-	l.loop.Submit(func() { delete(l.requestingTrial, verdict.Fingerprint) })
-}
+// A sample is owed once its step is accepted, and so is its reward call. Neither crashes what runs it by itself, so
+// crashes delay it by a backoff at most; see Scheduler.RunEnded. They are reported all the same, so that other
+// processes avoid the backends that crashed.
 
-// checkBeforeRun returns the verdict on a sample that is about to run, and whether the run is a trial,
-// which uses up its permit.
-func (l *leadership) checkBeforeRun(task *scheduler.Task) (verdict quarantine.Verdict, trial bool) {
+// checkBeforeRun returns the verdict on a sample that is about to run.
+func (l *leadership) checkBeforeRun(task *scheduler.Task) quarantine.Verdict {
 	if l.guard.IsIdle() {
-		return quarantine.Verdict{}, false
+		return quarantine.Verdict{}
 	}
-	subject := task.Subject()
-	trial = l.guard.UsePermit(subject.Content)
-	return l.guard.CheckSubject(subject), trial
+	return l.guard.CheckSubject(task.Subject())
 }
 
 // guardedEngine runs samples and records which of them crash their engines. It belongs to the runner and
--- a/server/reschedule.go
+++ b/server/reschedule.go
@@ -18,7 +18,7 @@
 		l.scheduler.ObserveRun(at, task, events)
 	}
 	l.scheduler.UpdatePaces()
-	for _, move := range l.scheduler.ChooseMoves(now, l.servicesOf) {
+	for _, move := range l.scheduler.ChooseMoves(now, l.routedServices) {
 		event.SampleMoved.On(l.logger).Str("sample", move.Task.Sample.ID).Str("engine", move.From).Str("to", move.To).
 			Uint("pace", micros(move.FromPace)).Uint("to_pace", micros(move.ToPace)).Uint("expected", uint64(move.ExpectedEvents)).Send()
 		l.cancel(move.Task)
@@ -43,7 +43,7 @@
 		event.SpeculativeRunCancelled.On(l.logger).Str("sample", task.Sample.ID).Str("step", task.Step.ID).Send()
 		l.cancel(task)
 	}
-	for _, assignment := range l.scheduler.StartSpeculative(nowMillis(), l.servicesOf) {
+	for _, assignment := range l.scheduler.StartSpeculative(nowMillis(), l.routedServices) {
 		l.startRun(assignment)
 	}
 }
--- a/server/score.go
+++ b/server/score.go
@@ -102,20 +102,12 @@
 	return "", rewardCancelled
 }
 
-// sendReward sends the call once. A call of a suspected kind is postponed while another one of that kind is
-// active.
+// sendReward sends the call once. Its sample is owed, and so is the call.
 func (l *leadership) sendReward(ctx context.Context, catalog *directory.Catalog, route routing.Route, reward *ledger.Reward) forward.Result {
 	timeout := time.Duration(route.TimeoutMillis) * time.Millisecond
 	request := &forward.Request{
-		ID: reward.ID, StableID: true, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
+		ID: reward.ID, StableID: true, IsOwed: true, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
 		Header: http.Header{}, Body: reward.Body, Deadline: clock.Now().Add(timeout),
 	}
-	if verdict := l.guard.CheckContent(request.Content()); verdict.KnownKindCrashes > 0 {
-		kind := verdict.Subject.Kind
-		if !l.kindLocks.tryLock(kind) {
-			return forward.Result{Reason: forward.Postponed}
-		}
-		defer l.kindLocks.unlock(kind)
-	}
 	return l.forwarder.Do(ctx, catalog, route, request)
 }
