server: a reward call is sent by what the directory says after its wait, and slow ones are logged

Cause: a call read its route and backends before it waited for its place, which can take seconds, and was sent by them after that: to a service that the configuration had replaced, or to backends that were all gone. Nothing was logged. Change: the copy is read again after the wait.

--- a/event/event.go
+++ b/event/event.go
@@ -131,6 +131,8 @@
 	FailuresRecorded        = Event{6026, zerolog.InfoLevel, "failure counts of a sample recorded"}
 	EngineRestarted         = Event{6027, zerolog.WarnLevel, "engine has restarted since it was registered"}
 
+	RewardDelayed = Event{6028, zerolog.InfoLevel, "reward call did not score its sample at once"}
+
 	GroupsDeferred = Event{6035, zerolog.InfoLevel, "groups deferred; not all open groups can complete in time"}
 
 	RequestEnded            = Event{7001, zerolog.InfoLevel, "request ended"}
@@ -153,7 +155,7 @@
 	PeerUnreachable, PeerReachable, MalformedStream, ForeignResponse,
 	HTTPServerFailed, LogLinesDropped, ReloadRequested, SettingsApplied, SettingsRejected, ProcessStalled, BootClockUnavailable,
 	BackendRegistered, BackendDeregistered, BackendSilent, BackendRemoved, ConfigurationSubmitted, ConfigurationRejected, WeightsPublished, StoreRegistered, GroupFormed, RetireRequested, ConfigurationApplied, DirectoryReachable, DirectoryUnreachable, CallFailed, UsageReported, UsageUpdateFailed, UsageSendFailed, AddressConflict, CrashReported, TrialOffered, TrialStarted, QuarantineCallFailed, LeaderUpdateFailed, StaleHeartbeatIgnored, InvalidHeartbeatIgnored, CapacityPlanned, ScalingOrderFinished, ScalingResultNotRecorded, DemandSendFailed, WatchesSuspended, WatchesResumed, CopyRefreshed, CopyStale, BackendReturned, CommandVersionChanged, CommandVersionPending, MemberOutdated, BuildsChanged, HeartbeatIgnored, LeaveAcknowledged,
-	StepSubmitted, StepResubmitted, StepEnded, SampleStarted, SampleRunEnded, SampleFailed, ResultsRecorded, LoadOrdered, LoadEnded, SampleTextReused, SampleMoved, TextsCheckpointed, StepCompleted, SpeculativeRunPromoted, SpeculativeRunCancelled, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkClosed, RunnerConnected, RunnerDisconnected, OrphanedRunsEnded, RunAdopted, FailuresRecorded, EngineRestarted, GroupsDeferred,
+	StepSubmitted, StepResubmitted, StepEnded, SampleStarted, SampleRunEnded, SampleFailed, ResultsRecorded, LoadOrdered, LoadEnded, SampleTextReused, SampleMoved, TextsCheckpointed, StepCompleted, SpeculativeRunPromoted, SpeculativeRunCancelled, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkClosed, RunnerConnected, RunnerDisconnected, OrphanedRunsEnded, RunAdopted, FailuresRecorded, EngineRestarted, RewardDelayed, GroupsDeferred,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, LocalReplicaUnavailable, RequestQuarantined, LimitStarted, LimitEnded,
 }
 
--- a/server/executor.go
+++ b/server/executor.go
@@ -48,6 +48,8 @@
 	// planCounts counts the open groups by their rank in the leader's latest plan, or is nil on other
 	// replicas.
 	planCounts atomic.Pointer[scheduler.PlanCounts]
+	// rewards limits the reward calls of the current leadership, or is nil on other replicas.
+	rewards atomic.Pointer[rewardLimiter]
 }
 
 func newExecutor(settings config.Ledger, watcher *Watcher, engines EngineClient, backends forward.Client, metrics ledgerMetrics, logger *zerolog.Logger) *Executor {
@@ -85,6 +87,7 @@
 		checkpointed: map[*scheduler.Task]uint64{}, knownSteps: map[string]bool{}, rewardLimiter: newRewardLimiter(),
 		workingSets: map[string]*scheduler.WorkingSet{},
 	}
+	x.rewards.Store(l.rewardLimiter)
 	l.runners = runner.NewPool(leaderContext, term, l.adoptRuns, x.logger)
 	l.deferLoads()
 	l.restoreHistory()
@@ -94,4 +97,5 @@
 	l.loop.Run(leaderContext, executorTickInterval, l.tick, l.flush)
 	x.openRunners.Store(0)
 	x.planCounts.Store(nil)
+	x.rewards.Store(nil)
 }
--- a/server/reward_limit.go
+++ b/server/reward_limit.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/routing"
 )
@@ -92,6 +94,20 @@
 	limiter.admit()
 }
 
+// counts returns the number of active and of waiting calls, by route.
+func (l *rewardLimiter) counts() map[string]rewardCounts {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	counts := make(map[string]rewardCounts, len(l.routes))
+	for route, limiter := range l.routes {
+		counts[route] = rewardCounts{active: limiter.active, waiting: len(limiter.waiting)}
+	}
+	return counts
+}
+
+// rewardCounts are the active and the waiting reward calls on a route.
+type rewardCounts struct{ active, waiting int }
+
 // admit admits waiting calls up to the limit. The limiter's mutex must be held.
 func (r *routeLimiter) admit() {
 	for r.active < r.limit && len(r.waiting) > 0 {
@@ -100,3 +116,16 @@
 		r.waiting = r.waiting[1:]
 	}
 }
+
+// collectRewards emits the numbers of active and waiting reward calls on the leader.
+func (x *Executor) collectRewards(emit chan<- prometheus.Metric) {
+	limiter := x.rewards.Load()
+	if limiter == nil {
+		return
+	}
+	for route, counts := range limiter.counts() {
+		const name, help = "ledger_reward_calls", "On a leader, reward calls that have a place and those that wait for one, by route."
+		gauge(emit, name, help, float64(counts.active), "route", route, "state", "active")
+		gauge(emit, name, help, float64(counts.waiting), "route", route, "state", "waiting")
+	}
+}
--- a/server/role_metrics.go
+++ b/server/role_metrics.go
@@ -151,6 +151,7 @@
 	}
 	gauge(emit, "ledger_runners_open", "On a leader, stores that can hold streams of runs for it.", float64(l.executor.openRunners.Load()))
 	l.executor.collectPlan(emit)
+	l.executor.collectRewards(emit)
 	gauge(emit, "runner_runs", "Runs whose streams this store holds for the leader.", float64(l.runnerServer.ActiveRuns()))
 }
 
--- a/server/score.go
+++ b/server/score.go
@@ -8,6 +8,7 @@
 
 	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/forward"
 	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/routing"
@@ -75,24 +76,18 @@
 // callReward retries the reward call until it succeeds or has failed as often as its route allows. The
 // failures under earlier leaders count, too.
 func (l *leadership) callReward(ctx context.Context, task *scheduler.Task, failures int) (score string, outcome rewardOutcome) {
-	reward := task.Sample.Reward
 	for ctx.Err() == nil {
-		catalog := l.watcher.Catalog()
-		path, _, _ := strings.Cut(reward.Path, "?")
-		route, ok := catalog.Table.Match(reward.Host, path)
-		if ok && l.rewardLimiter.acquire(ctx, route.Key(), maxRewardCalls(catalog, route)) {
-			result := l.sendReward(ctx, catalog, route, reward)
-			l.rewardLimiter.release(route.Key())
-			if result.Response != nil && result.Response.Status/100 == 2 {
-				return result.Response.Signature, rewardScored
-			}
-			failures += result.Failures
-			if failures >= max(route.Attempts, 1) {
-				return "", rewardFailed
-			}
-			if result.Failures > 0 {
-				l.loop.Submit(func() { l.recordRewardFailures(task, failures) })
-			}
+		attempt := l.attemptReward(ctx, task)
+		l.recordRewardAttempt(task, attempt)
+		if attempt.isScored() {
+			return attempt.result.Response.Signature, rewardScored
+		}
+		failures += attempt.result.Failures
+		if attempt.isSent && failures >= max(attempt.route.Attempts, 1) {
+			return "", rewardFailed
+		}
+		if attempt.result.Failures > 0 {
+			l.loop.Submit(func() { l.recordRewardFailures(task, failures) })
 		}
 		select {
 		case <-ctx.Done():
@@ -102,6 +97,66 @@
 	return "", rewardCancelled
 }
 
+// rewardAttempt is one attempt at a reward call.
+type rewardAttempt struct {
+	route routing.Route
+	// isSent is set if the call had a route and a place. Otherwise the result is empty.
+	isSent bool
+	result forward.Result
+	// waited is the time until the call got its place, and took the time of the call.
+	waited, took time.Duration
+}
+
+func (a rewardAttempt) isScored() bool {
+	return a.result.Response != nil && a.result.Response.Status/100 == http.StatusOK/100
+}
+
+// attemptReward waits for a place among the route's calls and sends the call once.
+func (l *leadership) attemptReward(ctx context.Context, task *scheduler.Task) rewardAttempt {
+	reward := task.Sample.Reward
+	began := clock.Now()
+	catalog, route, ok := l.matchReward(reward)
+	if !ok || !l.rewardLimiter.acquire(ctx, route.Key(), maxRewardCalls(catalog, route)) {
+		return rewardAttempt{route: route, waited: clock.Since(began)}
+	}
+	defer l.rewardLimiter.release(route.Key())
+	// Backends and routes may have changed during the wait.
+	catalog, current, ok := l.matchReward(reward)
+	attempt := rewardAttempt{route: current, isSent: ok, waited: clock.Since(began)}
+	if ok {
+		attempt.result = l.sendReward(ctx, catalog, current, reward)
+		attempt.took = clock.Since(began) - attempt.waited
+	}
+	return attempt
+}
+
+// matchReward returns the newest copy of the directory and the route of the call in it, if there is one.
+func (l *leadership) matchReward(reward *ledger.Reward) (*directory.Catalog, routing.Route, bool) {
+	catalog := l.watcher.Catalog()
+	path, _, _ := strings.Cut(reward.Path, "?")
+	route, ok := catalog.Table.Match(reward.Host, path)
+	return catalog, route, ok
+}
+
+// slowRewardWait is the time that a reward call may wait for its place before it is logged.
+const slowRewardWait = time.Second
+
+// recordRewardAttempt logs an attempt that did not score its sample, or waited for long. The interval between
+// attempts limits the lines of one sample, and the places those of all.
+func (l *leadership) recordRewardAttempt(task *scheduler.Task, attempt rewardAttempt) {
+	if attempt.isScored() && attempt.waited < slowRewardWait || l.context.Err() != nil {
+		return
+	}
+	status := 0
+	if attempt.result.Response != nil {
+		status = attempt.result.Response.Status
+	}
+	event.RewardDelayed.On(l.logger).Str("sample", task.Sample.ID).Str("reward", task.Sample.Reward.ID).Str("step", task.Step.ID).
+		Str("route", attempt.route.Name).Str("backend", attempt.result.Backend).Uint("attempts", uint64(attempt.result.Attempts)).
+		Uint("status", uint64(status)).Str("reason", string(attempt.result.Reason)).
+		Uint("waited_ms", uint64(attempt.waited.Milliseconds())).Uint("ms", uint64(attempt.took.Milliseconds())).Send()
+}
+
 // sendReward sends the call once. Its sample is owed, and so is the call.
 func (l *leadership) sendReward(ctx context.Context, catalog *directory.Catalog, route routing.Route, reward *ledger.Reward) forward.Result {
 	timeout := time.Duration(route.TimeoutMillis) * time.Millisecond
