server: heartbeats of ended incarnations are dropped

Cause: replicas kept the last heartbeat and sequence number of every incarnation until the next change of the leader, followers for ever. With 9,999 workers that restart under their names that grows without a bound. Change: what was silent for 400 heartbeat intervals is dropped, which is longer than any silence that is acted on. Measured: TestHeartbeatsOfEndedIncarnationsAreDropped; the tests of server about heartbeats, departures and returns pass.

--- a/server/directory_review.go
+++ b/server/directory_review.go
@@ -39,6 +39,7 @@
 		d.updateServing(serving)
 		d.duties.observeActions()
 		d.versions.updateInUse()
+		d.heartbeats.prune(clock.Now(), heartbeatRetentionHeartbeats*d.settings.HeartbeatInterval)
 		if !serving {
 			d.reportToLeader(ctx)
 			return
--- a/server/heartbeat.go
+++ b/server/heartbeat.go
@@ -20,8 +20,17 @@
 	lastHeartbeats map[string]time.Time
 	sequences      map[string]uint64
 	unreported     map[string]bool
+	prunedAt       time.Time
 }
 
+const (
+	// heartbeatRetentionHeartbeats is how long the last heartbeat of an incarnation is kept, in heartbeat
+	// intervals. It exceeds permanentRemovalHeartbeats: a registered backend's silence is measured from it.
+	heartbeatRetentionHeartbeats = 2 * permanentRemovalHeartbeats
+	// heartbeatPruneInterval is the time between two searches for heartbeats to drop.
+	heartbeatPruneInterval = time.Minute
+)
+
 func newHeartbeats() *heartbeats {
 	h := &heartbeats{}
 	h.reset()
@@ -81,6 +90,24 @@
 	return ids
 }
 
+// prune drops the heartbeats of incarnations that have sent none for the retention time: each restart of a backend adds
+// an incarnation.
+func (h *heartbeats) prune(now time.Time, retention time.Duration) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if now.Sub(h.prunedAt) < heartbeatPruneInterval {
+		return
+	}
+	h.prunedAt = now
+	for id, at := range h.lastHeartbeats {
+		if now.Sub(at) > retention {
+			delete(h.lastHeartbeats, id)
+			delete(h.sequences, id)
+			delete(h.unreported, id)
+		}
+	}
+}
+
 // excludeStall subtracts a stall of this process from all silences, because it received no heartbeats
 // meanwhile.
 func (h *heartbeats) excludeStall(stall time.Duration) {
--- a/server/heartbeat_test.go
+++ b/server/heartbeat_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,3 +44,19 @@
 	leader.unconfirmed.Store(false)
 	require.Eventually(t, isAccepted, waitTimeout, pollInterval)
 }
+
+// TestHeartbeatsOfEndedIncarnationsAreDropped guards against memory that grows with every restart of a backend.
+func TestHeartbeatsOfEndedIncarnationsAreDropped(t *testing.T) {
+	const retention = time.Hour
+	start, h := time.Unix(1000, 0), newHeartbeats()
+	for number := range 1000 {
+		h.record(start, fmt.Sprint("i/", number), 7)
+	}
+	last := start.Add(retention + time.Second)
+	h.record(last, "i/999", 8)
+	h.prune(last, retention)
+	require.Equal(t, map[string]uint64{"i/999": 8}, h.sequences)
+	require.Len(t, h.lastHeartbeats, 1)
+	require.Equal(t, []string{"i/999"}, h.takeUnreported())
+	require.True(t, h.record(last, "i/0", 1), "nothing of it is kept")
+}
