--- a/event/event.go
+++ b/event/event.go
@@ -15,26 +15,27 @@
 // Log events by number range: 1000 replicas, 2000 nodes, 3000 transport, 4000 processes,
 // 5000 directory, 6000 ledger, 7000 gateways.
 var (
-	ControlStarted      = Event{1001, zerolog.InfoLevel, "control replica started"}
-	ControlStopping     = Event{1002, zerolog.InfoLevel, "control replica is stopping"}
-	LeadershipGained    = Event{1003, zerolog.InfoLevel, "this replica became the leader"}
-	LeadershipLost      = Event{1004, zerolog.WarnLevel, "this replica is no longer the leader"}
-	SnapshotSaved       = Event{1005, zerolog.InfoLevel, "snapshot saved"}
-	StorageFailed       = Event{1006, zerolog.ErrorLevel, "storage write failed; the replica is stopping"}
-	ApplyFailed         = Event{1007, zerolog.ErrorLevel, "log entry could not be applied; the replica is stopping"}
-	PlatformUnreachable = Event{1008, zerolog.WarnLevel, "engine list could not be read from the platform"}
-	JoinRequested       = Event{1009, zerolog.InfoLevel, "requested to join the group as a learner"}
-	ReplicaStarted      = Event{1010, zerolog.InfoLevel, "replica started"}
-	LeaderChanged       = Event{1011, zerolog.InfoLevel, "group leader changed"}
-	MembershipChanged   = Event{1012, zerolog.InfoLevel, "group membership changed"}
-	StorageUnavailable  = Event{1013, zerolog.ErrorLevel, "storage write failed; the replica is retrying"}
-	StorageRecovered    = Event{1014, zerolog.InfoLevel, "storage writes succeed again"}
-	SnapshotSent        = Event{1015, zerolog.InfoLevel, "snapshot sent to a replica"}
-	SnapshotSendFailed  = Event{1016, zerolog.WarnLevel, "snapshot could not be sent to a replica"}
-	AdmissionPending    = Event{1017, zerolog.WarnLevel, "this replica is still waiting for admission to the group"}
-	VotersMissing       = Event{1018, zerolog.WarnLevel, "group has fewer voters than configured"}
-	VotersComplete      = Event{1019, zerolog.InfoLevel, "group has all its voters"}
-	SnapshotNotHeld     = Event{1020, zerolog.WarnLevel, "received snapshot is no longer held; it is not installed"}
+	ControlStarted        = Event{1001, zerolog.InfoLevel, "control replica started"}
+	ControlStopping       = Event{1002, zerolog.InfoLevel, "control replica is stopping"}
+	LeadershipGained      = Event{1003, zerolog.InfoLevel, "this replica became the leader"}
+	LeadershipLost        = Event{1004, zerolog.WarnLevel, "this replica is no longer the leader"}
+	SnapshotSaved         = Event{1005, zerolog.InfoLevel, "snapshot saved"}
+	StorageFailed         = Event{1006, zerolog.ErrorLevel, "storage write failed; the replica is stopping"}
+	ApplyFailed           = Event{1007, zerolog.ErrorLevel, "log entry could not be applied; the replica is stopping"}
+	PlatformUnreachable   = Event{1008, zerolog.WarnLevel, "engine list could not be read from the platform"}
+	JoinRequested         = Event{1009, zerolog.InfoLevel, "requested to join the group as a learner"}
+	ReplicaStarted        = Event{1010, zerolog.InfoLevel, "replica started"}
+	LeaderChanged         = Event{1011, zerolog.InfoLevel, "group leader changed"}
+	MembershipChanged     = Event{1012, zerolog.InfoLevel, "group membership changed"}
+	StorageUnavailable    = Event{1013, zerolog.ErrorLevel, "storage write failed; the replica is retrying"}
+	StorageRecovered      = Event{1014, zerolog.InfoLevel, "storage writes succeed again"}
+	SnapshotSent          = Event{1015, zerolog.InfoLevel, "snapshot sent to a replica"}
+	SnapshotSendFailed    = Event{1016, zerolog.WarnLevel, "snapshot could not be sent to a replica"}
+	AdmissionPending      = Event{1017, zerolog.WarnLevel, "this replica is still waiting for admission to the group"}
+	VotersMissing         = Event{1018, zerolog.WarnLevel, "group has fewer voters than configured"}
+	VotersComplete        = Event{1019, zerolog.InfoLevel, "group has all its voters"}
+	SnapshotReceiveFailed = Event{1021, zerolog.WarnLevel, "snapshot could not be received"}
+	SnapshotNotHeld       = Event{1020, zerolog.WarnLevel, "received snapshot is no longer held; it is not installed"}
 
 	NodeStarted       = Event{2001, zerolog.InfoLevel, "node started"}
 	NodeDraining      = Event{2002, zerolog.InfoLevel, "node is draining"}
@@ -150,7 +151,7 @@
 // All lists the events in the order of their numbers.
 var All = []Event{
 	ControlStarted, ControlStopping, LeadershipGained, LeadershipLost, SnapshotSaved,
-	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged, StorageUnavailable, StorageRecovered, SnapshotSent, SnapshotSendFailed, AdmissionPending, VotersMissing, VotersComplete, SnapshotNotHeld,
+	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged, StorageUnavailable, StorageRecovered, SnapshotSent, SnapshotSendFailed, AdmissionPending, VotersMissing, VotersComplete, SnapshotNotHeld, SnapshotReceiveFailed,
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream, ForeignResponse,
 	HTTPServerFailed, LogLinesDropped, ReloadRequested, SettingsApplied, SettingsRejected, ProcessStalled, BootClockUnavailable,
--- a/replica/transfer.go
+++ b/replica/transfer.go
@@ -112,18 +112,28 @@
 
 // serveSnapshot receives a snapshot: it stores the data, then passes the message to the core.
 func (r *Replica) serveSnapshot(response http.ResponseWriter, request *http.Request) {
-	message, size, err := readSnapshotMessage(request)
+	body := newTransferReader(response, request)
+	message, size, err := readSnapshotMessage(body, request.ContentLength)
 	if err != nil {
+		r.logFailedTransfer(body, err)
 		http.Error(response, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if err := r.store.ReceiveSnapshot(*message.Consensus.Snapshot, request.Body, size); err != nil {
+	if err := r.store.ReceiveSnapshot(*message.Consensus.Snapshot, body, size); err != nil {
+		r.logFailedTransfer(body, err)
 		http.Error(response, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	if err := body.end(); err != nil {
+		r.logFailedTransfer(body, err)
+	}
 	r.loop.Submit(func() { r.receiveSnapshot(message) })
 }
 
+func (r *Replica) logFailedTransfer(body *transferReader, err error) {
+	event.SnapshotReceiveFailed.On(r.logger).Uint("bytes", uint64(body.received)).Err(err).Send()
+}
+
 // receiveSnapshot passes the message to the core, unless the core would install its snapshot and the store does
 // not hold the data any more. The leader sends a snapshot until it is acknowledged.
 func (r *Replica) receiveSnapshot(message protocol.Message) {
@@ -148,19 +158,19 @@
 
 // readSnapshotMessage reads the message at the start of a transfer, and returns it and the size of the
 // data that follows.
-func readSnapshotMessage(request *http.Request) (protocol.Message, int64, error) {
+func readSnapshotMessage(body io.Reader, contentLength int64) (protocol.Message, int64, error) {
 	var message protocol.Message
 	var prefix [lengthPrefixBytes]byte
-	if _, err := io.ReadFull(request.Body, prefix[:]); err != nil {
+	if _, err := io.ReadFull(body, prefix[:]); err != nil {
 		return message, 0, err
 	}
 	length := binary.BigEndian.Uint32(prefix[:])
-	size := request.ContentLength - lengthPrefixBytes - int64(length)
+	size := contentLength - lengthPrefixBytes - int64(length)
 	if length > maxMessageBytes || size < 0 {
 		return message, 0, ErrUnavailable.New("invalid message length %d", length)
 	}
 	encoded := make([]byte, length)
-	if _, err := io.ReadFull(request.Body, encoded); err != nil {
+	if _, err := io.ReadFull(body, encoded); err != nil {
 		return message, 0, err
 	}
 	if err := cbor.Unmarshal(encoded, &message); err != nil {
--- a/server/heartbeat_log.go
+++ b/server/heartbeat_log.go
@@ -29,7 +29,8 @@
 
 // admit reports whether a line may be logged now, and returns the number of heartbeats without one since the
 // last line.
-func (l *heartbeatLog) admit(now time.Time) (suppressed uint64, admitted bool) {
+func (l *heartbeatLog) admit() (suppressed uint64, admitted bool) {
+	now := time.Now()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if !l.loggedAt.IsZero() && now.Sub(l.loggedAt) < heartbeatLogInterval {
@@ -44,7 +45,7 @@
 // RecordInvalidHeartbeat counts and logs an invalid heartbeat, which changes nothing else.
 func (d *Directory) RecordInvalidHeartbeat(invalid InvalidHeartbeat) {
 	d.metrics.invalidHeartbeats.WithLabelValues(invalid.Reason).Inc()
-	suppressed, admitted := d.invalidReports.admit(time.Now())
+	suppressed, admitted := d.invalidReports.admit()
 	if !admitted {
 		return
 	}
@@ -62,7 +63,7 @@
 
 // logIgnored logs a valid heartbeat that is ignored, at a limited rate.
 func (d *Directory) logIgnored(heartbeat Heartbeat, reason string) {
-	suppressed, admitted := d.ignoredReports.admit(time.Now())
+	suppressed, admitted := d.ignoredReports.admit()
 	if !admitted {
 		return
 	}
