forward: suspects wait for a crashed backend for two seconds at most; reward calls are suspects again

Cause: suspects are postponed while a third of a service's backends are unavailable after crashes, and a crashed backend counted for as long as the directory listed it, 24 heartbeat intervals. It could also be chosen for the suspect. Change: a crashed backend counts as one that will be back for two seconds; suspects prefer backends that have not crashed. Measured: TestSuspectsWaitBrieflyForACrashedBackend fails before at its second request (postponed); the tests of forward, of platform about crashes, and of server about quarantine and rewards pass.

--- a/clock/usage_test.go
+++ b/clock/usage_test.go
@@ -24,7 +24,7 @@
 	reason string
 }{
 	"forward/choose.go":            {3, "how long a backend is avoided and its latency is valid"},
-	"forward/suspects.go":          {1, "how long a backend is avoided"},
+	"forward/suspects.go":          {2, "how long a backend is avoided, or counts as restarting"},
 	"forward/forward.go":           {2, "backend latency, which must not include suspensions of this machine"},
 	"forward/stream.go":            {2, "backend latency, which must not include suspensions of this machine"},
 	"replica/admission.go":         {2, "the wait during a graceful shutdown"},
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -334,6 +335,10 @@
 			delete(f.backends, id)
 		}
 	}
+	maps.DeleteFunc(f.crashedSince, func(id string, _ time.Time) bool {
+		_, ok := catalog.Backend(id)
+		return !ok
+	})
 	for service, load := range f.serviceLoads {
 		if !load.isFresh(now) {
 			delete(f.serviceLoads, service)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -21,9 +21,6 @@
 	ID string
 	// StableID is set on a request whose retries by the caller have the same ID.
 	StableID bool
-	// IsOwed is set on a request that belongs to accepted work. Such a request is sound, whatever crashed while it
-	// ran, so it is neither quarantined nor postponed.
-	IsOwed bool
 
 	Method string
 	Host   string
@@ -234,6 +231,8 @@
 	// random breaks ties between equal backends.
 	random   *rand.Rand
 	backends map[string]*backendState
+	// crashedSince holds when this process learned that backends had crashed, by ID.
+	crashedSince map[string]time.Time
 	// averageLatency holds the average latency of each service's backends.
 	averageLatency map[string]time.Duration
 	// serviceLoads holds the load state of the services whose backends report their load.
@@ -247,7 +246,7 @@
 // New returns a forwarder for a process in the zone. The guard decides which requests are quarantined.
 func New(client Client, zone string, guard *quarantine.Guard) *Forwarder {
 	return &Forwarder{
-		client: client, zone: zone, guard: guard, backends: map[string]*backendState{}, averageLatency: map[string]time.Duration{},
+		client: client, zone: zone, guard: guard, backends: map[string]*backendState{}, crashedSince: map[string]time.Time{}, averageLatency: map[string]time.Duration{},
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		credits: map[string][]float64{}, hedgeBudget: hedgeBudgetBurst, serviceLoads: map[string]*serviceLoadState{},
 		admissionControl: admissionControl{limiter: admission.AdmitAll{}, retries: retryDetector{routes: map[string]*recentRemainingTimes{}}},
@@ -437,7 +436,7 @@
 	e.result.Attempts++
 	e.result.recordStart(backend.ID)
 	e.pending++
-	verdict, isSuspect := e.verdict, e.isSuspect()
+	verdict := e.verdict
 	go func() {
 		started := time.Now()
 		attempt := e.forwarder.client.Send(ctx, backend, e.request)
@@ -445,7 +444,7 @@
 		latency := time.Since(started)
 		e.forwarder.recordAttempt(backend, attempt, latency, ctx.Err() != nil)
 		e.forwarder.admissionControl.observe(ctx, backend, attempt, latency)
-		if isSuspect {
+		if verdict.IsSuspect() {
 			e.forwarder.releaseSuspect(backend.ID)
 		}
 		e.attemptResults <- attemptResult{attempt: attempt, backend: backend}
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -26,7 +26,6 @@
 type quarantineCheck struct {
 	guard   *quarantine.Guard
 	content quarantine.Content
-	isOwed  bool
 	// verdict is the result of the latest check.
 	verdict quarantine.Verdict
 	// hasTrial is set if the request is quarantined and this process was granted its trial; trialSent
@@ -40,16 +39,16 @@
 // checkQuarantine checks a new request, and requests its trial if it is quarantined and a trial is
 // offered.
 func (f *Forwarder) checkQuarantine(ctx context.Context, catalog *directory.Catalog, services []string, request *Request) quarantineCheck {
-	c := quarantineCheck{guard: f.guard, content: request.Content(), isOwed: request.IsOwed}
+	c := quarantineCheck{guard: f.guard, content: request.Content()}
 	c.verdict = c.guard.CheckContent(c.content)
-	if !c.isOwed && c.verdict.Quarantined && c.verdict.TrialOffered && !f.PostponesSuspects(catalog, services) {
+	if c.verdict.Quarantined && c.verdict.TrialOffered && !f.PostponesSuspects(catalog, services) {
 		c.hasTrial = c.guard.TakeTrial(ctx, c.verdict.Fingerprint)
 	}
 	return c
 }
 
 // isSuspect reports whether the latest check found the request to be a suspect.
-func (c *quarantineCheck) isSuspect() bool { return !c.isOwed && c.verdict.IsSuspect() }
+func (c *quarantineCheck) isSuspect() bool { return c.verdict.IsSuspect() }
 
 // isUnreachedSuspect reports whether a suspect could not be sent to a backend. The backend may have
 // crashed under another suspect without a report yet, so the request is not retried immediately.
@@ -60,7 +59,7 @@
 // mayStart checks the request again and reports whether it may be sent to another backend.
 func (c *quarantineCheck) mayStart() bool {
 	c.verdict = c.guard.CheckContent(c.content)
-	mayStart := c.isOwed || !c.verdict.Quarantined
+	mayStart := !c.verdict.Quarantined
 	if c.hasTrial {
 		mayStart = !c.trialSent
 		c.trialSent = true
--- a/forward/suspects.go
+++ b/forward/suspects.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dillchute/dillchute/directory"
@@ -20,12 +21,12 @@
 	defer f.mutex.Unlock()
 	now := time.Now()
 	for _, service := range services {
-		maxBackends := MaxSuspectBackends(catalog, f.guard, service)
+		maxBackends := f.maxSuspectBackends(catalog, service, now)
 		if maxBackends <= 0 {
 			postponed = true
 			continue
 		}
-		if backend, ok = f.backendForSuspect(catalog.Backends(service), tried, maxBackends, now); ok {
+		if backend, ok = f.backendForSuspect(runningFirst(catalog, f.guard, service), tried, maxBackends, now); ok {
 			state := f.state(backend.ID)
 			state.inFlight++
 			state.suspects++
@@ -35,19 +36,41 @@
 	return directory.Backend{}, false, postponed
 }
 
-// MaxSuspectBackends returns how many backends of the service may run suspects now, according to the
-// catalog and the guard.
-func MaxSuspectBackends(catalog *directory.Catalog, guard *quarantine.Guard, service string) int {
-	backends, crashed := catalog.Backends(service), KnownCrashedBackends(catalog, guard)
+// restartTime is how long a crashed backend counts as one that will be back soon. One that is not back by then may
+// never be, and suspects, most of which are sound, do not wait for it.
+const restartTime = 2 * time.Second
+
+// MaxSuspectBackends returns how many backends of the service may run suspects now. isUnavailable reports whether a
+// backend is unavailable after a crash.
+func MaxSuspectBackends(catalog *directory.Catalog, service string, isUnavailable func(id string) bool) int {
+	backends := catalog.Backends(service)
 	unavailable := 0
 	for _, backend := range backends {
-		if crashed.Has(backend.ID) {
+		if isUnavailable(backend.ID) {
 			unavailable++
 		}
 	}
 	return quarantine.MaxUnavailable(len(backends)) - unavailable
 }
 
+// maxSuspectBackends returns how many backends of the service may run suspects now, according to the
+// catalog and the guard. The forwarder's mutex must be held.
+func (f *Forwarder) maxSuspectBackends(catalog *directory.Catalog, service string, now time.Time) int {
+	crashed := KnownCrashedBackends(catalog, f.guard)
+	return MaxSuspectBackends(catalog, service, func(id string) bool { return crashed.Has(id) && f.isRestarting(id, now) })
+}
+
+// isRestarting reports whether this process has known for less than restartTime that the backend has crashed. The
+// forwarder's mutex must be held.
+func (f *Forwarder) isRestarting(id string, now time.Time) bool {
+	since, ok := f.crashedSince[id]
+	if !ok {
+		f.crashedSince[id] = now
+		return true
+	}
+	return now.Sub(since) < restartTime
+}
+
 // CrashedBackends is the set of backends that this process knows to have crashed.
 type CrashedBackends struct {
 	catalog *directory.Catalog
@@ -62,6 +85,16 @@
 // Has reports whether the backend has crashed.
 func (c CrashedBackends) Has(id string) bool { return c.recent[id] || c.catalog.HasCrashed(id) }
 
+// runningFirst returns the service's backends that are not known to have crashed, or all if there are no others.
+func runningFirst(catalog *directory.Catalog, guard *quarantine.Guard, service string) []*directory.Backend {
+	all, crashed := catalog.Backends(service), KnownCrashedBackends(catalog, guard)
+	running := slices.DeleteFunc(slices.Clone(all), func(backend *directory.Backend) bool { return crashed.Has(backend.ID) })
+	if len(running) == 0 {
+		return all
+	}
+	return running
+}
+
 // backendForSuspect returns the backend with the fewest requests in flight among those that run
 // suspects. If this backend has no free slot and fewer than maxBackends run suspects, it returns the
 // first other eligible backend.
@@ -105,8 +138,9 @@
 func (f *Forwarder) PostponesSuspects(catalog *directory.Catalog, services []string) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	now := time.Now()
 	for _, service := range services {
-		if MaxSuspectBackends(catalog, f.guard, service) > 0 {
+		if f.maxSuspectBackends(catalog, service, now) > 0 {
 			return false
 		}
 	}
--- a/forward/suspects_test.go
+++ b/forward/suspects_test.go
@@ -83,6 +83,28 @@
 	require.NotNil(t, result.Response)
 }
 
+// TestSuspectsWaitBrieflyForACrashedBackend guards against requests that wait for a backend which does not come back
+// after its crash: with few backends, one that stays registered would hold back all suspects.
+func TestSuspectsWaitBrieflyForACrashedBackend(t *testing.T) {
+	client, backends := newCrashingBackends(3)
+	for id := range client.answers {
+		client.answers[id] = respondStatus(200)
+	}
+	catalog, guard := newSuspectCatalog(backends, []string{"b-0"}, crashingRequest())
+	forwarder := New(client, "z", guard)
+	result := forwarder.Do(context.Background(), catalog, newRoute(routing.Repeatable, 3), crashingRequest())
+	require.Equal(t, Postponed, result.Reason)
+	forwarder.mutex.Lock()
+	forwarder.crashedSince["b-0"] = time.Now().Add(-restartTime)
+	forwarder.mutex.Unlock()
+	result = forwarder.Do(context.Background(), catalog, newRoute(routing.Repeatable, 3), crashingRequest())
+	require.NotNil(t, result.Response)
+	require.NotEqual(t, "b-0", result.Backend)
+	withoutCrashed, _ := newSuspectCatalog(backends[1:], nil, crashingRequest())
+	forwarder.Forget(withoutCrashed)
+	require.Empty(t, forwarder.crashedSince)
+}
+
 // A suspect that is a stream must be postponed as well.
 func TestSuspectStreamIsPostponed(t *testing.T) {
 	client, backends := newCrashingBackends(3)
--- a/server/executor.go
+++ b/server/executor.go
@@ -84,7 +84,7 @@
 		Executor: x, context: leaderContext, replica: r, machine: machine, term: term,
 		loop: eventloop.New(), scheduler: scheduler.New(),
 		cancels: map[*scheduler.Task]context.CancelFunc{}, progress: map[*scheduler.Task]*runProgress{},
-		checkpointed: map[*scheduler.Task]uint64{}, knownSteps: map[string]bool{}, rewardLimiter: newRewardLimiter(),
+		checkpointed: map[*scheduler.Task]uint64{}, knownSteps: map[string]bool{}, rewardLimiter: newRewardLimiter(), kindLocks: newKindLocks(),
 		workingSets: map[string]*scheduler.WorkingSet{},
 	}
 	x.rewards.Store(l.rewardLimiter)
--- a/server/leadership.go
+++ b/server/leadership.go
@@ -59,6 +59,8 @@
 	knownSteps map[string]bool
 	// rewardLimiter limits concurrent reward calls.
 	rewardLimiter *rewardLimiter
+	// kindLocks serializes reward calls of suspected kinds.
+	kindLocks *kindLocks
 	// recordedPaces are the paces stored in the ledger.
 	recordedPaces  map[string]float64
 	pacesCheckedAt time.Time
--- a/server/quarantine_simulation_test.go
+++ b/server/quarantine_simulation_test.go
@@ -291,7 +291,7 @@
 // send sends a request to up to simAttempts backends, and calls done with whether it got a response.
 func (s *simulation) send(g *simGateway, subject quarantine.Subject, attempts int, trial bool, done func(bool)) {
 	verdict := g.guard.CheckSubject(subject)
-	noCapacity := forward.MaxSuspectBackends(g.catalog, g.guard, simService) <= 0
+	noCapacity := forward.MaxSuspectBackends(g.catalog, simService, forward.KnownCrashedBackends(g.catalog, g.guard).Has) <= 0
 	if verdict.Quarantined && verdict.TrialOffered && !trial && !noCapacity {
 		if trial = g.guard.TakeTrial(context.Background(), verdict.Fingerprint); trial {
 			attempts = 1
--- a/server/score.go
+++ b/server/score.go
@@ -157,12 +157,20 @@
 		Uint("waited_ms", uint64(attempt.waited.Milliseconds())).Uint("ms", uint64(attempt.took.Milliseconds())).Send()
 }
 
-// sendReward sends the call once. Its sample is owed, and so is the call.
+// sendReward sends the call once. Unlike a sample, it may be a request that crashes what runs it. A call of a suspected
+// kind is postponed while another one of that kind is active.
 func (l *leadership) sendReward(ctx context.Context, catalog *directory.Catalog, route routing.Route, reward *ledger.Reward) forward.Result {
 	timeout := time.Duration(route.TimeoutMillis) * time.Millisecond
 	request := &forward.Request{
-		ID: reward.ID, StableID: true, IsOwed: true, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
+		ID: reward.ID, StableID: true, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
 		Header: http.Header{}, Body: reward.Body, Deadline: clock.Now().Add(timeout),
 	}
+	if verdict := l.guard.CheckContent(request.Content()); verdict.KnownKindCrashes > 0 {
+		kind := verdict.Subject.Kind
+		if !l.kindLocks.tryLock(kind) {
+			return forward.Result{Reason: forward.Postponed}
+		}
+		defer l.kindLocks.unlock(kind)
+	}
 	return l.forwarder.Do(ctx, catalog, route, request)
 }
--- a/server/score_test.go
+++ b/server/score_test.go
@@ -51,9 +51,10 @@
 	logger := zerolog.Nop()
 	watcher, client := &Watcher{}, backendRecorder{backends: make(chan string, 10)}
 	watcher.catalog.Store(catalogWith("gone"))
+	guard := quarantine.NewGuard(quarantine.SharedRecord{}, clock.Now)
 	l := &leadership{
-		Executor: &Executor{watcher: watcher, forwarder: forward.New(client, "z", quarantine.NewGuard(quarantine.SharedRecord{}, clock.Now)), logger: &logger},
-		context:  t.Context(), rewardLimiter: newRewardLimiter(),
+		Executor: &Executor{watcher: watcher, forwarder: forward.New(client, "z", guard), guard: guard, logger: &logger},
+		context:  t.Context(), rewardLimiter: newRewardLimiter(), kindLocks: newKindLocks(),
 	}
 	reward := &ledger.Reward{ID: "reward", Host: "h", Path: "/score"}
 	_, route, ok := l.matchReward(reward)
