Reading of the whole change: names, logs and pages

Cause: the diff as a newcomer reads it. The event of departures was logged with each heartbeat of a draining backend, and an outdated departure that counts was logged as ignored; the adapter decided how much memory responses may use. Change: DepartureAcknowledged is logged until the copy has the departure; an outdated departure isn't logged as ignored; the budget for responses is chosen in forward, and its largest body is what it says. Measured: tests of event, forward and clock pass, and of server and platform about departures, heartbeats and responses.

--- a/event/event.go
+++ b/event/event.go
@@ -34,8 +34,8 @@
 	AdmissionPending      = Event{1017, zerolog.WarnLevel, "this replica is still waiting for admission to the group"}
 	VotersMissing         = Event{1018, zerolog.WarnLevel, "group has fewer voters than configured"}
 	VotersComplete        = Event{1019, zerolog.InfoLevel, "group has all its voters"}
-	SnapshotReceiveFailed = Event{1021, zerolog.WarnLevel, "snapshot could not be received"}
 	SnapshotNotHeld       = Event{1020, zerolog.WarnLevel, "received snapshot is no longer held; it is not installed"}
+	SnapshotReceiveFailed = Event{1021, zerolog.WarnLevel, "snapshot could not be received"}
 
 	NodeStarted       = Event{2001, zerolog.InfoLevel, "node started"}
 	NodeDraining      = Event{2002, zerolog.InfoLevel, "node is draining"}
@@ -102,7 +102,7 @@
 	MemberOutdated        = Event{5037, zerolog.ErrorLevel, "directory members do not support the command version in use"}
 	BuildsChanged         = Event{5038, zerolog.InfoLevel, "builds of the directory members changed"}
 	HeartbeatIgnored      = Event{5039, zerolog.WarnLevel, "heartbeat of a backend ignored; its registration stays as it is"}
-	LeaveAcknowledged     = Event{5040, zerolog.InfoLevel, "departure of a backend acknowledged"}
+	DepartureAcknowledged = Event{5040, zerolog.InfoLevel, "departure of a backend acknowledged"}
 
 	StepSubmitted     = Event{6001, zerolog.InfoLevel, "step submitted"}
 	StepResubmitted   = Event{6002, zerolog.InfoLevel, "step resubmitted"}
@@ -155,7 +155,7 @@
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
 	PeerUnreachable, PeerReachable, MalformedStream, ForeignResponse,
 	HTTPServerFailed, LogLinesDropped, ReloadRequested, SettingsApplied, SettingsRejected, ProcessStalled, BootClockUnavailable,
-	BackendRegistered, BackendDeregistered, BackendSilent, BackendRemoved, ConfigurationSubmitted, ConfigurationRejected, WeightsPublished, StoreRegistered, GroupFormed, RetireRequested, ConfigurationApplied, DirectoryReachable, DirectoryUnreachable, CallFailed, UsageReported, UsageUpdateFailed, UsageSendFailed, AddressConflict, CrashReported, TrialOffered, TrialStarted, QuarantineCallFailed, LeaderUpdateFailed, StaleHeartbeatIgnored, InvalidHeartbeatIgnored, CapacityPlanned, ScalingOrderFinished, ScalingResultNotRecorded, DemandSendFailed, WatchesSuspended, WatchesResumed, CopyRefreshed, CopyStale, BackendReturned, CommandVersionChanged, CommandVersionPending, MemberOutdated, BuildsChanged, HeartbeatIgnored, LeaveAcknowledged,
+	BackendRegistered, BackendDeregistered, BackendSilent, BackendRemoved, ConfigurationSubmitted, ConfigurationRejected, WeightsPublished, StoreRegistered, GroupFormed, RetireRequested, ConfigurationApplied, DirectoryReachable, DirectoryUnreachable, CallFailed, UsageReported, UsageUpdateFailed, UsageSendFailed, AddressConflict, CrashReported, TrialOffered, TrialStarted, QuarantineCallFailed, LeaderUpdateFailed, StaleHeartbeatIgnored, InvalidHeartbeatIgnored, CapacityPlanned, ScalingOrderFinished, ScalingResultNotRecorded, DemandSendFailed, WatchesSuspended, WatchesResumed, CopyRefreshed, CopyStale, BackendReturned, CommandVersionChanged, CommandVersionPending, MemberOutdated, BuildsChanged, HeartbeatIgnored, DepartureAcknowledged,
 	StepSubmitted, StepResubmitted, StepEnded, SampleStarted, SampleRunEnded, SampleFailed, ResultsRecorded, LoadOrdered, LoadEnded, SampleTextReused, SampleMoved, TextsCheckpointed, StepCompleted, SpeculativeRunPromoted, SpeculativeRunCancelled, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkClosed, RunnerConnected, RunnerDisconnected, OrphanedRunsEnded, RunAdopted, FailuresRecorded, EngineRestarted, RewardDelayed, GroupsDeferred,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, LocalReplicaUnavailable, RequestQuarantined, LimitStarted, LimitEnded,
 }
--- a/forward/body_budget.go
+++ b/forward/body_budget.go
@@ -14,6 +14,11 @@
 	bodyReadBytes = 4 << 10
 	// maxBodyFraction is the largest fraction of the budget that one body may use.
 	maxBodyFraction = 0.5
+	// memoryDivisor sets the part of a process's memory, 1/memoryDivisor, that is its budget. A body that grows is
+	// held twice for a moment.
+	memoryDivisor = 8
+	// defaultBudgetBytes is the budget of a process without a memory limit.
+	defaultBudgetBytes = 128 << 20
 )
 
 // ErrBodyTooLarge is returned for a body that exceeds what one may use, or what is left of the budget.
@@ -26,10 +31,18 @@
 	reserved atomic.Int64
 }
 
+// NewProcessBodyBudget returns the budget of a process with that memory limit in MiB, or 0 for none.
+func NewProcessBodyBudget(memoryLimit int) *BodyBudget {
+	if memoryLimit == 0 {
+		return NewBodyBudget(defaultBudgetBytes)
+	}
+	return NewBodyBudget(int64(memoryLimit) << 20 / memoryDivisor)
+}
+
 // NewBodyBudget returns a budget of that many bytes.
 func NewBodyBudget(limit int64) *BodyBudget { return &BodyBudget{limit: limit} }
 
-// MaxBodyBytes returns the size of the largest body that can be read.
+// MaxBodyBytes returns the size above which no body can be read.
 func (b *BodyBudget) MaxBodyBytes() int64 { return int64(maxBodyFraction * float64(b.limit)) }
 
 // ReadBody reads the body to its end. The caller must close it; if the error is ErrBodyTooLarge, it holds more.
@@ -49,8 +62,8 @@
 		if len(data) < cap(data) {
 			continue
 		}
-		capacity := 2 * int64(cap(data))
-		if !b.reserve(capacity, &reserved) {
+		capacity := min(2*int64(cap(data)), b.MaxBodyBytes())
+		if capacity == int64(cap(data)) || !b.reserve(capacity, &reserved) {
 			return nil, ErrBodyTooLarge
 		}
 		data = append(make([]byte, 0, capacity), data...)
@@ -62,9 +75,6 @@
 	if capacity <= unreservedBodyBytes {
 		return true
 	}
-	if capacity > b.MaxBodyBytes() {
-		return false
-	}
 	increase := capacity - *reserved
 	if b.reserved.Add(increase) > b.limit {
 		b.reserved.Add(-increase)
--- a/server/directory.go
+++ b/server/directory.go
@@ -184,7 +184,7 @@
 func (d *Directory) Leave(ctx context.Context, leaving directory.Incarnation) error {
 	_, err := d.call(ctx, directoryCall{Leave: leaving.Name, LeaveBorn: leaving.StartTime})
 	if err == nil {
-		d.logDeparture(leaving.ID(), departureLeft, false)
+		d.logDeparture(leaving.ID(), departureLeft)
 	}
 	return err
 }
--- a/server/heartbeat.go
+++ b/server/heartbeat.go
@@ -145,8 +145,8 @@
 		return d.settings.InternalAddress, nil
 	}
 	err := d.registrations.do(ctx, heartbeat)
-	if err == nil && heartbeat.Backend.Draining {
-		d.logDeparture(heartbeat.Backend.ID, departureDraining, isRegistered && registered.Draining)
+	if err == nil && heartbeat.Backend.Draining && !registered.Draining {
+		d.logDeparture(heartbeat.Backend.ID, departureDraining)
 	}
 	return d.settings.InternalAddress, err
 }
@@ -232,7 +232,9 @@
 		d.outdated.forget(id)
 		return true
 	}
-	d.logIgnored(heartbeat, ignoredOutdated)
+	if !heartbeat.Backend.Draining {
+		d.logIgnored(heartbeat, ignoredOutdated)
+	}
 	return false
 }
 
--- a/server/heartbeat_log.go
+++ b/server/heartbeat_log.go
@@ -77,8 +77,7 @@
 	departureLeft     = "left"
 )
 
-// logDeparture logs that this replica acknowledges a departure. known is set if its copy had it before.
-func (d *Directory) logDeparture(backend, how string, known bool) {
-	event.LeaveAcknowledged.On(d.logger).Str("backend", backend).Str("how", how).Uint("known", boolToUint(known)).
-		Uint("revision", d.view.Load().Revision).Send()
+// logDeparture logs that this replica acknowledges a departure.
+func (d *Directory) logDeparture(backend, how string) {
+	event.DepartureAcknowledged.On(d.logger).Str("backend", backend).Str("how", how).Uint("revision", d.view.Load().Revision).Send()
 }
