--- a/review/second/main.go
+++ b/review/second/main.go
@@ -20,6 +20,7 @@
 // cases maps the name of a case to the function that plays it and reports whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"reward": playReward,
+	"single": playSingle,
 }
 
 func main() { os.Exit(run()) }
@@ -67,8 +68,8 @@
 func (e errNotReady) Error() string { return string(e) }
 
 // bringUp starts the workers, puts the configuration and waits until all gateways are ready.
-func (f *fleet) bringUp(workers []*worker) error {
-	if !f.control(http.MethodPut, "/dillchute/config", configuration(), 30*time.Second) {
+func (f *fleet) bringUp(configuration map[string]any, workers []*worker) error {
+	if !f.control(http.MethodPut, "/dillchute/config", configuration, 30*time.Second) {
 		return errNotReady("the configuration was not acknowledged")
 	}
 	for _, w := range workers {
--- a/review/second/reward.go
+++ b/review/second/reward.go
@@ -107,12 +107,12 @@
 	}
 	var workers []*worker
 	for number := range 4 {
-		workers = append(workers, &worker{id: fmt.Sprintf("i-model%d", number), service: modelService, zone: zones[number%3], address: "127.0.0.1:0", model: model, slots: 8, fleet: f})
+		workers = append(workers, &worker{id: fmt.Sprintf("i-model%d", number), service: modelService, zone: zones[number%3], address: "127.0.0.1:0", model: model, slots: 8, fleet: f, events: 24, pause: 30 * time.Millisecond})
 	}
 	for number := range 2 {
 		workers = append(workers, &worker{id: fmt.Sprintf("i-plain%d", number), service: plainService, zone: zones[number], address: "127.0.0.1:0", slots: 6, fleet: f, answer: score(trouble && number == 0)})
 	}
-	if err := f.bringUp(workers); err != nil {
+	if err := f.bringUp(configuration(false), workers); err != nil {
 		return false, err
 	}
 	began, done := time.Now(), 0
--- a/review/second/trainer.go
+++ b/review/second/trainer.go
@@ -25,14 +25,15 @@
 	deadline = 12 * time.Second
 )
 
-func configuration() map[string]any {
+// configuration returns the operator's configuration. Its rollout route allows one version a result if singleVersion is set.
+func configuration(singleVersion bool) map[string]any {
 	return map[string]any{
 		"version": 1,
 		"routes": []map[string]any{
 			{"name": "reward", "host": host, "path-prefix": rewardPrefix, "kind": "safe", "timeout-ms": 1500, "target-ms": 150, "priority": 2,
 				"service": plainService, "max-attempts": rewardTries},
 			{"name": "rollout", "host": host, "path-prefix": rolloutPrefix, "kind": "rollout", "timeout-ms": 10000, "target-ms": 400, "priority": 1,
-				"service": modelService, "max-attempts": itemTries, "resumable": true, "due-ms": 7500, "max-wait-s": 12},
+				"service": modelService, "max-attempts": itemTries, "resumable": true, "single-version": singleVersion, "due-ms": 7500, "max-wait-s": 12},
 		},
 		"services": []map[string]any{
 			{"name": modelService, "health-path": "/health", "max-conns": 150, "protocol": "h1", "tls": false, "engine": map[string]any{
--- a/review/second/workers.go
+++ b/review/second/workers.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -21,20 +20,27 @@
 	fleet                             *fleet
 	// answer handles a request of a plain worker.
 	answer func(w *worker, response http.ResponseWriter, request *http.Request, body []byte)
-
-	mutex          sync.Mutex
-	running        int
-	version, loads uint64
-	orders         uint64
-	loadingUntil   time.Time
-	beats          int
+	// events is the number of events of an item, and pause the time between two of them.
+	events int
+	pause  time.Duration
+	// onRun is called, if set, when an item begins and when it ends, with the number of its last event then.
+	onRun func(w *worker, item string, begins bool, last int)
+
+	mutex   sync.Mutex
+	server  *http.Server
+	gone    bool
+	running int
+	version uint64
+	orders  uint64
+	// ordered is the version that an order asked for, 0 if none is under way. It is loaded from loadingSince on, which
+	// is zero while runs must end first.
+	ordered      uint64
+	waits        bool
+	loadingSince time.Time
+	beats        int
 }
 
-const (
-	eventCount = 24
-	eventPause = 30 * time.Millisecond
-	loadTime   = 900 * time.Millisecond
-)
+const loadTime = 900 * time.Millisecond
 
 // start serves the worker and sends its heartbeats.
 func (w *worker) start() error {
@@ -42,13 +48,13 @@
 	if err != nil {
 		return err
 	}
-	w.address, w.version = listener.Addr().String(), 1
+	w.address, w.version, w.server = listener.Addr().String(), 1, &http.Server{Handler: w}
 	go func() {
-		// The server runs until the process ends.
-		_ = http.Serve(listener, w)
+		// The server runs until the worker crashes or the process ends.
+		_ = w.server.Serve(listener)
 	}()
 	go func() {
-		for {
+		for !w.isGone() {
 			w.beat()
 			time.Sleep(beatMillis * time.Millisecond)
 		}
@@ -56,6 +62,27 @@
 	return nil
 }
 
+// crash ends the worker for good: its connections break off and it sends nothing more.
+func (w *worker) crash() {
+	w.mutex.Lock()
+	w.gone = true
+	w.mutex.Unlock()
+	_ = w.server.Close()
+}
+
+func (w *worker) isGone() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.gone
+}
+
+// load reports how many requests run, and the version.
+func (w *worker) load() (running int, version uint64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.running, w.version
+}
+
 func (w *worker) beat() {
 	w.mutex.Lock()
 	w.beats++
@@ -80,7 +107,7 @@
 	if err != nil {
 		return
 	}
-	w.finishLoad()
+	w.advanceLoad()
 	switch request.URL.Path {
 	case "/health":
 		response.Header().Set("Instance-Id", w.id)
@@ -117,7 +144,7 @@
 func (w *worker) begin() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.running >= w.slots+queued || time.Now().Before(w.loadingUntil) {
+	if w.running >= w.slots+queued || w.ordered != 0 {
 		return false
 	}
 	w.running++
@@ -128,6 +155,7 @@
 	w.mutex.Lock()
 	w.running--
 	w.mutex.Unlock()
+	w.advanceLoad()
 }
 
 // stamp returns a signature that no other answer has.
@@ -139,48 +167,49 @@
 func (w *worker) stream(response http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("Request-Id")
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
-	w.mutex.Lock()
-	version := w.version
-	w.mutex.Unlock()
+	if w.onRun != nil {
+		w.onRun(w, id, true, last)
+		defer func() { w.onRun(w, id, false, last) }()
+	}
+	_, version := w.load()
 	response.Header().Set("Content-Type", "text/event-stream")
 	response.Header().Set("Server-Stamp", w.stamp(id))
 	response.Header().Set("Weight-Versions", strconv.FormatUint(version, 10))
-	for number := last + 1; number <= eventCount; number++ {
+	for number := last + 1; number <= w.events; number++ {
 		select {
 		case <-request.Context().Done():
 			return
-		case <-time.After(eventPause):
+		case <-time.After(w.pause):
 		}
-		fmt.Fprintf(response, "id: %d\ndata: %s/%d\n\n", number, id, number)
+		change := ""
+		w.advanceLoad()
+		if _, now := w.load(); now != version {
+			version, change = now, fmt.Sprintf("weight-versions: %d\n", now)
+		}
+		fmt.Fprintf(response, "%sid: %d\ndata: %s/%d\n\n", change, number, id, number)
 		if http.NewResponseController(response).Flush() != nil {
 			return
 		}
+		last = number
 	}
 }
 
-// wholeText is the text of an item as a result shows it.
-func wholeText(id string) string {
-	events := make([]string, eventCount)
-	for number := range events {
-		events[number] = fmt.Sprintf("%s/%d", id, number+1)
-	}
-	return strings.Join(events, "\n")
-}
-
 func (w *worker) report(response http.ResponseWriter) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	response.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(response).Encode(map[string]any{
-		"stage": "both", "models": w.models(), "num-busy": time.Now().Before(w.loadingUntil), "seq": w.orders,
+		"stage": "both", "models": w.models(), "num-busy": w.ordered != 0, "seq": w.orders,
 		"num-waiting": 0, "num-running": w.running, "kv-used": 0, "kv-total": 103490, "handles": 0,
 	})
 }
 
-// order takes an order to load a version. Runs in progress go on under the version that they began with.
+// order takes an order to load a version. With the manner retain, runs go on under the new version; with the others they
+// end first.
 func (w *worker) order(response http.ResponseWriter, body []byte) {
 	var order struct {
 		Version uint64  `json:"version"`
+		Manner  string  `json:"manner"`
 		IfRev   *uint64 `json:"if-rev"`
 	}
 	if json.Unmarshal(body, &order) != nil {
@@ -190,21 +219,29 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	switch {
-	case time.Now().Before(w.loadingUntil) || order.IfRev != nil && *order.IfRev != w.orders:
+	case w.ordered != 0 || order.IfRev != nil && *order.IfRev != w.orders:
 		response.WriteHeader(http.StatusConflict)
 	case order.Version <= w.version:
 		response.WriteHeader(http.StatusOK)
 	default:
 		w.orders++
-		w.loads, w.loadingUntil = order.Version, time.Now().Add(loadTime)
+		w.ordered, w.waits, w.loadingSince = order.Version, order.Manner != "retain", time.Time{}
+		w.fleet.out.add("worker %s is ordered to load version %d (%s)", w.id, order.Version, order.Manner)
 		response.WriteHeader(http.StatusAccepted)
 	}
 }
 
-func (w *worker) finishLoad() {
+// advanceLoad begins and ends the load that is under way.
+func (w *worker) advanceLoad() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.loads > w.version && time.Now().After(w.loadingUntil) {
-		w.version = w.loads
+	switch {
+	case w.ordered == 0:
+	case w.loadingSince.IsZero() && w.waits && w.running > 0:
+	case w.loadingSince.IsZero():
+		w.loadingSince = time.Now()
+	case time.Since(w.loadingSince) >= loadTime:
+		w.version, w.ordered = w.ordered, 0
+		w.fleet.out.add("worker %s holds version %d", w.id, w.version)
 	}
 }
