--- a/review/second/main.go
+++ b/review/second/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"reward": playReward,
 	"single": playSingle,
+	"spoil":  playSpoil,
 }
 
 func main() { os.Exit(run()) }
--- a/review/second/single.go
+++ b/review/second/single.go
@@ -47,6 +47,31 @@
 	l.out.add("item %s ends at worker %s after event %d of %d", item, w.id, last, w.events)
 }
 
+// lost reports whether an item of a step that is out of time was at no worker for too long, and was finished by none.
+// None of the times excuses the system: it counts from the latest of them, and of the item's last end at a worker.
+func (l *runLog) lost(s *step, excuses ...time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	timeout := s.sentAt.Add(deadline)
+	begun, lost := 0, 0
+	for _, item := range s.items {
+		if !l.leftAt[item].IsZero() || l.at[item] > 0 {
+			begun++
+		}
+	}
+	for _, item := range s.items {
+		from := latest(append(excuses, l.leftAt[item], s.sentAt)...)
+		if l.at[item] == 0 && !l.finished[item] && timeout.Sub(from) >= idleTime && begun > 0 {
+			if lost++; lost <= 3 {
+				l.out.add("BROKEN: step %d ran out of time; item %s was at no worker at its end, and the last %.1f s of that have no excuse",
+					s.number, item, timeout.Sub(from).Seconds())
+			}
+		}
+	}
+	l.out.add("step %d: %d of %d items had begun, %d were at no worker for too long", s.number, begun, len(s.items), lost)
+	return lost > 0
+}
+
 func playSingle(f *fleet, trouble bool) (broken bool, err error) {
 	runs := &runLog{at: map[string]int{}, leftAt: map[string]time.Time{}, finished: map[string]bool{}, out: f.out}
 	var models, workers []*worker
@@ -96,23 +121,11 @@
 	go watch(s)
 	f.read(s, singleGroups*9/10)
 	outOfTime := s.wholeGroups() < singleGroups*9/10
-	timeout := s.sentAt.Add(deadline)
 	f.out.add("step 1: %d of %d groups are whole after %.1f s, out of time: %t", s.wholeGroups(), singleGroups, time.Since(s.sentAt).Seconds(), outOfTime)
 	if trouble && crashedAt.IsZero() {
 		return false, errNotReady("no worker ran items under the older version")
 	}
-	runs.mutex.Lock()
-	for _, item := range s.items {
-		// The time from which on nothing excuses the system: the state is steady, no version was named in the time before,
-		// the workers are less than half full, and the item is at no worker.
-		from := latest(runs.leftAt[item], namedAt.Add(namedTime), crashedAt.Add(contactTime), fullSince)
-		if outOfTime && runs.at[item] == 0 && !runs.finished[item] && timeout.Sub(from) >= idleTime {
-			f.out.add("BROKEN: item %s was at no worker from %.1f s on after its batch job was sent, and the step ran out of time; the last %.1f s of that have no excuse",
-				item, runs.leftAt[item].Sub(s.sentAt).Seconds(), timeout.Sub(from).Seconds())
-			broken = true
-		}
-	}
-	runs.mutex.Unlock()
+	broken = outOfTime && runs.lost(s, namedAt.Add(namedTime), crashedAt.Add(contactTime), fullSince)
 	f.end(s)
 	return broken, nil
 }
--- a/review/second/workers.go
+++ b/review/second/workers.go
@@ -25,6 +25,8 @@
 	pause  time.Duration
 	// onRun is called, if set, when an item begins and when it ends, with the number of its last event then.
 	onRun func(w *worker, item string, begins bool, last int)
+	// spoils reports, if set, whether an event of the item's answer has a wrong byte.
+	spoils func(w *worker, item string) bool
 
 	mutex   sync.Mutex
 	server  *http.Server
@@ -175,6 +177,10 @@
 	response.Header().Set("Content-Type", "text/event-stream")
 	response.Header().Set("Server-Stamp", w.stamp(id))
 	response.Header().Set("Weight-Versions", strconv.FormatUint(version, 10))
+	spoiltEvent := 0
+	if w.spoils != nil && w.spoils(w, id) {
+		spoiltEvent = last + 3
+	}
 	for number := last + 1; number <= w.events; number++ {
 		select {
 		case <-request.Context().Done():
@@ -186,7 +192,12 @@
 		if _, now := w.load(); now != version {
 			version, change = now, fmt.Sprintf("weight-versions: %d\n", now)
 		}
-		fmt.Fprintf(response, "%sid: %d\ndata: %s/%d\n\n", change, number, id, number)
+		data := fmt.Sprintf("%s/%d", id, number)
+		if number == spoiltEvent {
+			data = data[:1] + "\xff" + data[2:]
+			w.fleet.out.add("worker %s spoils one byte of event %d of item %s", w.id, number, id)
+		}
+		fmt.Fprintf(response, "%sid: %d\ndata: %s\n\n", change, number, data)
 		if http.NewResponseController(response).Flush() != nil {
 			return
 		}
