--- a/review/second/main.go
+++ b/review/second/main.go
@@ -19,9 +19,11 @@
 
 // cases maps the name of a case to the function that plays it and reports whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
-	"reward": playReward,
-	"single": playSingle,
-	"spoil":  playSpoil,
+	"reward":   playReward,
+	"single":   playSingle,
+	"stamp":    playStamp,
+	"attempts": playAttempts,
+	"spoil":    playSpoil,
 }
 
 func main() { os.Exit(run()) }
