--- a/review/second/fleet.go
+++ b/review/second/fleet.go
@@ -70,24 +70,30 @@
 	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, values...))
 }
 
-// freePort returns a port that is free on all loopback addresses that the fleet uses.
-func freePort() (int, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+// freePorts returns that many different ports that are free on a loopback address.
+func freePorts(count int) ([]int, error) {
+	var ports []int
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		// The listeners stay open until all ports are chosen, so that none is chosen twice.
+		defer listener.Close()
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
 	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port, nil
+	return ports, nil
 }
 
 func newFleet(folder, binary string, out *record) (*fleet, error) {
 	f := &fleet{folder: folder, binary: binary, ports: map[string]int{}, client: &http.Client{Timeout: 2 * time.Second}, out: out}
-	for _, name := range []string{"inner", "metrics", "control", "front", "ready"} {
-		port, err := freePort()
-		if err != nil {
-			return nil, err
-		}
-		f.ports[name] = port
+	names := []string{"inner", "metrics", "control", "front", "ready"}
+	ports, err := freePorts(len(names))
+	if err != nil {
+		return nil, err
+	}
+	for position, name := range names {
+		f.ports[name] = ports[position]
 	}
 	second := os.Getpid()%200 + 20
 	for number := range machinesPerRole {
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -19,11 +19,11 @@
 
 // cases maps the name of a case to the function that plays it and reports whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
-	"reward":   playReward,
-	"single":   playSingle,
-	"stamp":    playStamp,
-	"attempts": playAttempts,
-	"spoil":    playSpoil,
+	"reward":  playReward,
+	"single":  playSingle,
+	"version": playVersion,
+	"stamp":   playStamp,
+	"spoil":   playSpoil,
 }
 
 func main() { os.Exit(run()) }
--- a/review/second/trainer.go
+++ b/review/second/trainer.go
@@ -51,6 +51,8 @@
 	State string `json:"state"`
 	Text  string `json:"text"`
 	Score string `json:"score"`
+	// Versions are those that the system says made the text.
+	Versions []uint64 `json:"versions"`
 }
 
 // step is one batch job of the trainer.
--- a/review/second/workers.go
+++ b/review/second/workers.go
@@ -25,6 +25,11 @@
 	pause  time.Duration
 	// onRun is called, if set, when an item begins and when it ends, with the number of its last event then.
 	onRun func(w *worker, item string, begins bool, last int)
+	// onEvent is called, if set, for each event that is sent, with the version that made it.
+	onEvent func(item string, event int, version uint64)
+	// spoilsVersion reports, if set, whether the name of the header with the version has a wrong byte in the answer that
+	// continues the item after an event.
+	spoilsVersion func(w *worker, item string, after int) bool
 	// spoils reports, if set, whether an event of the item's answer has a wrong byte.
 	spoils func(w *worker, item string) bool
 
@@ -176,7 +181,12 @@
 	_, version := w.load()
 	response.Header().Set("Content-Type", "text/event-stream")
 	response.Header().Set("Server-Stamp", w.stamp(id))
-	response.Header().Set("Weight-Versions", strconv.FormatUint(version, 10))
+	versionField := "Weight-Versions"
+	if w.spoilsVersion != nil && w.spoilsVersion(w, id, last) {
+		versionField = "Weight-Vfrsions"
+		w.fleet.out.add("worker %s spoils one byte of the head of its answer for item %s: %s: %d", w.id, id, versionField, version)
+	}
+	response.Header().Set(versionField, strconv.FormatUint(version, 10))
 	spoiltEvent := 0
 	if w.spoils != nil && w.spoils(w, id) {
 		spoiltEvent = last + 3
@@ -201,7 +211,9 @@
 		if http.NewResponseController(response).Flush() != nil {
 			return
 		}
-		last = number
+		if last = number; w.onEvent != nil {
+			w.onEvent(id, number, version)
+		}
 	}
 }
 
@@ -237,6 +249,9 @@
 	default:
 		w.orders++
 		w.ordered, w.waits, w.loadingSince = order.Version, order.Manner != "retain", time.Time{}
+		if !w.waits || w.running == 0 {
+			w.loadingSince = time.Now()
+		}
 		w.fleet.out.add("worker %s is ordered to load version %d (%s)", w.id, order.Version, order.Manner)
 		response.WriteHeader(http.StatusAccepted)
 	}
