--- a/review/second/platform/fleet.go
+++ b/review/second/platform/fleet.go
@@ -86,7 +86,7 @@
 }
 
 func newFleet(folder, binary string, out *record) (*fleet, error) {
-	f := &fleet{folder: folder, binary: binary, ports: map[string]int{}, client: &http.Client{Timeout: 2 * time.Second}, out: out}
+	f := &fleet{folder: folder, binary: binary, ports: map[string]int{}, client: &http.Client{Timeout: 2500 * time.Millisecond}, out: out}
 	names := []string{"inner", "metrics", "control", "front", "ready"}
 	ports, err := freePorts(len(names))
 	if err != nil {
--- a/review/second/platform/reward.go
+++ b/review/second/platform/reward.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// The case "reward": one of two workers that score texts fails a part of its requests, by doing nothing until the
+// The case "reward": the workers that score texts fail a part of their requests, by doing nothing until the
 // deadline and then answering 504. A few calls always fail, with 500. No item may be dead before its reward call had
 // max-attempts answers of 500.
 
@@ -24,6 +24,7 @@
 	failingPart  = 0.01
 	rewardWork   = 30 * time.Millisecond
 	stepGroups   = 29
+	itemEvents   = 24
 	stepInterval = 4 * time.Second
 	rewardSteps  = 18
 	maxWait      = 12 * time.Second
@@ -43,9 +44,7 @@
 		a.counts[id] = map[int]int{}
 	}
 	a.counts[id][status]++
-	if status != http.StatusOK {
-		a.out.add("worker %s answers %d to reward call %s", worker, status, id)
-	}
+	a.out.add("worker %s answers %d to reward call %s", worker, status, id)
 }
 
 func (a *rewardAnswers) of(id string) (answers500 int, all string) {
@@ -80,6 +79,7 @@
 	answers := &rewardAnswers{counts: map[string]map[int]int{}, out: f.out}
 	random := rand.New(rand.NewPCG(7, 7))
 	var randomMutex sync.Mutex
+	struck := &strikes{}
 	fails := func() bool {
 		randomMutex.Lock()
 		defer randomMutex.Unlock()
@@ -90,7 +90,7 @@
 			began, id := time.Now(), request.Header.Get("Request-Id")
 			work, status := rewardWork, http.StatusOK
 			switch {
-			case grey && fails():
+			case grey && struck.on() && fails():
 				left, _ := strconv.Atoi(request.Header.Get("Deadline-Ms"))
 				work, status = time.Duration(left)*time.Millisecond, http.StatusGatewayTimeout
 			case alwaysFails(id):
@@ -107,20 +107,21 @@
 	}
 	var workers []*worker
 	for number := range 4 {
-		workers = append(workers, &worker{id: fmt.Sprintf("i-model%d", number), service: modelService, zone: zones[number%3], address: "127.0.0.1:0", model: model, slots: 8, fleet: f, events: 24, pause: 30 * time.Millisecond})
+		workers = append(workers, &worker{id: fmt.Sprintf("i-model%d", number), service: modelService, zone: zones[number%3], address: "127.0.0.1:0", model: model, slots: 8, fleet: f, events: itemEvents, pause: 30 * time.Millisecond})
 	}
-	for number := range 2 {
-		workers = append(workers, &worker{id: fmt.Sprintf("i-plain%d", number), service: plainService, zone: zones[number], address: "127.0.0.1:0", slots: 6, fleet: f, answer: score(trouble && number == 0)})
+	for number := range 3 {
+		workers = append(workers, &worker{id: fmt.Sprintf("i-plain%d", number), service: plainService, zone: zones[number], address: "127.0.0.1:0", slots: 6, fleet: f, answer: score(trouble)})
 	}
 	if err := f.bringUp(configuration(false), workers); err != nil {
 		return false, err
 	}
+	struck.began = time.Now()
 	began, done := time.Now(), 0
 	for number := 0; number < rewardSteps && !broken && time.Since(began) < 85*time.Second; number++ {
 		if number > 0 && !f.control(http.MethodPost, "/dillchute/version-put", map[string]any{"model": model, "version": number + 1}, 4*time.Second) {
 			return false, errNotReady("a version was not noted")
 		}
-		s, body := newStep(number, stepGroups)
+		s, body := newStep(number, stepGroups, itemEvents)
 		if !f.submit(s, body) {
 			return false, errNotReady("a batch job was not taken")
 		}
--- a/review/second/platform/single.go
+++ b/review/second/platform/single.go
@@ -15,6 +15,8 @@
 
 const (
 	singleGroups = 6
+	singleEvents = 130
+	trainingTime = 500 * time.Millisecond
 	// contactTime is contact-ms, namedTime and idleTime are the spans of the rule LOST.
 	contactTime = 3 * time.Second
 	namedTime   = 6 * time.Second
@@ -77,7 +79,7 @@
 	var models, workers []*worker
 	for number := range 3 {
 		models = append(models, &worker{id: fmt.Sprintf("i-model%d", number), service: modelService, zone: zones[number], address: "127.0.0.1:0", model: model,
-			slots: 8, fleet: f, events: 130, pause: 30 * time.Millisecond, onRun: runs.record})
+			slots: 8, fleet: f, events: singleEvents, pause: 30 * time.Millisecond, onRun: runs.record})
 	}
 	score := func(w *worker, response http.ResponseWriter, request *http.Request, _ []byte) {
 		time.Sleep(rewardWork)
@@ -92,6 +94,7 @@
 	if err := f.playStep(0); err != nil {
 		return false, err
 	}
+	time.Sleep(trainingTime)
 	if !f.control(http.MethodPost, "/dillchute/version-put", map[string]any{"model": model, "version": 2}, 4*time.Second) {
 		return false, errNotReady("a version was not noted")
 	}
@@ -114,7 +117,7 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
-	s, body := newStep(1, singleGroups)
+	s, body := newStep(1, singleGroups, singleEvents)
 	if !f.submit(s, body) {
 		return false, errNotReady("a batch job was not taken")
 	}
@@ -132,7 +135,7 @@
 
 // playStep plays a step that nothing disturbs.
 func (f *fleet) playStep(number int) error {
-	s, body := newStep(number, singleGroups)
+	s, body := newStep(number, singleGroups, singleEvents)
 	if !f.submit(s, body) {
 		return errNotReady("a batch job was not taken")
 	}
--- a/review/second/platform/spoil.go
+++ b/review/second/platform/spoil.go
@@ -17,17 +17,21 @@
 	spoiltInterval = 50
 	// spoiltAnswers is the number of spoilt answers after which the trouble ends.
 	spoiltAnswers = 3
-	spoilSteps    = 8
+	spoilSteps    = 14
 )
 
 func playSpoil(f *fleet, trouble bool) (broken bool, err error) {
 	runs := &runLog{at: map[string]int{}, leftAt: map[string]time.Time{}, finished: map[string]bool{}, out: f.out}
 	var mutex sync.Mutex
 	answers, spoilt := 0, 0
+	struck := &strikes{}
 	var spoiltAt, fullSince time.Time
 	spoils := func(*worker, string) bool {
 		mutex.Lock()
 		defer mutex.Unlock()
+		if !struck.on() {
+			return false
+		}
 		answers++
 		if answers%spoiltInterval != 0 || spoilt == spoiltAnswers {
 			return false
@@ -39,7 +43,7 @@
 	var models, workers []*worker
 	for number := range 4 {
 		w := &worker{id: fmt.Sprintf("i-model%d", number), service: modelService, zone: zones[number%3], address: "127.0.0.1:0", model: model,
-			slots: 8, fleet: f, events: 24, pause: 30 * time.Millisecond, onRun: runs.record}
+			slots: 8, fleet: f, events: itemEvents, pause: 30 * time.Millisecond, onRun: runs.record}
 		if trouble && number < 2 {
 			w.spoils = spoils
 		}
@@ -55,6 +59,7 @@
 	if err := f.bringUp(configuration(false), append(workers, models...)); err != nil {
 		return false, err
 	}
+	struck.began = time.Now()
 	go func() {
 		for ; ; time.Sleep(20 * time.Millisecond) {
 			if 2*runningAt(models) >= slotsOf(models) {
@@ -72,7 +77,7 @@
 			}
 			namedAt = time.Now()
 		}
-		s, body := newStep(number, stepGroups)
+		s, body := newStep(number, stepGroups, itemEvents)
 		if !f.submit(s, body) {
 			return false, errNotReady("a batch job was not taken")
 		}
@@ -97,7 +102,7 @@
 
 // lookFurther records how a further step fares after the rule was broken. It decides nothing.
 func (f *fleet) lookFurther(runs *runLog, number int) {
-	s, body := newStep(number, stepGroups)
+	s, body := newStep(number, stepGroups, itemEvents)
 	s.results = nil
 	if !f.submit(s, body) {
 		return
--- a/review/second/platform/stamp.go
+++ b/review/second/platform/stamp.go
@@ -39,9 +39,13 @@
 	given := &givenStamps{stamps: map[string]map[string]bool{}}
 	var mutex sync.Mutex
 	answers := 0
+	struck := &strikes{}
 	spoils := func() bool {
 		mutex.Lock()
 		defer mutex.Unlock()
+		if !struck.on() {
+			return false
+		}
 		answers++
 		return answers%spoiltInterval == 0
 	}
@@ -55,13 +59,14 @@
 				f.out.add("worker %s spoils one byte of its answer 200 to reward call %s: %s: %s", w.id, id, name, stamp)
 			} else {
 				given.add(id, stamp)
+				f.out.add("worker %s answers 200 to reward call %s: %s", w.id, id, stamp)
 			}
 			response.Header().Set(name, stamp)
 		}
 	}
 	var workers []*worker
 	for number := range 4 {
-		workers = append(workers, &worker{id: fmt.Sprintf("i-model%d", number), service: modelService, zone: zones[number%3], address: "127.0.0.1:0", model: model, slots: 8, fleet: f, events: 24, pause: 30 * time.Millisecond})
+		workers = append(workers, &worker{id: fmt.Sprintf("i-model%d", number), service: modelService, zone: zones[number%3], address: "127.0.0.1:0", model: model, slots: 8, fleet: f, events: itemEvents, pause: 30 * time.Millisecond})
 	}
 	for number := range 3 {
 		workers = append(workers, &worker{id: fmt.Sprintf("i-plain%d", number), service: plainService, zone: zones[number], address: "127.0.0.1:0", slots: 6, fleet: f, answer: score(trouble && number == 0)})
@@ -69,12 +74,13 @@
 	if err := f.bringUp(configuration(false), workers); err != nil {
 		return false, err
 	}
+	struck.began = time.Now()
 	done := 0
 	for number := 0; number < stampSteps && !broken; number++ {
 		if number > 0 && !f.control(http.MethodPost, "/dillchute/version-put", map[string]any{"model": model, "version": number + 1}, 4*time.Second) {
 			return false, errNotReady("a version was not noted")
 		}
-		s, body := newStep(number, stepGroups)
+		s, body := newStep(number, stepGroups, itemEvents)
 		if !f.submit(s, body) {
 			return false, errNotReady("a batch job was not taken")
 		}
--- a/review/second/platform/trainer.go
+++ b/review/second/platform/trainer.go
@@ -21,6 +21,8 @@
 	rewardTries   = 4
 	itemTries     = 3
 	groupSize     = 4
+	// promptTokens and eventTokens are the sizes of a prompt and of an event.
+	promptTokens, eventTokens = 271, 45
 	// deadline is how long the trainer waits for a step.
 	deadline = 12 * time.Second
 )
@@ -71,7 +73,7 @@
 	return fmt.Sprintf("%02x%06x%08x", kind, number, item+1)
 }
 
-func newStep(number, groups int) (*step, map[string]any) {
+func newStep(number, groups, events int) (*step, map[string]any) {
 	s := &step{number: number, id: identifier(1, number, 0), rewards: map[string]string{}}
 	var items []map[string]any
 	for position := range groups * groupSize {
@@ -79,8 +81,8 @@
 		s.items, s.rewards[id] = append(s.items, id), reward
 		items = append(items, map[string]any{
 			"id": id, "path": rolloutPrefix + "3/" + id[12:], "body": base64.StdEncoding.EncodeToString([]byte("prompt " + id)),
-			"headers": map[string]string{"Model": model, "Token-Count": "271,810", "Prompt-Prefix": fmt.Sprintf("9c2e%02x:255,%s:16", position/groupSize, id)},
-			"tokens":  1081, "group": fmt.Sprintf("g%d-%d", number, position/groupSize),
+			"headers": map[string]string{"Model": model, "Token-Count": fmt.Sprintf("%d,%d", promptTokens, events*eventTokens), "Prompt-Prefix": fmt.Sprintf("9c2e%02x:255,%s:16", position/groupSize, id)},
+			"tokens":  promptTokens + events*eventTokens, "group": fmt.Sprintf("g%d-%d", number, position/groupSize),
 			"scorer": map[string]string{"id": reward, "host": host, "path": rewardPrefix + reward[12:], "body": base64.StdEncoding.EncodeToString([]byte("score " + id))},
 		})
 	}
@@ -120,7 +122,7 @@
 		if s.wholeGroups() >= wantedGroups {
 			return
 		}
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
 	}
 }
 
@@ -148,3 +150,17 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 }
+
+// The trouble of a worker comes in strikes: each lasts as long as one entry of a day does by default.
+const (
+	strikeTime  = 5 * time.Second
+	strikePause = 1500 * time.Millisecond
+)
+
+// strikes tells when strikes are on, from the time at which the first begins.
+type strikes struct{ began time.Time }
+
+// phase returns the time since the latest strike began.
+func (s *strikes) phase() time.Duration { return time.Since(s.began) % (strikeTime + strikePause) }
+
+func (s *strikes) on() bool { return !s.began.IsZero() && s.phase() < strikeTime }
--- a/review/second/platform/version.go
+++ b/review/second/platform/version.go
@@ -56,11 +56,15 @@
 	made := &madeBy{versions: map[string]map[int]uint64{}}
 	var mutex sync.Mutex
 	answers, spoilt := map[string]int{}, 0
+	struck := &strikes{}
 	var spoiler *worker
 	// The worker that spoils answers spoils the first one that continues an item, after it has given enough others.
 	spoils := func(w *worker, _ string, after int) bool {
 		mutex.Lock()
 		defer mutex.Unlock()
+		if !struck.on() {
+			return false
+		}
 		answers[w.id]++
 		if w != spoiler || after == 0 || answers[w.id] < spoiltInterval*(spoilt+1) {
 			return false
@@ -86,20 +90,24 @@
 	if err := f.bringUp(configuration(false), append(workers, models...)); err != nil {
 		return false, err
 	}
+	struck.began = time.Now()
 	crashed := false
-	for number := range 14 {
+	for number := range 18 {
+		mutex.Lock()
+		last := min(answers[models[0].id], answers[models[1].id], answers[models[2].id]) >= spoiltInterval
+		mutex.Unlock()
+		for last && struck.phase() > strikeTime/10 {
+			time.Sleep(10 * time.Millisecond)
+		}
 		// A trainer trains for a while, and names a version before each step.
 		if number > 0 && !f.control(http.MethodPost, "/dillchute/version-put", map[string]any{"model": model, "version": number + 1}, 4*time.Second) {
 			return false, errNotReady("a version was not noted")
 		}
-		mutex.Lock()
-		last := min(answers[models[0].id], answers[models[1].id], answers[models[2].id]) >= spoiltInterval
-		mutex.Unlock()
 		groups := versionGroups
 		if last {
 			groups = lastGroups
 		}
-		s, body := newStep(number, groups)
+		s, body := newStep(number, groups, versionEvents)
 		if !f.submit(s, body) {
 			return false, errNotReady("a batch job was not taken")
 		}
--- a/review/second/platform/workers.go
+++ b/review/second/platform/workers.go
@@ -33,6 +33,8 @@
 	// spoils reports, if set, whether an event of the item's answer has a wrong byte.
 	spoils func(w *worker, item string) bool
 
+	// places holds a token for each request that is being worked on.
+	places  chan struct{}
 	mutex   sync.Mutex
 	server  *http.Server
 	gone    bool
@@ -55,6 +57,7 @@
 	if err != nil {
 		return err
 	}
+	w.places = make(chan struct{}, w.slots)
 	w.address, w.version, w.server = listener.Addr().String(), 1, &http.Server{Handler: w}
 	go func() {
 		// The server runs until the worker crashes or the process ends.
@@ -138,6 +141,12 @@
 		return
 	}
 	defer w.end()
+	select {
+	case w.places <- struct{}{}:
+		defer func() { <-w.places }()
+	case <-request.Context().Done():
+		return
+	}
 	if w.model == "" {
 		w.answer(w, response, request, body)
 		return
