--- a/event/event.go
+++ b/event/event.go
@@ -49,6 +49,7 @@
 	PeerReachable   = Event{3002, zerolog.InfoLevel, "peer is reachable again"}
 	MalformedStream = Event{3003, zerolog.WarnLevel, "malformed message stream closed"}
 	ForeignResponse = Event{3004, zerolog.WarnLevel, "backend response belongs to another request; it is discarded"}
+	InvalidResponse = Event{3005, zerolog.WarnLevel, "backend response is invalid; it is discarded"}
 
 	HTTPServerFailed = Event{4001, zerolog.ErrorLevel, "HTTP server failed"}
 	LogLinesDropped  = Event{4002, zerolog.WarnLevel, "log lines were dropped"}
@@ -153,7 +154,7 @@
 	ControlStarted, ControlStopping, LeadershipGained, LeadershipLost, SnapshotSaved,
 	StorageFailed, ApplyFailed, PlatformUnreachable, JoinRequested, ReplicaStarted, LeaderChanged, MembershipChanged, StorageUnavailable, StorageRecovered, SnapshotSent, SnapshotSendFailed, AdmissionPending, VotersMissing, VotersComplete, SnapshotNotHeld, SnapshotReceiveFailed,
 	NodeStarted, NodeDraining, NodeStopped, LeaseGained, LeaseLost, DrainTimedOut, ScorerUnreachable,
-	PeerUnreachable, PeerReachable, MalformedStream, ForeignResponse,
+	PeerUnreachable, PeerReachable, MalformedStream, ForeignResponse, InvalidResponse,
 	HTTPServerFailed, LogLinesDropped, ReloadRequested, SettingsApplied, SettingsRejected, ProcessStalled, BootClockUnavailable,
 	BackendRegistered, BackendDeregistered, BackendSilent, BackendRemoved, ConfigurationSubmitted, ConfigurationRejected, WeightsPublished, StoreRegistered, GroupFormed, RetireRequested, ConfigurationApplied, DirectoryReachable, DirectoryUnreachable, CallFailed, UsageReported, UsageUpdateFailed, UsageSendFailed, AddressConflict, CrashReported, TrialOffered, TrialStarted, QuarantineCallFailed, LeaderUpdateFailed, StaleHeartbeatIgnored, InvalidHeartbeatIgnored, CapacityPlanned, ScalingOrderFinished, ScalingResultNotRecorded, DemandSendFailed, WatchesSuspended, WatchesResumed, CopyRefreshed, CopyStale, BackendReturned, CommandVersionChanged, CommandVersionPending, MemberOutdated, BuildsChanged, HeartbeatIgnored, DepartureAcknowledged,
 	StepSubmitted, StepResubmitted, StepEnded, SampleStarted, SampleRunEnded, SampleFailed, ResultsRecorded, LoadOrdered, LoadEnded, SampleTextReused, SampleMoved, TextsCheckpointed, StepCompleted, SpeculativeRunPromoted, SpeculativeRunCancelled, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkClosed, RunnerConnected, RunnerDisconnected, OrphanedRunsEnded, RunAdopted, FailuresRecorded, EngineRestarted, RewardDelayed, GroupsDeferred,
--- a/server/score.go
+++ b/server/score.go
@@ -107,8 +107,11 @@
 	waited, took time.Duration
 }
 
+// isScored reports whether the call succeeded. The signature of the response is the score, so one without a signature
+// scores nothing.
 func (a rewardAttempt) isScored() bool {
-	return a.result.Response != nil && a.result.Response.Status/100 == http.StatusOK/100
+	response := a.result.Response
+	return response != nil && response.Status/100 == http.StatusOK/100 && response.Signature != ""
 }
 
 // attemptReward waits for a place among the route's calls and sends the call once.
--- a/server/score_test.go
+++ b/server/score_test.go
@@ -35,7 +35,7 @@
 
 func (r backendRecorder) Send(_ context.Context, backend directory.Backend, _ *forward.Request) forward.Attempt {
 	r.backends <- backend.ID
-	return forward.Attempt{Outcome: forward.Answered, Response: forward.Response{Status: http.StatusOK}}
+	return forward.Attempt{Outcome: forward.Answered, Response: forward.Response{Status: http.StatusOK, Signature: "signature"}}
 }
 
 // TestRewardCallUsesTheDirectoryAfterItsWait guards against a reward call that waits for its place and is then sent
