--- a/event/event.go
+++ b/event/event.go
@@ -133,7 +133,8 @@
 	FailuresRecorded        = Event{6026, zerolog.InfoLevel, "failure counts of a sample recorded"}
 	EngineRestarted         = Event{6027, zerolog.WarnLevel, "engine has restarted since it was registered"}
 
-	RewardDelayed = Event{6028, zerolog.InfoLevel, "reward call did not score its sample at once"}
+	RewardDelayed    = Event{6028, zerolog.InfoLevel, "reward call did not score its sample at once"}
+	RunnerLinkFailed = Event{6029, zerolog.WarnLevel, "runner link cannot be opened"}
 
 	GroupsDeferred = Event{6035, zerolog.InfoLevel, "groups deferred; not all open groups can complete in time"}
 
@@ -157,7 +158,7 @@
 	PeerUnreachable, PeerReachable, MalformedStream, ForeignResponse, InvalidResponse,
 	HTTPServerFailed, LogLinesDropped, ReloadRequested, SettingsApplied, SettingsRejected, ProcessStalled, BootClockUnavailable,
 	BackendRegistered, BackendDeregistered, BackendSilent, BackendRemoved, ConfigurationSubmitted, ConfigurationRejected, WeightsPublished, StoreRegistered, GroupFormed, RetireRequested, ConfigurationApplied, DirectoryReachable, DirectoryUnreachable, CallFailed, UsageReported, UsageUpdateFailed, UsageSendFailed, AddressConflict, CrashReported, TrialOffered, TrialStarted, QuarantineCallFailed, LeaderUpdateFailed, StaleHeartbeatIgnored, InvalidHeartbeatIgnored, CapacityPlanned, ScalingOrderFinished, ScalingResultNotRecorded, DemandSendFailed, WatchesSuspended, WatchesResumed, CopyRefreshed, CopyStale, BackendReturned, CommandVersionChanged, CommandVersionPending, MemberOutdated, BuildsChanged, HeartbeatIgnored, DepartureAcknowledged,
-	StepSubmitted, StepResubmitted, StepEnded, SampleStarted, SampleRunEnded, SampleFailed, ResultsRecorded, LoadOrdered, LoadEnded, SampleTextReused, SampleMoved, TextsCheckpointed, StepCompleted, SpeculativeRunPromoted, SpeculativeRunCancelled, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkClosed, RunnerConnected, RunnerDisconnected, OrphanedRunsEnded, RunAdopted, FailuresRecorded, EngineRestarted, RewardDelayed, GroupsDeferred,
+	StepSubmitted, StepResubmitted, StepEnded, SampleStarted, SampleRunEnded, SampleFailed, ResultsRecorded, LoadOrdered, LoadEnded, SampleTextReused, SampleMoved, TextsCheckpointed, StepCompleted, SpeculativeRunPromoted, SpeculativeRunCancelled, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkClosed, RunnerConnected, RunnerDisconnected, OrphanedRunsEnded, RunAdopted, FailuresRecorded, EngineRestarted, RewardDelayed, RunnerLinkFailed, GroupsDeferred,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, LocalReplicaUnavailable, RequestQuarantined, LimitStarted, LimitEnded,
 }
 
--- a/internal/pack/pack.go
+++ b/internal/pack/pack.go
@@ -79,7 +79,7 @@
 	return Pack(data)
 }
 
-// Decode reverses Encode. It fails if the data unpacks to more than maxBytes.
+// Decode reverses Encode. It fails if the data unpacks to more than maxBytes, or if a text is not valid UTF-8.
 func Decode(data []byte, maxBytes int, into any) error {
 	unpacked, err := Unpack(data, maxBytes)
 	if err != nil {
@@ -87,3 +87,22 @@
 	}
 	return cbor.Unmarshal(unpacked, into)
 }
+
+// uncheckedText accepts texts that are not valid UTF-8.
+var uncheckedText = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic("pack: invalid decoder options: " + err.Error())
+	}
+	return mode
+}()
+
+// DecodeUncheckedText is like Decode, but accepts texts that are not valid UTF-8. The caller checks them one by one, so
+// that one invalid text does not make the whole message unreadable.
+func DecodeUncheckedText(data []byte, maxBytes int, into any) error {
+	unpacked, err := Unpack(data, maxBytes)
+	if err != nil {
+		return err
+	}
+	return uncheckedText.Unmarshal(unpacked, into)
+}
--- a/runner/link.go
+++ b/runner/link.go
@@ -180,13 +180,19 @@
 	delete(l.runs, number)
 }
 
-// keepOpen connects with exponential backoff until the context ends.
+// keepOpen connects with exponential backoff until the context ends. Of attempts that fail in the same way, the first
+// is logged.
 func (l *Link) keepOpen() {
 	backoff := minBackoff
+	lastError := ""
 	for l.context.Err() == nil {
 		opened, err := l.connectAndServe()
+		if !opened && l.context.Err() == nil && err.Error() != lastError {
+			lastError = err.Error()
+			event.RunnerLinkFailed.On(l.pool.logger).Str("runner", l.name).Err(err).Send()
+		}
 		if opened {
-			backoff = minBackoff
+			backoff, lastError = minBackoff, ""
 			event.RunnerDisconnected.On(l.pool.logger).Str("runner", l.name).Uint("runs", uint64(l.interruptRuns())).Err(err).Send()
 		}
 		sleep(l.context, backoff)
@@ -236,18 +242,23 @@
 	return true, l.receiveReports(reader, watchdog, &lastReport)
 }
 
-// activate offers the orphaned runs of the first report to the leader, cancels those that it does not
-// accept and opens the link for new runs. It returns the number of accepted runs.
+// activate offers the orphaned runs of the first report to the leader, cancels the invalid ones and those that it
+// does not accept and opens the link for new runs. It returns the number of accepted runs.
 func (l *Link) activate(firstReport report) (accepted int) {
 	orphans := make([]*OrphanedRun, 0, len(firstReport.Held))
+	var invalid []uint64
 	for _, orphan := range firstReport.Held {
+		if !orphan.Text.isValid() {
+			invalid = append(invalid, orphan.Run)
+			continue
+		}
 		text := scheduler.Text{Events: orphan.Text.Events, Last: uint64(len(orphan.Text.Events)), Versions: orphan.Text.Versions}
 		run := &linkRun{ended: make(chan scheduler.RunEnd, 1)}
 		orphans = append(orphans, &OrphanedRun{Step: orphan.Step, Sample: orphan.Sample, Engine: orphan.Engine, Text: text, link: l, number: orphan.Run, run: run})
 	}
 	// The runs are registered before they are accepted, so that the end of the link interrupts them.
 	l.mutex.Lock()
-	l.pending = commands{}
+	l.pending = commands{Cancels: invalid}
 	for _, orphan := range orphans {
 		l.runs[orphan.number] = orphan.run
 	}
@@ -338,8 +349,13 @@
 	}
 }
 
-// deliverUpdate passes on the events and the end of a run, unless the run was forgotten.
+// deliverUpdate passes on the events and the end of a run, unless the run was forgotten. A run with invalid events is
+// broken after the events before them.
 func (l *Link) deliverUpdate(update runReport) {
+	if !update.Batch.isValid() {
+		l.cancelRun(update.Run)
+		update = runReport{Run: update.Run, End: scheduler.Broken}
+	}
 	l.mutex.Lock()
 	run := l.runs[update.Run]
 	if update.End != 0 {
--- a/runner/message.go
+++ b/runner/message.go
@@ -97,10 +97,11 @@
 	return transport.WriteFrame(writer, pack.Encode(message))
 }
 
+// readMessage reads a message. The texts of events in it need not be valid UTF-8; see Batch.isValid.
 func readMessage(reader io.Reader, into any) error {
 	data, err := transport.ReadFrame(reader, maxFrameBytes)
 	if err != nil {
 		return err
 	}
-	return pack.Decode(data, maxFrameBytes, into)
+	return pack.DecodeUncheckedText(data, maxFrameBytes, into)
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -7,7 +7,9 @@
 
 import (
 	"context"
+	"slices"
 	"time"
+	"unicode/utf8"
 
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/ledger"
@@ -39,6 +41,9 @@
 	Version uint64
 }
 
+// isValid reports whether the event can be part of a result, which is a text in UTF-8.
+func (e Event) isValid() bool { return utf8.ValidString(e.Data) }
+
 // Engine runs samples on engines.
 type Engine interface {
 	// Run passes the sample's events to onEvent until the run ends.
@@ -51,6 +56,12 @@
 	First uint64 `cbor:"1,keyasint,omitempty"`
 	// Events holds the data of the events.
 	Events []string `cbor:"2,keyasint,omitempty"`
-	// Versions lists the versions of the weights that generated the events, 0 if unknown.
+	// Versions lists the versions of the weights that generated the events.
 	Versions []uint64 `cbor:"3,keyasint,omitempty"`
 }
+
+// isValid reports whether the events can be part of a result. A runner of an earlier build may report texts that are
+// not valid UTF-8.
+func (b Batch) isValid() bool {
+	return !slices.ContainsFunc(b.Events, func(text string) bool { return !utf8.ValidString(text) })
+}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -115,7 +115,7 @@
 
 func TestKnownCrashesReachRunner(t *testing.T) {
 	deployment := newTestDeployment(t, func(_ context.Context, request Request, onEvent func(Event)) scheduler.RunEnd {
-		onEvent(Event{ID: 1, Data: fmt.Sprint(request.KnownCrashes, " ", request.KnownKindCrashes)})
+		onEvent(Event{ID: 1, Data: fmt.Sprint(request.KnownCrashes, " ", request.KnownKindCrashes), Version: 1})
 		return scheduler.Complete
 	})
 	var data []string
@@ -135,8 +135,8 @@
 // TestEventGapBreaksRun checks that events after a gap are dropped and the run does not complete.
 func TestEventGapBreaksRun(t *testing.T) {
 	deployment := newTestDeployment(t, func(ctx context.Context, _ Request, onEvent func(Event)) scheduler.RunEnd {
-		onEvent(Event{ID: 1, Data: "a"})
-		onEvent(Event{ID: 3, Data: "c"})
+		onEvent(Event{ID: 1, Data: "a", Version: 1})
+		onEvent(Event{ID: 3, Data: "c", Version: 1})
 		<-ctx.Done()
 		return scheduler.Complete
 	})
@@ -148,7 +148,7 @@
 // blockingEngine returns an engine that sends one event and then blocks until the run is cancelled.
 func blockingEngine(cancelled chan<- struct{}) scriptedEngine {
 	return func(ctx context.Context, _ Request, onEvent func(Event)) scheduler.RunEnd {
-		onEvent(Event{ID: 1, Data: "a"})
+		onEvent(Event{ID: 1, Data: "a", Version: 1})
 		<-ctx.Done()
 		cancelled <- struct{}{}
 		return scheduler.Broken
@@ -173,10 +173,10 @@
 func TestCancelledRunReportsReceivedEvents(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	deployment := newTestDeployment(t, func(running context.Context, _ Request, onEvent func(Event)) scheduler.RunEnd {
-		onEvent(Event{ID: 1, Data: "a"})
+		onEvent(Event{ID: 1, Data: "a", Version: 1})
 		cancel()
 		<-running.Done()
-		onEvent(Event{ID: 2, Data: "b"})
+		onEvent(Event{ID: 2, Data: "b", Version: 1})
 		return scheduler.Broken
 	})
 	events, _, end := deployment.run(ctx, newText(0, 0))
@@ -411,7 +411,7 @@
 func TestFailureIsReportedOnce(t *testing.T) {
 	for _, end := range []scheduler.RunEnd{scheduler.Failed, scheduler.Complete} {
 		deployment := newTestDeployment(t, func(_ context.Context, _ Request, onEvent func(Event)) scheduler.RunEnd {
-			onEvent(Event{ID: 1, Data: "a"})
+			onEvent(Event{ID: 1, Data: "a", Version: 1})
 			return end
 		})
 		_, _, reported := deployment.run(context.Background(), newText(0, 0))
--- a/runner/serverrun.go
+++ b/runner/serverrun.go
@@ -24,15 +24,15 @@
 	reportedEvents     int
 	unreportedVersions []uint64
 	end                scheduler.RunEnd
-	// hasGap is set once an event's ID does not follow that of the previous event.
+	// hasGap is set once an event is invalid, or its ID does not follow that of the previous event.
 	hasGap bool
 }
 
-// addEvent appends an event to the text. It cancels the run if events are missing before it.
+// addEvent appends an event to the text. It cancels the run if the event is invalid or events are missing before it.
 func (r *serverRun) addEvent(event Event) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.hasGap = r.hasGap || event.ID != r.text.Last+1; r.hasGap {
+	if r.hasGap = r.hasGap || event.ID != r.text.Last+1 || !event.isValid(); r.hasGap {
 		r.cancel()
 		return
 	}
