--- a/scheduler/assign_pass.go
+++ b/scheduler/assign_pass.go
@@ -27,8 +27,12 @@
 	}
 	s := a.scheduler
 	services, ok := a.servicesOf(task)
+	if !ok {
+		return false
+	}
+	s.discardStranded(a.now, task, services)
 	required := requirementsOf(task, services)
-	if !ok || a.unplaceable[required] {
+	if a.unplaceable[required] {
 		return false
 	}
 	backend, result := s.place(a.now, task, services, a.inTimeOnly)
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -202,7 +202,7 @@
 	var best *engine
 	for _, e := range s.sortedEngines {
 		if e.backend.ID == task.Engine || e.backend.Silent || len(e.running)+reserved[e] >= e.backend.Slots ||
-			!s.canRun(now, e, task, services) {
+			!s.canRun(now, e, task, services) || !s.canTakeOver(e, task) {
 			continue
 		}
 		if expected := s.expectedMillis(e, task, after); expected < earliest {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -109,11 +109,10 @@
 }
 
 func requirementsOf(task *Task, services []string) requirements {
-	required := requirements{services: strings.Join(services, " "), model: task.Step.Model, oldestVersion: task.Step.OldestVersion}
-	if task.Step.SingleVersion && len(task.Text.Versions) > 0 {
-		required.requiredVersion = task.Text.Versions[0]
+	return requirements{
+		services: strings.Join(services, " "), model: task.Step.Model, oldestVersion: task.Step.OldestVersion,
+		requiredVersion: task.requiredVersion(),
 	}
-	return required
 }
 
 // placement is the result of the search for an engine.
@@ -236,7 +235,13 @@
 	return false
 }
 
+// canRun reports whether the engine can run the task now, after the text that the task has.
 func (s *Scheduler) canRun(now int64, e *engine, task *Task, services []string) bool {
+	return s.canStart(now, e, task, services) && e.canContinue(task)
+}
+
+// canStart reports whether the engine can run the task now if it starts over.
+func (s *Scheduler) canStart(now int64, e *engine, task *Task, services []string) bool {
 	switch {
 	case e.freeSlots() <= 0:
 		return false
@@ -247,9 +252,11 @@
 	case e.isLoading(task.Step.Model):
 		return false
 	}
-	version := e.versions[task.Step.Model]
-	if version < task.Step.OldestVersion {
-		return false
-	}
-	return !task.Step.SingleVersion || len(task.Text.Versions) == 0 || task.Text.Versions[0] == version
+	return e.versions[task.Step.Model] >= task.Step.OldestVersion
+}
+
+// canContinue reports whether the engine's version may continue the task's text.
+func (e *engine) canContinue(task *Task) bool {
+	required := task.requiredVersion()
+	return required == 0 || required == e.versions[task.Step.Model]
 }
--- a/scheduler/run_end.go
+++ b/scheduler/run_end.go
@@ -45,6 +45,9 @@
 	s.release(task)
 	e := s.engines[task.Engine]
 	task.State = Waiting
+	if task.Text.Last > task.startedAfter {
+		task.versionWaitSince = 0
+	}
 	switch end {
 	case Complete:
 		e.resetBackoff()
@@ -73,6 +76,9 @@
 		}
 	}
 	if task.State == Waiting {
+		if task.Text.Last > 0 && !versionsAllowed(task.Text, task.Step) {
+			s.restart(task)
+		}
 		s.requeue(task)
 	}
 	return true
@@ -130,9 +136,11 @@
 	}
 }
 
+// restart discards the task's text, so that the task starts over.
 func (s *Scheduler) restart(task *Task) {
 	task.Text = Text{}
 	task.State = Waiting
+	task.versionWaitSince = 0
 }
 
 // requeue returns the task to the queue if its step is still open.
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -85,6 +85,9 @@
 	moves  int
 	// stalledRuns counts consecutive runs that added nothing to a text they continued.
 	stalledRuns int
+	// versionWaitSince is when the task began to wait for an engine with its text's version, or 0. It is reset when the
+	// text grows or is discarded.
+	versionWaitSince int64
 	// latestStart is the latest time at which the task should start, as of the last sort of the
 	// queue.
 	latestStart float64
