--- a/event/event.go
+++ b/event/event.go
@@ -135,6 +135,7 @@
 
 	RewardDelayed    = Event{6028, zerolog.InfoLevel, "reward call did not score its sample at once"}
 	RunnerLinkFailed = Event{6029, zerolog.WarnLevel, "runner link cannot be opened"}
+	RunDiscarded     = Event{6030, zerolog.WarnLevel, "run discarded; its engine cannot hold the versions that it stated"}
 
 	GroupsDeferred = Event{6035, zerolog.InfoLevel, "groups deferred; not all open groups can complete in time"}
 
@@ -158,7 +159,7 @@
 	PeerUnreachable, PeerReachable, MalformedStream, ForeignResponse, InvalidResponse,
 	HTTPServerFailed, LogLinesDropped, ReloadRequested, SettingsApplied, SettingsRejected, ProcessStalled, BootClockUnavailable,
 	BackendRegistered, BackendDeregistered, BackendSilent, BackendRemoved, ConfigurationSubmitted, ConfigurationRejected, WeightsPublished, StoreRegistered, GroupFormed, RetireRequested, ConfigurationApplied, DirectoryReachable, DirectoryUnreachable, CallFailed, UsageReported, UsageUpdateFailed, UsageSendFailed, AddressConflict, CrashReported, TrialOffered, TrialStarted, QuarantineCallFailed, LeaderUpdateFailed, StaleHeartbeatIgnored, InvalidHeartbeatIgnored, CapacityPlanned, ScalingOrderFinished, ScalingResultNotRecorded, DemandSendFailed, WatchesSuspended, WatchesResumed, CopyRefreshed, CopyStale, BackendReturned, CommandVersionChanged, CommandVersionPending, MemberOutdated, BuildsChanged, HeartbeatIgnored, DepartureAcknowledged,
-	StepSubmitted, StepResubmitted, StepEnded, SampleStarted, SampleRunEnded, SampleFailed, ResultsRecorded, LoadOrdered, LoadEnded, SampleTextReused, SampleMoved, TextsCheckpointed, StepCompleted, SpeculativeRunPromoted, SpeculativeRunCancelled, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkClosed, RunnerConnected, RunnerDisconnected, OrphanedRunsEnded, RunAdopted, FailuresRecorded, EngineRestarted, RewardDelayed, RunnerLinkFailed, GroupsDeferred,
+	StepSubmitted, StepResubmitted, StepEnded, SampleStarted, SampleRunEnded, SampleFailed, ResultsRecorded, LoadOrdered, LoadEnded, SampleTextReused, SampleMoved, TextsCheckpointed, StepCompleted, SpeculativeRunPromoted, SpeculativeRunCancelled, EngineInspected, ResultsIncomplete, PacesRecorded, RunnerLinkOpened, RunnerLinkClosed, RunnerConnected, RunnerDisconnected, OrphanedRunsEnded, RunAdopted, FailuresRecorded, EngineRestarted, RewardDelayed, RunnerLinkFailed, RunDiscarded, GroupsDeferred,
 	RequestEnded, GatewayStarted, GatewayStopping, GatewayStopped, StepForwarded, AttemptEnded, LocalReplicaUnavailable, RequestQuarantined, LimitStarted, LimitEnded,
 }
 
--- a/runner/invalid_text_test.go
+++ b/runner/invalid_text_test.go
@@ -16,9 +16,10 @@
 	"github.com/dillchute/dillchute/scheduler"
 )
 
-// invalidEvents are events that no engine may report: results are JSON texts.
+// invalidEvents are events that no engine may report: results name their versions and are JSON texts.
 var invalidEvents = map[string]Event{
 	"text that is not UTF-8": {ID: 2, Data: "a\xffb", Version: 1},
+	"no version":             {ID: 2, Data: "b"},
 	"no ID":                  {Data: "b", Version: 1},
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -41,8 +41,8 @@
 	Version uint64
 }
 
-// isValid reports whether the event can be part of a result, which is a text in UTF-8.
-func (e Event) isValid() bool { return utf8.ValidString(e.Data) }
+// isValid reports whether the event can be part of a result, which is a text in UTF-8 that names its versions.
+func (e Event) isValid() bool { return e.Version > 0 && utf8.ValidString(e.Data) }
 
 // Engine runs samples on engines.
 type Engine interface {
@@ -61,7 +61,10 @@
 }
 
 // isValid reports whether the events can be part of a result. A runner of an earlier build may report texts that are
-// not valid UTF-8.
+// not valid UTF-8, and an unknown version as 0.
 func (b Batch) isValid() bool {
+	if len(b.Events) > 0 && len(b.Versions) == 0 || slices.Contains(b.Versions, 0) {
+		return false
+	}
 	return !slices.ContainsFunc(b.Events, func(text string) bool { return !utf8.ValidString(text) })
 }
--- a/scheduler/adopt.go
+++ b/scheduler/adopt.go
@@ -13,6 +13,8 @@
 	task.Run++
 	task.Attempts++
 	s.startRun(now, e, task)
+	// The run may have begun before the engine registered its version.
+	task.registeredVersion = 0
 	return s.newAssignment(task, e.backend), true
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -165,6 +165,7 @@
 	e.running[task] = true
 	task.State, task.Engine = Running, e.backend.ID
 	task.startedAt, task.startedAfter, task.moving = now, task.Text.Last, false
+	task.registeredVersion = e.registeredVersion(task.Step.Model)
 	task.observedAt, task.observedEvents = 0, 0
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -59,6 +59,8 @@
 	// orders.
 	loadsDeferredUntil map[string]int64
 	keptTexts          *keptTexts
+	// registeredVersions holds the highest version of each model that an engine has registered.
+	registeredVersions map[string]uint64
 	// speculative holds the speculative runs that no step has claimed yet, by sample ID.
 	speculative map[string]*Task
 	// loadMillis is the average load time, shortestLoadMillis the shortest recent one, and
@@ -86,7 +88,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		engines: map[string]*engine{}, steps: map[string]*stepState{}, models: map[string]*modelState{},
-		loadsDeferredUntil: map[string]int64{}, keptTexts: newKeptTexts(), speculative: map[string]*Task{}, loadMillis: defaultLoadMillis, shortestLoadMillis: defaultLoadMillis, tokenMillis: defaultTokenMillis,
+		loadsDeferredUntil: map[string]int64{}, keptTexts: newKeptTexts(), registeredVersions: map[string]uint64{}, speculative: map[string]*Task{}, loadMillis: defaultLoadMillis, shortestLoadMillis: defaultLoadMillis, tokenMillis: defaultTokenMillis,
 		plan: plan{usage: map[trainerKey]float64{}},
 	}
 }
@@ -106,6 +108,7 @@
 		e.backend = backend
 		for _, held := range backend.Models {
 			e.versions[held.Model] = max(e.versions[held.Model], held.Version)
+			s.registeredVersions[held.Model] = max(s.registeredVersions[held.Model], held.Version)
 		}
 	}
 	var stopped []*Task
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -307,7 +307,7 @@
 	stale := newEntry("b", "m", 2, 1)
 	stale.Partials = map[string]ledger.Partial{"b-0": {Events: []string{"1"}, Versions: []uint64{1}}}
 	other := New()
-	other.SyncEngines(0, engines(1, 4, "m"), nil)
+	other.SyncEngines(0, engines(1, 4, "m"), map[string]uint64{"m": 2})
 	other.RecordVersion("e00", "m", 2)
 	other.AddStep(stale)
 	assignments := other.Assign(0, anywhere)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -116,6 +116,8 @@
 	// promoted is set on a task that began as a speculative run.
 	promoted bool
 	subject  quarantine.Subject
+	// registeredVersion is the version that the engine had registered when the current run started, or 0 if unknown.
+	registeredVersion uint64
 	// startedAt is when the current run started. startedAfter is the last event of the text at that
 	// time.
 	startedAt    int64
--- a/scheduler/weights.go
+++ b/scheduler/weights.go
@@ -274,12 +274,16 @@
 }
 
 // LoadCompleted records that the engine holds the version. The load time is measured only if
-// loaded is set, since the engine may already have held the version.
+// loaded is set, since the engine may already have held the version. A version that cannot exist counts as a failed load.
 func (s *Scheduler) LoadCompleted(now int64, id, model string, version uint64, loaded bool) {
 	e := s.engines[id]
 	if e == nil {
 		return
 	}
+	if version > s.highestVersion(model) {
+		s.LoadFailed(now, id)
+		return
+	}
 	e.versions[model] = max(e.versions[model], version)
 	if e.loading == nil || e.loading.Model != model || version < e.loading.Version {
 		return
@@ -331,9 +335,9 @@
 	e.recordFailure(now)
 }
 
-// RecordVersion records the version that the engine reports to hold.
+// RecordVersion records the version that the engine reports to hold. A version that cannot exist is ignored.
 func (s *Scheduler) RecordVersion(id, model string, version uint64) {
-	if e := s.engines[id]; e != nil {
+	if e := s.engines[id]; e != nil && version <= s.highestVersion(model) {
 		e.versions[model] = max(e.versions[model], version)
 	}
 }
--- a/server/active_run.go
+++ b/server/active_run.go
@@ -25,10 +25,9 @@
 
 	// mutex guards the fields below and serializes batches with the end of the run.
 	mutex sync.Mutex
-	// version is the newest version that generated an event. hasGap is set once a batch did not continue
-	// the text.
-	version uint64
-	hasGap  bool
+	// versions are those that generated the run's events. hasGap is set once a batch did not continue the text.
+	versions scheduler.VersionRange
+	hasGap   bool
 }
 
 // beginRun registers a run of the task and starts its stall timer.
@@ -58,23 +57,23 @@
 	r.stallTimer.Reset(r.stallTimeout)
 	r.leadership.metrics.events.WithLabelValues().Add(float64(len(batch.Events)))
 	for _, version := range batch.Versions {
-		r.version = max(r.version, version)
+		r.versions.Add(version)
 	}
 	if r.hasGap = r.hasGap || !r.progress.add(batch); r.hasGap {
 		r.cancel()
 	}
 }
 
-// outcome returns how the run ended, its text and the newest version that generated an event. A run with
-// missing or no events counts as broken.
-func (r *activeRun) outcome(end scheduler.RunEnd) (scheduler.RunEnd, scheduler.Text, uint64) {
+// outcome returns how the run ended, its text and the versions that generated its events. A run with missing or no
+// events counts as broken.
+func (r *activeRun) outcome(end scheduler.RunEnd) (scheduler.RunEnd, scheduler.Text, scheduler.VersionRange) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	text, _ := r.progress.read()
 	if end == scheduler.Complete && (r.hasGap || text.Last == 0) {
 		end = scheduler.Broken
 	}
-	return end, text, r.version
+	return end, text, r.versions
 }
 
 // recordOutcome updates the quarantine guard. A crash that the runner also reports is counted once. Recording
@@ -97,8 +96,8 @@
 	began := time.Now()
 	defer r.cancel()
 	defer r.stallTimer.Stop()
-	end, text, version := r.outcome(wait(r.context))
+	end, text, versions := r.outcome(wait(r.context))
 	r.recordOutcome(end)
 	r.leadership.metrics.run.WithLabelValues().Observe(time.Since(began).Seconds())
-	r.leadership.loop.Submit(func() { r.leadership.runEnded(r.assignment.Task, r.assignment, end, text, version) })
+	r.leadership.loop.Submit(func() { r.leadership.runEnded(r.assignment.Task, r.assignment, end, text, versions) })
 }
--- a/server/run.go
+++ b/server/run.go
@@ -80,10 +80,17 @@
 	l.syncEngines()
 }
 
-func (l *leadership) runEnded(task *scheduler.Task, assignment scheduler.Assignment, end scheduler.RunEnd, text scheduler.Text, version uint64) {
+func (l *leadership) runEnded(task *scheduler.Task, assignment scheduler.Assignment, end scheduler.RunEnd, text scheduler.Text, versions scheduler.VersionRange) {
 	if task.Run == assignment.Run {
 		delete(l.progress, task)
 	}
+	if task.Run == assignment.Run && !l.scheduler.TrustsRun(task, versions) {
+		// Nothing of the run is used; the sample continues after the text that it had before.
+		event.RunDiscarded.On(l.logger).Str("sample", task.Sample.ID).Str("engine", assignment.Backend.ID).
+			Uint("oldest", versions.Oldest).Uint("newest", versions.Newest).Send()
+		end, text, versions = scheduler.Broken, task.Text, scheduler.VersionRange{}
+		l.checkpointed[task] = min(l.checkpointed[task], text.Last)
+	}
 	if task.State == scheduler.Finished && task.Run == assignment.Run {
 		text.Complete = end == scheduler.Complete
 		l.scheduler.KeepText(task, text)
@@ -93,8 +100,8 @@
 		return
 	}
 	delete(l.cancels, task)
-	if version > 0 {
-		l.scheduler.RecordVersion(assignment.Backend.ID, task.Step.Model, version)
+	if versions.Newest > 0 {
+		l.scheduler.RecordVersion(assignment.Backend.ID, task.Step.Model, versions.Newest)
 	}
 	task.Text = text
 	speculative := task.IsSpeculative()
