--- a/forward/forward.go
+++ b/forward/forward.go
@@ -143,7 +143,8 @@
 	// MayHaveRun is set unless it is certain that no backend ran the request.
 	MayHaveRun bool
 	Attempts   int
-	// Failures counts the backends that ran the request and returned a server error.
+	// Failures counts the backends that ran the request and failed it (status 500). Other server errors, such as that of
+	// a backend that reached the deadline, say nothing about the request.
 	Failures int
 	// History holds the attempts in the order of their start.
 	History []AttemptRecord
@@ -392,7 +393,9 @@
 		e.result.MayHaveRun = true
 		if e.route.Kind == routing.Repeatable && done.attempt.Response.Status >= http.StatusInternalServerError {
 			e.fallback = &done
-			e.result.Failures++
+			if done.attempt.Response.Status == http.StatusInternalServerError {
+				e.result.Failures++
+			}
 			return false
 		}
 		e.setResponse(done)
