--- a/forward/forward.go
+++ b/forward/forward.go
@@ -288,7 +288,7 @@
 	}
 	e := &exchange{
 		forwarder: f, catalog: catalog, route: route, request: request, services: services,
-		tried: map[string]bool{}, attemptResults: make(chan attemptResult, max(route.Attempts, 1)+maxUnreachedAttempts),
+		tried: map[string]bool{}, attemptResults: make(chan attemptResult, maxAttempts(catalog, services, route)),
 		quarantineCheck: f.checkQuarantine(ctx, catalog, services, request),
 	}
 	result := e.do(ctx)
@@ -296,6 +296,16 @@
 	return result
 }
 
+// maxAttempts returns the largest number of attempts of a request: one at each backend, and no more than the route
+// allows. The route alone sets no bound, since it may allow any number.
+func maxAttempts(catalog *directory.Catalog, services []string, route routing.Route) int {
+	backends := 0
+	for _, service := range services {
+		backends += len(catalog.Backends(service))
+	}
+	return min(max(route.Attempts, 1)+maxUnreachedAttempts, backends)
+}
+
 func (e *exchange) do(ctx context.Context) Result {
 	if !e.startAttempt(ctx) {
 		if e.request.remaining() <= 0 {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -301,3 +302,16 @@
 	forwarder.state("slow").recordLatency(20*time.Millisecond, start.Add(latencyLifetime+1))
 	require.True(t, isUnmeasured(start.Add(latencyLifetime+2)), "the expired latency must not be averaged in")
 }
+
+// TestAttemptsOfAnyNumberNeedNoMemory guards against a route that takes a gateway over its memory: a request reserved
+// memory for all the attempts that its route allows, however many backends there were.
+func TestAttemptsOfAnyNumberNeedNoMemory(t *testing.T) {
+	client := &fakeClient{answers: map[string]func(context.Context) Attempt{"a": respondOutcome(Lost), "b": respondStatus(200)}}
+	route := newRoute(routing.Repeatable, 10_000_000)
+	catalog := newCatalog(newBackend("a"), newBackend("b"))
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	require.NotNil(t, doRequest(client, catalog, route).Response)
+	runtime.ReadMemStats(&after)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(1<<20))
+}
