--- a/runner/serverrun.go
+++ b/runner/serverrun.go
@@ -24,15 +24,15 @@
 	reportedEvents     int
 	unreportedVersions []uint64
 	end                scheduler.RunEnd
-	// hasGap is set once an event is invalid, or its ID does not follow that of the previous event.
-	hasGap bool
+	// isBroken is set once an event is invalid, or its ID does not follow that of the previous event.
+	isBroken bool
 }
 
 // addEvent appends an event to the text. It cancels the run if the event is invalid or events are missing before it.
 func (r *serverRun) addEvent(event Event) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.hasGap = r.hasGap || event.ID != r.text.Last+1 || !event.isValid(); r.hasGap {
+	if r.isBroken = r.isBroken || event.ID != r.text.Last+1 || !event.isValid(); r.isBroken {
 		r.cancel()
 		return
 	}
@@ -51,7 +51,7 @@
 func (r *serverRun) recordEnd(end scheduler.RunEnd) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.hasGap && end == scheduler.Complete {
+	if r.isBroken && end == scheduler.Complete {
 		end = scheduler.Broken
 	}
 	r.end = end
