A resumable stream is continued before an event with a damaged ID

Change: the ID is a positive integer that rises; otherwise the stream of a resumable route is continued at another backend after the event before. Streams that may not be resumed are passed on as they come.

--- a/forward/events.go
+++ b/forward/events.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strconv"
 )
 
 // MaxEventBytes is the maximum size of one event of a stream.
@@ -25,14 +26,15 @@
 	Name, Value string
 }
 
-// ID returns the value of the event's id field, or "".
-func (e Event) ID() string {
+// ID returns the event's ID, which is a positive integer, and false if it has none or a damaged one.
+func (e Event) ID() (id uint64, ok bool) {
 	for _, field := range e.Fields {
 		if field.Name == "id" {
-			return field.Value
+			id, err := strconv.ParseUint(field.Value, 10, 64)
+			return id, err == nil && id > 0
 		}
 	}
-	return ""
+	return 0, false
 }
 
 // EventReader splits a stream into events.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/dillchute/dillchute/directory"
@@ -42,12 +43,13 @@
 
 // stream is one streamed request that is being forwarded.
 type stream struct {
-	forwarder   *Forwarder
-	request     *Request
-	route       routing.Route
-	sink        Sink
-	headerSent  bool
-	lastEventID string
+	forwarder  *Forwarder
+	request    *Request
+	route      routing.Route
+	sink       Sink
+	headerSent bool
+	// lastEventID is the ID of the last event that was passed on, 0 for none.
+	lastEventID uint64
 	// unreached counts the attempts that did not reach a backend.
 	unreached int
 	result    Result
@@ -110,7 +112,7 @@
 		panic("forward: client does not implement StreamClient")
 	}
 	s.result.recordStart(backend.ID)
-	opened := client.Open(ctx, backend, s.request, s.lastEventID)
+	opened := client.Open(ctx, backend, s.request, formatEventID(s.lastEventID))
 	attempt := Attempt{Outcome: opened.Outcome, Response: Response{Status: opened.Status}, Broken: opened.Broken}
 	if attempt.Outcome == Answered {
 		attempt.Outcome = s.relay(cancel, opened)
@@ -179,12 +181,23 @@
 		if err != nil {
 			return Lost
 		}
+		id, ok := event.ID()
+		if s.route.Resumable && (!ok || id <= s.lastEventID) {
+			// The stream could not be continued after this event.
+			return Lost
+		}
 		stallTimer.Reset(stallTimeout)
 		if _, err := s.sink.Write(event.Raw); err != nil {
 			return Lost
 		}
-		if id := event.ID(); id != "" {
-			s.lastEventID = id
-		}
+		s.lastEventID = id
+	}
+}
+
+// formatEventID returns the ID as text, or "" for none.
+func formatEventID(id uint64) string {
+	if id == 0 {
+		return ""
 	}
+	return strconv.FormatUint(id, 10)
 }
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -127,3 +127,21 @@
 		}
 	})
 }
+
+// TestStreamContinuesBeforeADamagedID guards against a stream that is continued at the wrong event: its caller got an event
+// whose ID can't be read or doesn't rise, and the next backend was asked to continue after it.
+func TestStreamContinuesBeforeADamagedID(t *testing.T) {
+	for _, damaged := range []string{"id: x\ndata: 3\n\n", "id: 0\ndata: 3\n\n", "id: 1\ndata: 3\n\n", "ie: 3\ndata: 3\n\n", "id: 3\x01\ndata: 3\n\n"} {
+		client := &fakeStreamClient{}
+		client.open = func(_, after string) OpenedStream {
+			if after == "" {
+				return openedWith(eventText(1, 2) + damaged + "id: 4\ndata: 4\n\n")
+			}
+			return openedWith(eventText(3, 4))
+		}
+		result, sink := doStreamRequest(client, true, newBackend("a"), newBackend("b"))
+		require.NotNil(t, result.Response, damaged)
+		require.Equal(t, eventText(1, 4), sink.String(), damaged)
+		require.True(t, strings.HasSuffix(client.opened[1], "@2"), damaged)
+	}
+}
