--- a/server/quarantined_sample.go
+++ b/server/quarantined_sample.go
@@ -9,9 +9,9 @@
 	"github.com/dillchute/dillchute/scheduler"
 )
 
-// A sample is owed once its step is accepted, and so is its reward call. Neither crashes what runs it by itself, so
-// crashes delay it by a backoff at most; see Scheduler.RunEnded. They are reported all the same, so that other
-// processes avoid the backends that crashed.
+// A sample is owed once its step is accepted, and does not crash what runs it by itself, so crashes delay it by a backoff
+// at most; see Scheduler.RunEnded. They are reported all the same, so that other processes avoid the backends that
+// crashed. A reward call may crash what runs it, and is quarantined like a caller's request; see sendReward.
 
 // checkBeforeRun returns the verdict on a sample that is about to run.
 func (l *leadership) checkBeforeRun(task *scheduler.Task) quarantine.Verdict {
