A comment in the tests of single-version steps says what the engines hold

Cause: read again as a newcomer: the comment above startOnFirst had engine e01 load version 2, which it holds when it appears, and ended in a sentence about an engine that the fixture doesn't have. Change: the comment alone. Result: the tests of that file pass; nothing else was run.

--- a/scheduler/single_version_test.go
+++ b/scheduler/single_version_test.go
@@ -31,8 +31,8 @@
 	return held
 }
 
-// startOnFirst starts the sample of a step on engine e00, which generates events under version 1, while engine e01 loads
-// version 2. Another engine serves the fresh start.
+// startOnFirst starts the sample of a single-version step on engine e00, where it gets that many events under version 1.
+// Engine e01, which then appears, holds version 2: it can only start the sample over.
 func startOnFirst(t *testing.T, events int) (*Scheduler, *Task) {
 	s := New()
 	s.SyncEngines(0, holding(engines(1, 1), 1), map[string]uint64{"m": 1})
