Heads, connections and bodies of clients are bounded on every listener

What callers saw: a crowd of 200 connections that each send 1 MB of a head without an end ended gateways, directories and ledgers for lack of memory, and connections that stay silent took all descriptors, so that ordinary callers got no answer.

Cause: net/http takes a head of 1 MiB and decodes it to about five times that; the configuration's max-header-bytes, header-timeout-ms and idle-timeout-ms were read by nobody; no listener bounded its connections; a body that a handler does not read, and an answer that its client does not take, were waited for without a limit. The budget of bodies counted what was read and not the buffer, and ended for responses once they were read, while they were still held for a slow caller.

Change: package intake. A listener counts a head while it arrives, by what it may take once decoded, and refuses it with 431, 408 or 503; limits may change at any time. The connections of a process have a budget by memory and descriptors, half of which stays for links to other processes; each listener has a share. Near the budget the connection that has waited longest for a whole request is closed. Bodies and responses share one budget of memory with heads, by capacity, until the answer is written. Bodies and answers must make progress within the idle timeout, and a body must be whole within the route's timeout and the caller's deadline. Small heads, bodies and responses need no room in the budget. A refusal is sent while the client still sends. The internal port of directories and ledgers speaks HTTP/1.1 only, as all its clients do.

--- a/config/roles.go
+++ b/config/roles.go
@@ -25,8 +25,10 @@
 	// PeerPort, if not 0, replaces the ports in Peers.
 	PeerPort int `yaml:"peer_port"`
 	// MemoryLimit is the memory limit of the process in MiB; 0 for no limit.
-	MemoryLimit int    `yaml:"memory_limit_mib"`
-	LogLevel    string `yaml:"log_level"`
+	MemoryLimit int `yaml:"memory_limit_mib"`
+	// DescriptorLimit is the limit on the process's open descriptors; 0 for that of the operating system.
+	DescriptorLimit int    `yaml:"descriptor_limit"`
+	LogLevel        string `yaml:"log_level"`
 	// Grace is the maximum duration of a graceful shutdown.
 	Grace time.Duration `yaml:"grace"`
 	// CopyLimit is the maximum age of a process's copy of the directory when it dispatches work;
@@ -189,6 +191,7 @@
 		{"metrics_address", p.MetricsAddress != "" && !validAddress(p.MetricsAddress), "must be an IP address and a port"},
 		{"peers", len(p.Peers) == 0, "must not be empty"},
 		{"memory_limit_mib", p.MemoryLimit < 0, "must not be negative"},
+		{"descriptor_limit", p.DescriptorLimit < 0, "must not be negative"},
 		{"log_level", !validLevel(p.LogLevel), "must be debug, info, warn or error"},
 		{"grace", p.Grace <= 0, "must be positive"},
 		{"copy_limit", p.CopyLimit != 0 && p.CopyLimit < minCopyLimit, "must be 0, or at least 1s"},
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -12,6 +12,7 @@
 	"github.com/dillchute/dillchute/admission"
 	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/routing"
 )
@@ -34,6 +35,9 @@
 	Priority int
 	// Deadline is when the caller gives up, on the clock of package clock.
 	Deadline time.Time
+	// Memory holds the reservations for responses until the caller has read the one that it gets. If it is nil, they end
+	// once a response is read.
+	Memory *intake.Scope
 }
 
 // remaining returns the time left until the deadline. Timers do not replace it: they do not advance
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -17,6 +17,7 @@
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/eventloop"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/storage"
 	"github.com/dillchute/dillchute/transport"
 )
@@ -216,9 +217,9 @@
 
 // Handle registers the handlers for requests from other replicas.
 func (r *Replica) Handle(router *mux.Router) {
-	router.Handle(transport.Path, r.transport).Methods(http.MethodPost)
+	router.Handle(transport.Path, intake.Streaming(r.transport)).Methods(http.MethodPost)
 	router.HandleFunc(ExecutePath, r.serveExecute).Methods(http.MethodPost)
-	router.HandleFunc(snapshotPath, r.serveSnapshot).Methods(http.MethodPost)
+	router.Handle(snapshotPath, intake.Streaming(http.HandlerFunc(r.serveSnapshot))).Methods(http.MethodPost)
 }
 
 // Counts returns the transport's counters.
--- a/server/control.go
+++ b/server/control.go
@@ -19,6 +19,7 @@
 	"github.com/dillchute/dillchute/control"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/eventloop"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/protocol"
 	"github.com/dillchute/dillchute/state"
 	"github.com/dillchute/dillchute/storage"
@@ -123,7 +124,7 @@
 	event.ControlStarted.On(c.logger).Str("address", c.settings.Address).Uint("replica", uint64(c.core.Raft().ID())).Send()
 	loopContext, stopLoop := context.WithCancel(context.Background())
 	defer stopLoop()
-	httpServer := newHTTPServer(c.routes())
+	httpServer := intake.New(intake.NewCapacity(0, 0)).NewServer(c.routes(), rpcOptions())
 	serverFailed := serveHTTP(httpServer, listener, c.logger)
 	go c.pollPlatform(ctx)
 	go c.requestJoin(ctx)
--- a/server/directory.go
+++ b/server/directory.go
@@ -18,6 +18,7 @@
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/duty"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/replica"
 	"github.com/dillchute/dillchute/usage"
 )
@@ -79,6 +80,7 @@
 	machine       *directory.Machine
 	replica       *replica.Replica
 	client        *http.Client
+	intake        *intake.Intake
 	confirmations *readConfirmations
 	metrics       directoryMetrics
 	// view is a copy of the machine's state that may lag behind it.
@@ -125,7 +127,7 @@
 	}
 	d := &Directory{
 		settings: settings, logger: logger, machine: machine, replica: r,
-		client: replica.NewInternalClient(), confirmations: newReadConfirmations(), metrics: newDirectoryMetrics(), heartbeats: newHeartbeats(), feed: newFeed(),
+		client: replica.NewInternalClient(), intake: NewIntake(settings.Process), confirmations: newReadConfirmations(), metrics: newDirectoryMetrics(), heartbeats: newHeartbeats(), feed: newFeed(),
 	}
 	d.duties = &dutyCoordinator{settings: settings, replica: r, machine: machine, actions: duty.NewTracker(), sleep: time.Sleep}
 	d.usage = &usageAggregator{
@@ -167,7 +169,7 @@
 	d.replica.Handle(router)
 	router.HandleFunc(directoryCallPath, d.serveCall).Methods(http.MethodPost)
 	router.HandleFunc(directoryWatchPath, d.serveWatch).Methods(http.MethodGet)
-	httpServer := newHTTPServer(router)
+	httpServer := d.intake.NewServer(router, intake.ServerOptions{Weight: mainWeight})
 	serveHTTP(httpServer, internal, d.logger)
 	defer httpServer.Close()
 	go d.review(ctx)
--- a/server/directory_watch_test.go
+++ b/server/directory_watch_test.go
@@ -21,6 +21,7 @@
 	"github.com/dillchute/dillchute/config"
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/protocol"
 	"github.com/dillchute/dillchute/routing"
 	"github.com/dillchute/dillchute/transport"
@@ -77,7 +78,7 @@
 		}
 		writeCBOR(response, directoryAnswer{Leader: leader.address, Revision: leader.revision.Load()})
 	})
-	httpServer := newHTTPServer(router)
+	httpServer := NewIntake(config.Process{}).NewServer(router, intake.ServerOptions{Weight: mainWeight})
 	go httpServer.Serve(listener)
 	t.Cleanup(func() { httpServer.Close() })
 	return leader
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/forward"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/replica"
@@ -58,19 +59,19 @@
 	baseContext    context.Context
 	cancelRequests context.CancelFunc
 	inFlight       atomic.Int64
-	// bodyBytes is the total size of the request bodies in memory.
-	bodyBytes atomic.Int64
+	// intake bounds what callers can make the process hold.
+	intake *intake.Intake
 }
 
-// NewGateway returns a gateway that calls backends through the client.
-func NewGateway(settings config.Gateway, seeds *Seeds, backends forward.Client, logger *zerolog.Logger) *Gateway {
+// NewGateway returns a gateway that calls backends through the client, and serves callers within the limits.
+func NewGateway(settings config.Gateway, seeds *Seeds, backends forward.Client, limits *intake.Intake, logger *zerolog.Logger) *Gateway {
 	watcher := NewWatcher(seeds, settings.Zone, nameHash(settings.Name), logger)
 	watcher.scope = func() directory.Scope { return directory.ScopeForwarded }
 	watcher.age.limit = settings.CopyLimit
 	guard := newGuard(watcher)
 	baseContext, cancelRequests := context.WithCancel(context.Background())
 	gateway := &Gateway{
-		baseContext: baseContext, cancelRequests: cancelRequests,
+		baseContext: baseContext, cancelRequests: cancelRequests, intake: limits,
 		settings: settings, logger: logger, watcher: watcher, guard: guard,
 		forwarder: forward.New(newFreshClient(backends, watcher), settings.Zone, guard), ledger: newLedgerClient(watcher, settings.Zone, logger),
 		metrics: newGatewayMetrics(), usage: newUsageReporter(settings.Name, watcher), startedAt: time.Now(),
--- a/server/gateway_test.go
+++ b/server/gateway_test.go
@@ -19,7 +19,7 @@
 	logger := zerolog.Nop()
 	settings := config.DefaultGateway()
 	seeds := NewSeeds(settings.Process, func() (config.Process, error) { return settings.Process, nil }, &logger)
-	gateway := NewGateway(settings, seeds, nil, &logger)
+	gateway := NewGateway(settings, seeds, nil, NewIntake(settings.Process), &logger)
 	gateway.startedAt = startedAt
 	return gateway
 }
--- a/server/http.go
+++ b/server/http.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
-	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,20 +13,17 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/intake"
 )
 
-const readHeaderTimeout = 10 * time.Second
+// rpcOptions are those of a listener for remote procedure calls, whose clients may multiplex them.
+func rpcOptions() intake.ServerOptions { return intake.ServerOptions{Weight: mainWeight, HTTP2: true} }
 
-// newHTTPServer returns a server for HTTP/1.1 and HTTP/2, both without TLS.
-func newHTTPServer(handler http.Handler) *http.Server {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, Protocols: protocols}
-}
+// httpServer serves the connections of a listener.
+type httpServer interface{ Serve(net.Listener) error }
 
 // serveHTTP serves in the background. The returned channel is closed if serving fails.
-func serveHTTP(server *http.Server, listener net.Listener, logger *zerolog.Logger) <-chan struct{} {
+func serveHTTP(server httpServer, listener net.Listener, logger *zerolog.Logger) <-chan struct{} {
 	failed := make(chan struct{})
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -38,7 +34,7 @@
 	return failed
 }
 
-func stopHTTP(server *http.Server) {
+func stopHTTP(server *intake.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	if server.Shutdown(ctx) != nil {
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -16,6 +16,7 @@
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/forward"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/replica"
 	"github.com/dillchute/dillchute/runner"
@@ -35,6 +36,7 @@
 	settings config.Ledger
 	logger   *zerolog.Logger
 	machine  *ledger.Machine
+	intake   *intake.Intake
 	watcher  *Watcher
 	executor *Executor
 	// runnerServer runs samples for the leader.
@@ -50,10 +52,10 @@
 }
 
 // NewLedger returns a store that is not yet running. It uses the clients to reach engines and other
-// backends.
-func NewLedger(settings config.Ledger, seeds *Seeds, engines EngineClient, backends forward.Client, logger *zerolog.Logger) *Ledger {
+// backends, and serves within the limits.
+func NewLedger(settings config.Ledger, seeds *Seeds, engines EngineClient, backends forward.Client, limits *intake.Intake, logger *zerolog.Logger) *Ledger {
 	l := &Ledger{
-		settings: settings, logger: logger, machine: ledger.NewMachine(),
+		settings: settings, logger: logger, machine: ledger.NewMachine(), intake: limits,
 		watcher:  NewWatcher(seeds, settings.Zone, nameHash(settings.Name), logger),
 		identity: replica.NewIdentity(),
 	}
@@ -80,8 +82,8 @@
 	router := mux.NewRouter()
 	r.Handle(router)
 	router.HandleFunc(ledgerCallPath, l.serveCall).Methods(http.MethodPost)
-	router.Handle(runner.Path, l.runnerServer).Methods(http.MethodPost)
-	httpServer := newHTTPServer(router)
+	router.Handle(runner.Path, intake.Streaming(l.runnerServer)).Methods(http.MethodPost)
+	httpServer := l.intake.NewServer(router, intake.ServerOptions{Weight: mainWeight})
 	serveHTTP(httpServer, internal, l.logger)
 	go l.maintain(watchContext, r)
 	go reportCrashes(watchContext, l.executor.guard, l.watcher)
@@ -93,7 +95,7 @@
 
 // shutdown closes the servers, then reports the known crashes. The report comes last because runs that end
 // with their links may have recorded further crashes.
-func (l *Ledger) shutdown(httpServer *http.Server) {
+func (l *Ledger) shutdown(httpServer *intake.Server) {
 	httpServer.Close()
 	l.runnerServer.Close()
 	sendCrashReport(context.Background(), l.executor.guard, l.watcher)
--- a/server/ledger_test.go
+++ b/server/ledger_test.go
@@ -21,7 +21,7 @@
 	newStore := func(firstStart bool, folder string) *Ledger {
 		settings.FirstStart, settings.DataFolder = firstStart, folder
 		seeds := NewSeeds(settings.Process, func() (config.Process, error) { return settings.Process, nil }, &logger)
-		store := NewLedger(settings, seeds, nil, nil, &logger)
+		store := NewLedger(settings, seeds, nil, nil, NewIntake(settings.Process), &logger)
 		require.NoError(t, store.initIdentity())
 		return store
 	}
@@ -68,7 +68,7 @@
 	logger := zerolog.Nop()
 	settings := config.DefaultLedger()
 	seeds := NewSeeds(settings.Process, func() (config.Process, error) { return settings.Process, nil }, &logger)
-	store := NewLedger(settings, seeds, nil, nil, &logger)
+	store := NewLedger(settings, seeds, nil, nil, NewIntake(settings.Process), &logger)
 	store.watcher.apply(store.watcher.Catalog(), machine.DeltaSince(0))
 	require.Equal(t, []string{"a:70", "b:70"}, store.contacts())
 	require.Equal(t, []string{"c:70"}, store.otherContacts())
--- a/server/node.go
+++ b/server/node.go
@@ -16,6 +16,7 @@
 	"github.com/dillchute/dillchute/config"
 	"github.com/dillchute/dillchute/event"
 	"github.com/dillchute/dillchute/eventloop"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/node"
 	"github.com/dillchute/dillchute/protocol"
 	"github.com/dillchute/dillchute/transport"
@@ -87,7 +88,8 @@
 	defer n.transport.Close()
 	defer n.stop()
 	event.NodeStarted.On(n.logger).Str("node", n.settings.ID).Str("address", n.settings.Address).Send()
-	internalServer, callerServer := newHTTPServer(n.internalRoutes()), newHTTPServer(n.callerRoutes())
+	limits := intake.New(intake.NewCapacity(0, 0))
+	internalServer, callerServer := limits.NewServer(n.internalRoutes(), rpcOptions()), limits.NewServer(n.callerRoutes(), rpcOptions())
 	internalFailed := serveHTTP(internalServer, internal, n.logger)
 	callersFailed := serveHTTP(callerServer, callers, n.logger)
 	loopContext, stopLoop := context.WithCancel(context.Background())
@@ -173,7 +175,7 @@
 
 func (n *Node) internalRoutes() http.Handler {
 	router := mux.NewRouter()
-	router.Handle(transport.Path, n.transport).Methods(http.MethodPost)
+	router.Handle(transport.Path, intake.Streaming(n.transport)).Methods(http.MethodPost)
 	addOperationalRoutes(router, func() bool { return n.status.Load().leased }, n.registry(), n.settings.Pprof)
 	return router
 }
--- a/server/process.go
+++ b/server/process.go
@@ -14,11 +14,10 @@
 	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/config"
 	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/intake"
 )
 
 const (
-	// callerIdleTimeout is how long a caller's connection may be idle.
-	callerIdleTimeout = 60 * time.Second
 	// memoryLimitFraction is the fraction of the process's memory limit that is set as Go's memory
 	// limit, and gcPercent is the value for debug.SetGCPercent.
 	memoryLimitFraction = 0.8
@@ -41,8 +40,17 @@
 	}
 }
 
-func newCallerServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
+// Weights of the listeners, which set their shares of a process's connections.
+const (
+	// mainWeight is that of the listeners for the process's work.
+	mainWeight = 8
+	// auxiliaryWeight is that of the listeners for readiness checks and metrics.
+	auxiliaryWeight = 1
+)
+
+// NewIntake returns the budgets for the clients of a process.
+func NewIntake(settings config.Process) *intake.Intake {
+	return intake.New(intake.NewCapacity(settings.MemoryLimit, settings.DescriptorLimit))
 }
 
 // Listeners holds the open listeners of a process. Metrics may be nil.
@@ -76,16 +84,20 @@
 }
 
 // serveMetrics serves metrics, profiles and the added routes. It does nothing if the listener is nil.
-func serveMetrics(listener net.Listener, logger *zerolog.Logger, collect collector, extra []prometheus.Collector, addRoutes ...func(router *mux.Router)) {
+func serveMetrics(limits *intake.Intake, listener net.Listener, logger *zerolog.Logger, collect collector, extra []prometheus.Collector, addRoutes ...func(router *mux.Router)) {
 	if listener == nil {
 		return
 	}
 	router := mux.NewRouter()
-	addOperationalRoutes(router, func() bool { return true }, newRegistry(collect, extra...), true)
+	withIntake := func(emit chan<- prometheus.Metric) {
+		collect(emit)
+		collectIntake(emit, limits.Status())
+	}
+	addOperationalRoutes(router, func() bool { return true }, newRegistry(withIntake, extra...), true)
 	for _, addRoute := range addRoutes {
 		addRoute(router)
 	}
-	serveHTTP(newCallerServer(router), listener, logger)
+	serveHTTP(limits.NewServer(router, intake.ServerOptions{Weight: auxiliaryWeight}), listener, logger)
 }
 
 // RunGateway serves callers and readiness checks until the context ends, and then shuts down gracefully.
@@ -95,16 +107,16 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	go gateway.Run(background)
-	serveMetrics(listeners.Metrics, logger, gateway.collect, gateway.metrics.collectors())
-	readyServer := newCallerServer(ready)
+	serveMetrics(gateway.intake, listeners.Metrics, logger, gateway.collect, gateway.metrics.collectors())
+	readyServer := gateway.intake.NewServer(ready, intake.ServerOptions{Weight: auxiliaryWeight})
 	serveHTTP(readyServer, listeners.Ready, logger)
 	defer readyServer.Close()
-	callerServer := newCallerServer(gateway.closeConnections(callers))
+	callerServer := gateway.newCallerServer(callers)
 	serveHTTP(callerServer, listeners.External, logger)
 	event.GatewayStarted.On(logger).Str("name", settings.Name).Str("address", settings.CallerAddress).Send()
 	<-ctx.Done()
 	event.GatewayStopping.On(logger).Int("in_flight", gateway.InFlight()).Send()
-	err := gateway.shutDown(callerServer, settings.Grace)
+	err := gateway.shutDown(callerServer.Server, settings.Grace)
 	event.GatewayStopped.On(logger).Int("in_flight", gateway.InFlight()).Send()
 	return err
 }
@@ -118,8 +130,8 @@
 func RunDirectory(ctx context.Context, settings config.Directory, directory *Directory, listeners Listeners, control http.Handler, logger *zerolog.Logger) error {
 	limitMemory(settings.Process)
 	checkClock(logger)
-	serveMetrics(listeners.Metrics, logger, directory.collect, directory.metrics.collectors(), directory.scale.addStatusRoute)
-	controlServer := newCallerServer(control)
+	serveMetrics(directory.intake, listeners.Metrics, logger, directory.collect, directory.metrics.collectors(), directory.scale.addStatusRoute)
+	controlServer := directory.intake.NewServer(control, intake.ServerOptions{Weight: mainWeight})
 	serveHTTP(controlServer, listeners.External, logger)
 	defer controlServer.Close()
 	replicaContext, stop := context.WithCancel(context.Background())
@@ -127,7 +139,7 @@
 	context.AfterFunc(ctx, func() {
 		defer stop()
 		// Calls still open after the timeout are aborted. Their clients have timed out by then.
-		_ = shutDownServer(controlServer, controlShutdownTimeout)
+		_ = shutDownServer(controlServer.Server, controlShutdownTimeout)
 	})
 	return directory.Run(replicaContext, listeners.Internal)
 }
@@ -136,6 +148,6 @@
 func RunLedger(ctx context.Context, settings config.Ledger, ledger *Ledger, listeners Listeners, logger *zerolog.Logger) error {
 	limitMemory(settings.Process)
 	checkClock(logger)
-	serveMetrics(listeners.Metrics, logger, ledger.collect, ledger.metrics.collectors())
+	serveMetrics(ledger.intake, listeners.Metrics, logger, ledger.collect, ledger.metrics.collectors())
 	return ledger.Run(ctx, listeners.Internal)
 }
--- a/server/rpc.go
+++ b/server/rpc.go
@@ -14,6 +14,7 @@
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/control"
 	"github.com/dillchute/dillchute/declaration"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/protocol"
 	"github.com/dillchute/dillchute/state"
 	"github.com/dillchute/dillchute/transport"
@@ -36,7 +37,7 @@
 
 func (c *Control) routes() http.Handler {
 	router := mux.NewRouter()
-	router.Handle(transport.Path, c.transport).Methods(http.MethodPost)
+	router.Handle(transport.Path, intake.Streaming(c.transport)).Methods(http.MethodPost)
 	limit := connect.WithReadMaxBytes(maxBodyBytes)
 	path, handler := dillchutev1connect.NewOperationsHandler(operations{c}, limit)
 	router.PathPrefix(path).Handler(handler)
--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -16,6 +16,7 @@
 	"github.com/dillchute/dillchute/config"
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/forward"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/replica"
 	"github.com/dillchute/dillchute/routing"
 )
@@ -148,8 +149,8 @@
 	settings := config.DefaultLedger()
 	logger := zerolog.Nop()
 	seeds := probing.seeds(&logger)
-	ledger := NewLedger(settings, seeds, nil, nil, &logger)
-	httpServer := newHTTPServer(ledger.runnerServer)
+	ledger := NewLedger(settings, seeds, nil, nil, NewIntake(settings.Process), &logger)
+	httpServer := ledger.intake.NewServer(intake.Streaming(ledger.runnerServer), intake.ServerOptions{Weight: mainWeight})
 	serveHTTP(httpServer, listener, &logger)
 	response, err := http.Get("http://" + listener.Addr().String())
 	require.NoError(t, err)
@@ -165,13 +166,13 @@
 	listener := listenLoopback(t)
 	probing := newProbingDirectory(t, listener.Addr().String())
 	logger := zerolog.Nop()
-	gateway := NewGateway(config.DefaultGateway(), probing.seeds(&logger), nil, &logger)
+	gateway := NewGateway(config.DefaultGateway(), probing.seeds(&logger), nil, NewIntake(config.Process{}), &logger)
 	started := make(chan struct{})
-	callers := newCallerServer(gateway.closeConnections(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	callers := gateway.newCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		close(started)
 		<-gateway.baseContext.Done()
 		gateway.usage.record("north", forward.Result{History: []forward.AttemptRecord{{StartedAt: clock.Now()}}})
-	})))
+	}))
 	serveHTTP(callers, listener, &logger)
 	answer := make(chan error, 1)
 	go func() {
@@ -182,7 +183,7 @@
 		answer <- err
 	}()
 	<-started
-	require.NoError(t, gateway.shutDown(callers, time.Second))
+	require.NoError(t, gateway.shutDown(callers.Server, time.Second))
 	require.NoError(t, <-answer)
 	require.False(t, <-probing.reachable)
 }
