What clients' bodies and answers become is within the budget on every listener

What callers saw: 40 bodies of 8 MB to the control address took a directory to 20,221 MiB; calls, frames and commands on the internal ports took 645 to 5,022 MiB; 40 clients that do not read the body of an item took a gateway to 508 and a ledger to 354 MiB; valid jobs of 32 MB, taken again and again, took ledgers to 383 MiB.

Cause: bodies were read up to a limit each, but not within one for the process; what they decode or unpack to counted nowhere; answers were held without a reservation while their client read; a ledger took every job and kept all; Go's memory limit left no room for the pages of the mapped database, which count as the process's memory.

Change: JSON and CBOR are decoded only after an upper bound for what they decode to is reserved, and messages are unpacked within the budget. Messages between replicas have a budget of their own, so that clients cannot hold up agreement. Answers of a ledger, pages of results and bodies of items are reserved until they are written. A ledger's leader refuses a job that it could not keep with what it has (503 before the 202; 413 if it never fits); an earlier build's gateway takes that refusal as unknown, not as a missing step. A store that does not lead answers a large call without reading it. Go's memory limit is half of the process's in roles with a database. Lines about malformed streams are bounded. Streams between processes end when nothing arrives for longer than their sender waits.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"math"
 	"sync/atomic"
 
 	"github.com/joomcode/errorx"
@@ -16,6 +17,11 @@
 	ErrTimeout = namespace.NewType("timeout")
 )
 
+// IsRefusal reports whether the error says that a budget or a limit has no room.
+func IsRefusal(err error) bool {
+	return errorx.IsOfType(err, ErrBusy) || errorx.IsOfType(err, ErrTooLarge)
+}
+
 // Budget bounds the memory that the data of clients takes in a process. It is safe for concurrent use.
 type Budget struct {
 	limit    int64
@@ -25,6 +31,9 @@
 // NewBudget returns a budget of that many bytes.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
+// Unlimited returns a budget that is never used up.
+func Unlimited() *Budget { return NewBudget(math.MaxInt64 / 2) }
+
 // Limit returns the size of the budget in bytes.
 func (b *Budget) Limit() int64 { return b.limit }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -14,7 +14,9 @@
 const (
 	// memoryDivisor sets the part of a process's memory, 1/memoryDivisor, that is the budget for its clients' data.
 	memoryDivisor = 3
-	// defaultMemoryBytes is the budget of a process without a memory limit.
+	// replicationDivisor sets that for messages between replicas.
+	replicationDivisor = 6
+	// defaultMemoryBytes is each budget of a process without a memory limit.
 	defaultMemoryBytes = 512 << 20
 	// connectionMemoryDivisor sets the part of a process's memory for connections, of which each may take connectionBytes:
 	// its buffers, stacks, and what needs no reservation.
@@ -34,6 +36,8 @@
 type Capacity struct {
 	// MemoryBytes is the budget for the data of all clients.
 	MemoryBytes int64
+	// ReplicationBytes is the budget for messages between replicas, so that these arrive while clients use up theirs.
+	ReplicationBytes int64
 	// Connections is the maximum number of their open connections.
 	Connections int
 }
@@ -44,10 +48,10 @@
 	if descriptorLimit == 0 {
 		descriptorLimit = systemDescriptorLimit()
 	}
-	capacity := Capacity{MemoryBytes: defaultMemoryBytes, Connections: (descriptorLimit - reservedDescriptors) / outgoingDivisor}
+	capacity := Capacity{MemoryBytes: defaultMemoryBytes, ReplicationBytes: defaultMemoryBytes, Connections: (descriptorLimit - reservedDescriptors) / outgoingDivisor}
 	if memoryLimit > 0 {
 		memoryBytes := memoryLimit * mebibyte
-		capacity.MemoryBytes = int64(memoryBytes / memoryDivisor)
+		capacity.MemoryBytes, capacity.ReplicationBytes = int64(memoryBytes/memoryDivisor), int64(memoryBytes/replicationDivisor)
 		capacity.Connections = min(capacity.Connections, memoryBytes/connectionMemoryDivisor/connectionBytes)
 	}
 	capacity.Connections = min(max(capacity.Connections, minConnections), maxConnections)
@@ -81,7 +85,9 @@
 // Intake holds the budgets of a process.
 type Intake struct {
 	// Memory is the budget for the data of all clients.
-	Memory      *Budget
+	Memory *Budget
+	// Replication is the budget for messages between replicas.
+	Replication *Budget
 	connections *connections
 	counters    counters
 	// lingering bounds the refused connections that are still open.
@@ -94,7 +100,7 @@
 // New returns the budgets of a process with the capacity.
 func New(capacity Capacity) *Intake {
 	return &Intake{
-		Memory: NewBudget(capacity.MemoryBytes), connections: newConnections(capacity.Connections),
+		Memory: NewBudget(capacity.MemoryBytes), Replication: NewBudget(capacity.ReplicationBytes), connections: newConnections(capacity.Connections),
 		lingering: make(chan struct{}, maxLingering),
 	}
 }
--- a/intake/scope.go
+++ b/intake/scope.go
@@ -1,6 +1,9 @@
 package intake
 
-import "sync"
+import (
+	"context"
+	"sync"
+)
 
 // Scope collects the reservations of one request, which end together. It is safe for concurrent use.
 type Scope struct {
@@ -9,8 +12,27 @@
 	reservations []*Reservation
 }
 
-// Add adds a reservation, which must not be resized any more. If the scope has ended, the reservation ends at once.
+// scopeKey is the context key of a request's scope.
+type scopeKey struct{}
+
+// WithScope returns a context with the scope of a request.
+func WithScope(ctx context.Context, scope *Scope) context.Context {
+	return context.WithValue(ctx, scopeKey{}, scope)
+}
+
+// ScopeOf returns the scope of the request, or nil if there is none.
+func ScopeOf(ctx context.Context) *Scope {
+	scope, _ := ctx.Value(scopeKey{}).(*Scope)
+	return scope
+}
+
+// Add adds a reservation, which must not be resized any more. If the scope has ended or is nil, the reservation ends at
+// once.
 func (s *Scope) Add(reservation *Reservation) {
+	if s == nil {
+		reservation.Release()
+		return
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.released {
--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -194,9 +194,9 @@
 
 // TestCapacityFollowsTheLimits checks the budgets of machines of several sizes.
 func TestCapacityFollowsTheLimits(t *testing.T) {
-	require.Equal(t, Capacity{MemoryBytes: 284 << 20 / 3, Connections: 2000}, NewCapacity(284, 4100))
-	require.Equal(t, Capacity{MemoryBytes: 128 << 20 / 3, Connections: 150}, NewCapacity(128, 400))
-	require.Equal(t, Capacity{MemoryBytes: 64 << 20 / 3, Connections: 512}, NewCapacity(64, 100_000), "memory bounds the connections")
+	require.Equal(t, Capacity{MemoryBytes: 284 << 20 / 3, ReplicationBytes: 284 << 20 / 6, Connections: 2000}, NewCapacity(284, 4100))
+	require.Equal(t, Capacity{MemoryBytes: 128 << 20 / 3, ReplicationBytes: 128 << 20 / 6, Connections: 150}, NewCapacity(128, 400))
+	require.Equal(t, Capacity{MemoryBytes: 64 << 20 / 3, ReplicationBytes: 64 << 20 / 6, Connections: 512}, NewCapacity(64, 100_000), "memory bounds the connections")
 	require.Equal(t, minConnections, NewCapacity(0, 110).Connections)
 	require.Equal(t, maxConnections, NewCapacity(0, 10_000_000).Connections)
 }
--- a/internal/pack/pack.go
+++ b/internal/pack/pack.go
@@ -10,6 +10,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
+
+	"github.com/dillchute/dillchute/intake"
 )
 
 const (
@@ -88,6 +90,53 @@
 	return cbor.Unmarshal(unpacked, into)
 }
 
+// DecodeWithin is like Decode. It reserves the memory for the unpacked message and for what it decodes to before it takes
+// it, and returns the reservation for the latter, which the caller must release. It fails with an intake.ErrBusy or
+// intake.ErrTooLarge error if the budget has no room.
+func DecodeWithin(budget *intake.Budget, data []byte, maxBytes int, into any) (*intake.Reservation, error) {
+	return decodeWithin(budget, data, maxBytes, into, cbor.Unmarshal)
+}
+
+// DecodeUncheckedTextWithin is like DecodeWithin, but accepts texts that are not valid UTF-8; see DecodeUncheckedText.
+func DecodeUncheckedTextWithin(budget *intake.Budget, data []byte, maxBytes int, into any) (*intake.Reservation, error) {
+	return decodeWithin(budget, data, maxBytes, into, uncheckedText.Unmarshal)
+}
+
+func decodeWithin(budget *intake.Budget, data []byte, maxBytes int, into any, unmarshal func([]byte, any) error) (*intake.Reservation, error) {
+	unpacked, err := unpackWithin(budget, data, maxBytes)
+	if err != nil {
+		return nil, err
+	}
+	defer unpacked.Release()
+	memory := budget.NewReservation(freeMessageBytes)
+	err = memory.Resize(intake.CBORMemory(unpacked.Bytes))
+	if err == nil {
+		err = unmarshal(unpacked.Bytes, into)
+	}
+	if err != nil {
+		memory.Release()
+		return nil, err
+	}
+	return memory, nil
+}
+
+// freeMessageBytes of the memory for each message need no reservation.
+const freeMessageBytes = 16 << 10
+
+// unpackWithin reverses Pack. The memory of an unpacked message is reserved; that of an uncompressed one is the caller's.
+func unpackWithin(budget *intake.Budget, packed []byte, maxBytes int) (intake.Body, error) {
+	if len(packed) == 0 || packed[0] != compressedMarker {
+		return intake.Body{Bytes: packed}, nil
+	}
+	reader := flate.NewReader(bytes.NewReader(packed[1:]))
+	defer reader.Close()
+	unpacked, err := budget.Read(reader, -1, int64(maxBytes), freeMessageBytes)
+	if err != nil && !intake.IsRefusal(err) {
+		return intake.Body{}, ErrCorrupt.Wrap(err, "decompress message")
+	}
+	return unpacked, err
+}
+
 // uncheckedText accepts texts that are not valid UTF-8.
 var uncheckedText = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -56,6 +56,7 @@
 	// orders maps an engine's ID to its newest order.
 	orders map[string]duty.Action
 	paces  map[string]float64
+	size   int64
 	// Generation increases with each change of a step or its results.
 	Generation uint64
 }
@@ -94,7 +95,7 @@
 
 // Restore replaces the state by the snapshot. An empty snapshot yields an empty state.
 func (m *Machine) Restore(reader io.Reader) error {
-	m.steps, m.orders = map[string]*Entry{}, map[string]duty.Action{}
+	m.steps, m.orders, m.size = map[string]*Entry{}, map[string]duty.Action{}, 0
 	m.Generation++
 	stream := cbor.NewDecoder(reader)
 	var header snapshotHeader
@@ -108,6 +109,7 @@
 		if err = stream.Decode(entry); err == nil {
 			entry.indexResults()
 			m.steps[entry.Step.ID] = entry
+			m.size += entry.size()
 		}
 	}
 	if errors.Is(err, io.EOF) {
@@ -175,7 +177,7 @@
 		m.endStep(command.End.Step)
 	case command.Prune != nil:
 		for _, id := range command.Prune.Steps {
-			delete(m.steps, id)
+			m.deleteStep(id)
 		}
 	}
 	return nil
@@ -189,6 +191,14 @@
 	entry := &Entry{Step: step}
 	entry.indexResults()
 	m.steps[step.ID] = entry
+	m.size += entry.size()
+}
+
+func (m *Machine) deleteStep(id string) {
+	if entry := m.steps[id]; entry != nil {
+		m.size -= entry.size()
+		delete(m.steps, id)
+	}
 }
 
 // recordResults appends the results of samples that have none yet. The position of a result never
@@ -209,6 +219,7 @@
 		}
 		entry.hasResult[result.Sample] = true
 		entry.Results = append(entry.Results, restored)
+		m.size += restored.size()
 		delete(entry.Partials, result.Sample)
 		delete(entry.Failures, result.Sample)
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -76,6 +76,8 @@
 	// InitialMembers are the first members of the group, if this process is one of them and the folder is
 	// empty. Any other replica without data joins the group.
 	InitialMembers consensus.Membership
+	// Memory is the budget for messages from other replicas, and Commands that for commands which they forward.
+	Memory, Commands *intake.Budget
 	// KnownVersion is the newest version of the machine's commands that this build supports.
 	KnownVersion uint64
 	// Replica is the identity to use if the folder is empty.
@@ -178,6 +180,9 @@
 }
 
 func newReplica(settings Settings, store Store, core *Core, logger *zerolog.Logger) *Replica {
+	if settings.Memory == nil {
+		settings.Memory, settings.Commands = intake.Unlimited(), intake.Unlimited()
+	}
 	r := &Replica{
 		settings: settings, logger: logger, store: store, core: core, loop: eventloop.New(), context: context.Background(),
 		client: &http.Client{Transport: transport.NewInternalTransport()}, pending: map[uint64]chan Reply{},
@@ -185,7 +190,7 @@
 	r.status.Store(&Status{ID: core.Raft().ID()})
 	changed := make(chan struct{})
 	r.changed.Store(&changed)
-	r.transport = transport.New(logger, r.receiveFromPeer)
+	r.transport = transport.New(logger, settings.Memory, r.receiveFromPeer)
 	r.transfers = newTransfers(store, r.client, logger)
 	return r
 }
--- a/replica/request.go
+++ b/replica/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/dillchute/dillchute/consensus"
@@ -113,12 +112,21 @@
 	return response, nil
 }
 
+// freeCommandBytes of each forwarded command need no reservation.
+const freeCommandBytes = 16 << 10
+
 func (r *Replica) serveExecute(response http.ResponseWriter, request *http.Request) {
-	command, err := io.ReadAll(io.LimitReader(request.Body, maxCommandBytes))
+	if !r.Status().Leading {
+		http.Error(response, "not the leader", http.StatusServiceUnavailable)
+		return
+	}
+	command, err := r.settings.Commands.Read(request.Body, request.ContentLength, maxCommandBytes, freeCommandBytes)
 	if err != nil {
+		http.Error(response, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	reply := r.submitRequest(request.Context(), func(id uint64) { r.core.Propose(id, command) })
+	defer command.Release()
+	reply := r.submitRequest(request.Context(), func(id uint64) { r.core.Propose(id, command.Bytes) })
 	if reply.Outcome != Done {
 		http.Error(response, "not the leader", http.StatusServiceUnavailable)
 		return
--- a/runner/golden_test.go
+++ b/runner/golden_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"testing"
 
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/internal/golden"
 )
 
@@ -22,7 +23,7 @@
 			return frame.Bytes()[frameHeaderBytes:]
 		}
 		kinds[i].Decode = func(data []byte, into any) error {
-			return readMessage(bytes.NewReader(append(encodeFrameLength(len(data)), data...)), into)
+			return readMessage(intake.Unlimited(), bytes.NewReader(append(encodeFrameLength(len(data)), data...)), into)
 		}
 	}
 	golden.Check(t, kinds)
--- a/runner/invalid_text_test.go
+++ b/runner/invalid_text_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/scheduler"
 )
@@ -80,7 +81,7 @@
 	reader := bufio.NewReader(request.Body)
 	for number := uint64(2); ; number++ {
 		var message commands
-		if readMessage(reader, &message) != nil {
+		if readMessage(intake.Unlimited(), reader, &message) != nil {
 			return
 		}
 		for _, cancelled := range message.Cancels {
--- a/runner/link.go
+++ b/runner/link.go
@@ -15,6 +15,7 @@
 
 	"github.com/dillchute/dillchute/clock"
 	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/scheduler"
 )
 
@@ -227,7 +228,7 @@
 	}
 	reader := bufio.NewReader(response.Body)
 	var firstReport report
-	if err := readMessage(reader, &firstReport); err != nil {
+	if err := readMessage(intake.Unlimited(), reader, &firstReport); err != nil {
 		return false, err
 	}
 	accepted := l.activate(firstReport)
@@ -334,7 +335,7 @@
 func (l *Link) receiveReports(reader *bufio.Reader, watchdog *time.Timer, lastReport *atomic.Uint64) error {
 	for {
 		var message report
-		if err := readMessage(reader, &message); err != nil {
+		if err := readMessage(intake.Unlimited(), reader, &message); err != nil {
 			return err
 		}
 		watchdog.Reset(runnerTimeout)
--- a/runner/message.go
+++ b/runner/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/internal/pack"
 	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/scheduler"
@@ -98,10 +99,15 @@
 }
 
 // readMessage reads a message. The texts of events in it need not be valid UTF-8; see Batch.isValid.
-func readMessage(reader io.Reader, into any) error {
-	data, err := transport.ReadFrame(reader, maxFrameBytes)
+//
+// The memory of the message comes from the budget while it is read.
+func readMessage(budget *intake.Budget, reader io.Reader, into any) error {
+	frame, err := transport.ReadFrame(budget, reader, maxFrameBytes)
 	if err != nil {
 		return err
 	}
-	return pack.DecodeUncheckedText(data, maxFrameBytes, into)
+	defer frame.Release()
+	memory, err := pack.DecodeUncheckedTextWithin(budget, frame.Bytes, maxFrameBytes, into)
+	memory.Release()
+	return err
 }
--- a/runner/server.go
+++ b/runner/server.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/scheduler"
 )
 
@@ -21,6 +22,8 @@
 type Server struct {
 	engine Engine
 	logger *zerolog.Logger
+	// Memory is the budget for messages that are being received. Set before the first link.
+	Memory *intake.Budget
 	// orphanTimeout is how long runs continue without a link.
 	orphanTimeout time.Duration
 	// activeRuns counts the runs that have not ended.
@@ -40,7 +43,7 @@
 
 // NewServer returns a server that runs samples on the engine.
 func NewServer(engine Engine, logger *zerolog.Logger) *Server {
-	return &Server{engine: engine, logger: logger, orphanTimeout: orphanTimeout}
+	return &Server{engine: engine, logger: logger, Memory: intake.Unlimited(), orphanTimeout: orphanTimeout}
 }
 
 // Close closes all links, cancels all runs and waits until the links have closed.
--- a/runner/serverlink.go
+++ b/runner/serverlink.go
@@ -156,7 +156,7 @@
 	defer watchdog.Stop()
 	for {
 		var message commands
-		if readMessage(reader, &message) != nil || l.context.Err() != nil {
+		if readMessage(l.server.Memory, reader, &message) != nil || l.context.Err() != nil {
 			return
 		}
 		watchdog.Reset(leaderTimeout)
--- a/server/client_limits.go
+++ b/server/client_limits.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/dillchute/dillchute/intake"
+	"github.com/dillchute/dillchute/ledger"
 	"github.com/dillchute/dillchute/routing"
 )
 
@@ -34,6 +35,27 @@
 	return limits
 }
 
+// pageCopies is how often the texts of a page are held while it is written: encoded, with room for signs that are escaped.
+const pageCopies = 2
+
+// freePageBytes of each page need no reservation.
+const freePageBytes = 32 << 10
+
+// ReservePage reserves, until the scope ends, the memory to write results to a caller.
+func (g *Gateway) ReservePage(scope *intake.Scope, results []ledger.Result) error {
+	size := 0
+	for _, result := range results {
+		size += len(result.Text)
+	}
+	memory := g.intake.Memory.NewReservation(freePageBytes)
+	if err := memory.Resize(int64(pageCopies * size)); err != nil {
+		g.intake.CountRefused()
+		return err
+	}
+	scope.Add(memory)
+	return nil
+}
+
 // maxLimitMillis is the highest time limit in force, whatever the configuration says.
 const maxLimitMillis = 24 * 60 * 60 * 1000
 
--- a/server/control.go
+++ b/server/control.go
@@ -96,7 +96,7 @@
 		start: clock.Now(), join: join, leadershipGained: make(chan struct{}, 1), pendingReplies: map[uint64]chan control.Reply{},
 	}
 	c.status.Store(&controlStatus{})
-	c.transport = transport.New(logger, c.receive)
+	c.transport = transport.New(logger, intake.NewBudget(defaultTransportBytes), c.receive)
 	return c, nil
 }
 
--- a/server/copy_refresh_test.go
+++ b/server/copy_refresh_test.go
@@ -48,7 +48,7 @@
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
 		var call directoryCall
-		if request.URL.Path == directoryCallPath && readCBOR(response, request, &call) {
+		if request.URL.Path == directoryCallPath && readTestCall(response, request, &call) {
 			d.answer(response, call)
 			return
 		}
--- a/server/directory.go
+++ b/server/directory.go
@@ -115,19 +115,21 @@
 
 // NewDirectory opens the replica's data folder or creates it. The client sends duty calls; it may be nil.
 func NewDirectory(settings config.Directory, seeds *Seeds, client DutyClient, logger *zerolog.Logger) (*Directory, error) {
+	limits := NewIntake(settings.Process)
 	machine := directory.NewMachine()
 	members, identity := initialDirectoryMembers(settings)
 	r, err := replica.Open(replica.Settings{
 		Cluster: settings.Cluster + "-directory", Address: settings.InternalAddress, DataFolder: settings.DataFolder,
 		Voters: config.Voters(settings.ToleratedLosses), InitialMembers: members, Replica: identity,
 		Contacts: seeds.Current, KnownVersion: directory.KnownVersion,
+		Memory: limits.Replication, Commands: limits.Memory,
 	}, machine, logger)
 	if err != nil {
 		return nil, err
 	}
 	d := &Directory{
 		settings: settings, logger: logger, machine: machine, replica: r,
-		client: replica.NewInternalClient(), intake: NewIntake(settings.Process), confirmations: newReadConfirmations(), metrics: newDirectoryMetrics(), heartbeats: newHeartbeats(), feed: newFeed(),
+		client: replica.NewInternalClient(), intake: limits, confirmations: newReadConfirmations(), metrics: newDirectoryMetrics(), heartbeats: newHeartbeats(), feed: newFeed(),
 	}
 	d.duties = &dutyCoordinator{settings: settings, replica: r, machine: machine, actions: duty.NewTracker(), sleep: time.Sleep}
 	d.usage = &usageAggregator{
@@ -178,6 +180,9 @@
 	return d.replica.Run(ctx)
 }
 
+// Intake returns the budgets for operators, backends and other processes.
+func (d *Directory) Intake() *intake.Intake { return d.intake }
+
 // Status returns the replica's status.
 func (d *Directory) Status() *replica.Status { return d.replica.Status() }
 
--- a/server/directory_call.go
+++ b/server/directory_call.go
@@ -132,9 +132,12 @@
 // other replica.
 func (d *Directory) serveCall(response http.ResponseWriter, request *http.Request) {
 	var call directoryCall
-	if !readCBOR(response, request, &call) {
+	memory, err := readCBOR(d.intake, request, &call)
+	if err != nil {
+		refuseCall(response, request, err)
 		return
 	}
+	defer memory.Release()
 	if call.Passed && !d.replica.Status().Leading {
 		http.Error(response, "not the leader", http.StatusServiceUnavailable)
 		return
--- a/server/directory_watch_test.go
+++ b/server/directory_watch_test.go
@@ -62,13 +62,13 @@
 	if leader.address > follower {
 		leader.id = 2
 	}
-	leader.transport = transport.New(logger, func(protocol.Message) {})
+	leader.transport = transport.New(logger, intake.Unlimited(), func(protocol.Message) {})
 	t.Cleanup(leader.transport.Close)
 	router := mux.NewRouter()
 	router.Handle(transport.Path, leader.transport)
 	router.HandleFunc(directoryCallPath, func(response http.ResponseWriter, request *http.Request) {
 		var call directoryCall
-		if readCBOR(response, request, &call) && call.Newest {
+		if readTestCall(response, request, &call) && call.Newest {
 			leader.wasQueried.Store(true)
 			leader.queries.Add(1)
 		}
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -73,7 +73,7 @@
 	gateway := &Gateway{
 		baseContext: baseContext, cancelRequests: cancelRequests, intake: limits,
 		settings: settings, logger: logger, watcher: watcher, guard: guard,
-		forwarder: forward.New(newFreshClient(backends, watcher), settings.Zone, guard), ledger: newLedgerClient(watcher, settings.Zone, logger),
+		forwarder: forward.New(newFreshClient(backends, watcher), settings.Zone, guard), ledger: newLedgerClient(watcher, settings.Zone, limits.Memory, logger),
 		metrics: newGatewayMetrics(), usage: newUsageReporter(settings.Name, watcher), startedAt: time.Now(),
 		admissionMonitor: newAdmissionMonitor(logger),
 	}
@@ -246,6 +246,8 @@
 	SubmitUnknown
 	// SubmitConflict means that another tenant's step has the ID; none of this step runs.
 	SubmitConflict
+	// SubmitTooLarge means that the step exceeds what the ledger can keep; none of it runs.
+	SubmitTooLarge
 )
 
 // Submit submits a step to the ledger. Its due and give-up times are relative to now.
@@ -257,6 +259,12 @@
 		outcome = SubmitRefused
 	case err == nil && answer.Refused:
 		outcome = SubmitConflict
+	case answer.isRefused() && mayHaveApplied:
+		outcome = SubmitUnknown
+	case answer.TooLarge:
+		outcome = SubmitTooLarge
+	case answer.Busy:
+		outcome = SubmitRefused
 	case err != nil || !answer.Found:
 		outcome = SubmitUnknown
 	}
--- a/server/internal.go
+++ b/server/internal.go
@@ -1,24 +1,32 @@
 package server
 
 import (
-	"io"
 	"net/http"
 	"strconv"
+	"time"
 
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/internal/pack"
 )
 
-// readCBOR decodes the body of an internal call into target. If that fails, it
-// writes an error response and returns false.
-func readCBOR(response http.ResponseWriter, request *http.Request, target any) bool {
-	body, err := io.ReadAll(io.LimitReader(request.Body, maxInternalBytes))
-	if err == nil {
-		err = decodeInternal(body, target)
-	}
+// readCBOR decodes the body of an internal call into target, and returns the reservation of its memory, which the caller
+// must release.
+func readCBOR(limits *intake.Intake, request *http.Request, target any) (*intake.Reservation, error) {
+	body, err := limits.ReadRequest(request, maxInternalBytes, time.Time{})
 	if err != nil {
-		http.Error(response, "malformed call", http.StatusBadRequest)
+		return nil, err
+	}
+	defer body.Release()
+	return pack.DecodeWithin(limits.Memory, body.Bytes, maxInternalBytes, target)
+}
+
+// refuseCall answers a call that readCBOR could not read.
+func refuseCall(response http.ResponseWriter, request *http.Request, err error) {
+	status := http.StatusBadRequest
+	if intake.IsRefusal(err) {
+		status = http.StatusServiceUnavailable
 	}
-	return err == nil
+	intake.AnswerEarly(response, request, status)
 }
 
 // encodeInternal encodes a call or a response between processes of the service.
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -37,6 +37,7 @@
 	logger   *zerolog.Logger
 	machine  *ledger.Machine
 	intake   *intake.Intake
+	steps    *stateAdmission
 	watcher  *Watcher
 	executor *Executor
 	// runnerServer runs samples for the leader.
@@ -55,7 +56,7 @@
 // backends, and serves within the limits.
 func NewLedger(settings config.Ledger, seeds *Seeds, engines EngineClient, backends forward.Client, limits *intake.Intake, logger *zerolog.Logger) *Ledger {
 	l := &Ledger{
-		settings: settings, logger: logger, machine: ledger.NewMachine(), intake: limits,
+		settings: settings, logger: logger, machine: ledger.NewMachine(), intake: limits, steps: newStateAdmission(settings.MemoryLimit, stepsDivisor),
 		watcher:  NewWatcher(seeds, settings.Zone, nameHash(settings.Name), logger),
 		identity: replica.NewIdentity(),
 	}
@@ -64,6 +65,7 @@
 	l.metrics = newLedgerMetrics()
 	l.executor = newExecutor(settings, l.watcher, engines, backends, l.metrics, logger)
 	l.runnerServer = runner.NewServer(&guardedEngine{engine: engines, guard: l.executor.guard, hasCrashed: l.executor.forwarder.HasCrashed}, logger)
+	l.runnerServer.Memory = limits.Replication
 	return l
 }
 
@@ -126,6 +128,7 @@
 		Replica: l.identity, Contacts: l.contacts, OtherContacts: l.otherContacts,
 		// A new leader may send orders to engines only after the lease of the previous one has ended.
 		KeepLeader: true,
+		Memory:     l.intake.Replication, Commands: l.intake.Memory,
 	}
 	if !hasData {
 		group, ok := l.awaitGroup(ctx)
--- a/server/ledger_call.go
+++ b/server/ledger_call.go
@@ -7,7 +7,10 @@
 	"time"
 
 	"github.com/dillchute/dillchute/directory"
+	"github.com/joomcode/errorx"
+
 	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/ledger"
 )
 
@@ -61,13 +64,52 @@
 	Body    []byte          `cbor:"7,keyasint,omitempty"`
 	// Refused means that the call was not executed and that a retry would be refused as well.
 	Refused bool `cbor:"8,keyasint,omitempty"`
+	// Busy means that the call was not executed for lack of memory, and TooLarge that it never fits.
+	Busy     bool `cbor:"9,keyasint,omitempty"`
+	TooLarge bool `cbor:"10,keyasint,omitempty"`
+}
+
+// isRefused reports whether the call was not executed for lack of memory.
+func (a ledgerAnswer) isRefused() bool { return a.Busy || a.TooLarge }
+
+// refusedAnswer returns the answer to a call that was not executed because of an intake.ErrBusy or intake.ErrTooLarge error.
+func refusedAnswer(err error) ledgerAnswer {
+	// Unknown is what processes of earlier builds understand.
+	return ledgerAnswer{Unknown: true, Busy: errorx.IsOfType(err, intake.ErrBusy), TooLarge: errorx.IsOfType(err, intake.ErrTooLarge)}
 }
 
+// Copies of a step or a body that are held at once, which are reserved in advance.
+const (
+	// submitCopies are the command, its packed form, the log's entry, and the messages to other replicas.
+	submitCopies = 3
+	// answerCopies are the encoded and the packed answer.
+	answerCopies = 2
+	// freeAnswerBytes of each answer need no reservation.
+	freeAnswerBytes = 64 << 10
+	// largeCallBytes is the size of a call above which it can only be one for the leader.
+	largeCallBytes = 64 << 10
+)
+
 func (l *Ledger) serveCall(response http.ResponseWriter, request *http.Request) {
+	if status := l.replica.Status(); !status.Serving && request.ContentLength > largeCallBytes {
+		writeCBOR(response, ledgerAnswer{NotLeader: true, Leader: status.Leader})
+		return
+	}
 	var call ledgerCall
-	if readCBOR(response, request, &call) {
-		writeCBOR(response, l.handle(request.Context(), call))
+	memory, err := readCBOR(l.intake, request, &call)
+	if intake.IsRefusal(err) {
+		l.intake.CountRefused()
+		writeCBOR(response, refusedAnswer(err))
+		return
 	}
+	if err != nil {
+		refuseCall(response, request, err)
+		return
+	}
+	defer memory.Release()
+	scope := &intake.Scope{}
+	defer scope.Release()
+	writeCBOR(response, l.handle(intake.WithScope(request.Context(), scope), call))
 }
 
 func (l *Ledger) handle(ctx context.Context, call ledgerCall) ledgerAnswer {
@@ -109,7 +151,13 @@
 		event.StepResubmitted.On(l.logger).Str("step", step.ID).Send()
 		return ledgerAnswer{Found: true}
 	}
-	_, err := l.replica.Execute(ctx, ledger.Command{Submit: step}.Encode())
+	admitted, err := l.admitStep(ctx, step)
+	if err != nil {
+		l.intake.CountRefused()
+		return refusedAnswer(err)
+	}
+	defer admitted()
+	_, err = l.replica.Execute(ctx, ledger.Command{Submit: step}.Encode())
 	line := event.StepSubmitted.On(l.logger).Str("step", step.ID).Uint("number", uint64(step.Number)).
 		Uint("samples", uint64(len(step.Samples))).Uint("oldest_version", step.OldestVersion)
 	if err != nil {
@@ -120,6 +168,32 @@
 	return submitAnswer(l.stepAccess(step.ID, step.Tenant))
 }
 
+// admitStep reserves the memory to keep the step, and that to commit it. The returned function must be called once the step
+// is committed.
+func (l *Ledger) admitStep(ctx context.Context, step *ledger.Step) (func(), error) {
+	size, state := step.Size(), int64(0)
+	l.replica.Do(func() { state = l.machine.Size() })
+	admitted, err := l.steps.admit(size, state)
+	if err != nil {
+		return nil, err
+	}
+	if err := reserve(ctx, l.intake.Memory, submitCopies*size); err != nil {
+		admitted()
+		return nil, err
+	}
+	return admitted, nil
+}
+
+// reserve reserves memory until the end of the context's scope.
+func reserve(ctx context.Context, budget *intake.Budget, size int64) error {
+	memory := budget.NewReservation(freeAnswerBytes)
+	if err := memory.Resize(size); err != nil {
+		return err
+	}
+	intake.ScopeOf(ctx).Add(memory)
+	return nil
+}
+
 // submitAnswer returns the answer to a committed submission, given the result of stepAccess.
 func submitAnswer(exists, allowed bool) ledgerAnswer {
 	switch {
@@ -222,6 +296,10 @@
 	if !answer.Found {
 		return l.notFound(ctx)
 	}
+	if err := reserve(ctx, l.intake.Memory, int64(answerCopies*len(answer.Body))); err != nil {
+		l.intake.CountRefused()
+		return refusedAnswer(err)
+	}
 	return answer
 }
 
--- a/server/ledger_client.go
+++ b/server/ledger_client.go
@@ -10,6 +10,8 @@
 
 	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/intake"
+	"github.com/dillchute/dillchute/internal/pack"
 	"github.com/dillchute/dillchute/replica"
 )
 
@@ -29,8 +31,10 @@
 type ledgerClient struct {
 	watcher *Watcher
 	client  *http.Client
-	zone    string
-	logger  *zerolog.Logger
+	// memory is the budget for answers.
+	memory *intake.Budget
+	zone   string
+	logger *zerolog.Logger
 
 	mutex sync.Mutex
 	// leader is the address of the last known leader.
@@ -39,8 +43,9 @@
 	localRetryAt time.Time
 }
 
-func newLedgerClient(watcher *Watcher, zone string, logger *zerolog.Logger) *ledgerClient {
-	return &ledgerClient{watcher: watcher, client: replica.NewInternalClient(), zone: zone, logger: logger}
+// newLedgerClient returns a client that takes the memory for answers from the budget.
+func newLedgerClient(watcher *Watcher, zone string, memory *intake.Budget, logger *zerolog.Logger) *ledgerClient {
+	return &ledgerClient{memory: memory, watcher: watcher, client: replica.NewInternalClient(), zone: zone, logger: logger}
 }
 
 // results returns a step's results. A call that does not wait reads them from the replica in the local zone
@@ -110,15 +115,18 @@
 	for ctx.Err() == nil {
 		for _, address := range c.addresses() {
 			answer, err = c.sendWithTimeout(ctx, address, body, wait+ledgerAttemptTimeout)
-			if err == nil && !answer.NotLeader {
+			if err == nil && !answer.NotLeader && !answer.isRefused() {
 				mayHaveExecuted = true
 			}
 			if err != nil && !isDialError(err) {
 				mayHaveExecuted = true
 			}
-			if err == nil && !answer.NotLeader && !answer.Unknown {
+			if intake.IsRefusal(err) || err == nil && answer.isRefused() && call.Submit == nil {
+				return ledgerAnswer{}, mayHaveExecuted, replica.ErrUnavailable.New("no memory for the call or its answer")
+			}
+			if err == nil && !answer.NotLeader && (!answer.Unknown || answer.isRefused()) {
 				c.setLeader(address)
-				return answer, true, nil
+				return answer, mayHaveExecuted, nil
 			}
 			if err == nil && answer.NotLeader && answer.Leader != "" && answer.Leader != address {
 				c.setLeader(answer.Leader)
@@ -168,9 +176,16 @@
 // send sends an encoded call to the replica at the address.
 func (c *ledgerClient) send(ctx context.Context, address string, body []byte) (ledgerAnswer, error) {
 	var answer ledgerAnswer
-	data, err := replica.PostInternal(ctx, c.client, "http://"+address+ledgerCallPath, body)
+	read, err := replica.PostInternalWithin(ctx, c.client, "http://"+address+ledgerCallPath, body, c.memory)
+	if err != nil {
+		return answer, err
+	}
+	defer read.Release()
+	memory, err := pack.DecodeWithin(c.memory, read.Bytes, maxInternalBytes, &answer)
 	if err != nil {
 		return answer, err
 	}
-	return answer, decodeInternal(data, &answer)
+	// Without a scope, the reservation ends here.
+	intake.ScopeOf(ctx).Add(memory)
+	return answer, nil
 }
--- a/server/ledger_client_test.go
+++ b/server/ledger_client_test.go
@@ -15,6 +15,7 @@
 	"github.com/dillchute/dillchute/config"
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/ledger"
 )
 
@@ -30,7 +31,7 @@
 func (s *fakeStore) serve(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
 		var call ledgerCall
-		if !readCBOR(response, request, &call) {
+		if !readTestCall(response, request, &call) {
 			return
 		}
 		s.calls.Add(1)
@@ -70,7 +71,7 @@
 	seeds := NewSeeds(config.Process{}, func() (config.Process, error) { return config.Process{}, nil }, &logger)
 	watcher := NewWatcher(seeds, "z", 0, &logger)
 	watcher.apply(watcher.Catalog(), machine.DeltaSince(0))
-	return newLedgerClient(watcher, "local", &logger), local, remote
+	return newLedgerClient(watcher, "local", intake.Unlimited(), &logger), local, remote
 }
 
 func readResults(t *testing.T, client *ledgerClient, after int, wait time.Duration) int {
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -47,6 +47,7 @@
 	counter(emit, "messages_sent_total", "Messages written to peers.", counts.MessagesSent.Load())
 	counter(emit, "messages_received_total", "Messages read from peers.", counts.MessagesReceived.Load())
 	counter(emit, "messages_dropped_total", "Messages dropped for full queues or unreachable peers.", counts.MessagesDropped.Load())
+	counter(emit, "messages_refused_total", "Received messages that the budget of memory had no room for.", counts.MessagesRefused.Load())
 	counter(emit, "message_bytes_sent_total", "Bytes of messages written to peers.", counts.BytesSent.Load())
 	counter(emit, "message_bytes_received_total", "Bytes of messages read from peers.", counts.BytesReceived.Load())
 }
--- a/server/node.go
+++ b/server/node.go
@@ -71,7 +71,7 @@
 		}),
 	}
 	n.status.Store(&nodeStatus{})
-	n.transport = transport.New(logger, func(message protocol.Message) {
+	n.transport = transport.New(logger, intake.NewBudget(defaultTransportBytes), func(message protocol.Message) {
 		n.loop.Submit(func() { n.core.Receive(n.now(), message) })
 	})
 	n.engines = newEngineClient(background, func(id string, message protocol.EngineMessage) {
--- a/server/process.go
+++ b/server/process.go
@@ -19,17 +19,19 @@
 
 const (
 	// memoryLimitFraction is the fraction of the process's memory limit that is set as Go's memory
-	// limit, and gcPercent is the value for debug.SetGCPercent.
-	memoryLimitFraction = 0.8
-	gcPercent           = 40
-	mebibyte            = 1 << 20
+	// limit, and gcPercent is the value for debug.SetGCPercent. Pages of the mapped database, which Go does not
+	// count, need room in processes with a data folder.
+	memoryLimitFraction       = 0.8
+	mappedMemoryLimitFraction = 0.5
+	gcPercent                 = 40
+	mebibyte                  = 1 << 20
 )
 
-// limitMemory configures the garbage collector for a small heap within the memory limit.
-func limitMemory(settings config.Process) {
+// limitMemory configures the garbage collector for a small heap within the fraction of the memory limit.
+func limitMemory(settings config.Process, fraction float64) {
 	debug.SetGCPercent(gcPercent)
 	if settings.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryLimit) * mebibyte))
+		debug.SetMemoryLimit(int64(fraction * float64(settings.MemoryLimit) * mebibyte))
 	}
 }
 
@@ -102,7 +104,7 @@
 
 // RunGateway serves callers and readiness checks until the context ends, and then shuts down gracefully.
 func RunGateway(ctx context.Context, settings config.Gateway, gateway *Gateway, listeners Listeners, callers, ready http.Handler, logger *zerolog.Logger) error {
-	limitMemory(settings.Process)
+	limitMemory(settings.Process, memoryLimitFraction)
 	checkClock(logger)
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -128,7 +130,7 @@
 // RunDirectory serves operators and backends until the context ends. The replica stops only after the
 // calls in progress, which depend on it.
 func RunDirectory(ctx context.Context, settings config.Directory, directory *Directory, listeners Listeners, control http.Handler, logger *zerolog.Logger) error {
-	limitMemory(settings.Process)
+	limitMemory(settings.Process, mappedMemoryLimitFraction)
 	checkClock(logger)
 	serveMetrics(directory.intake, listeners.Metrics, logger, directory.collect, directory.metrics.collectors(), directory.scale.addStatusRoute)
 	controlServer := directory.intake.NewServer(control, intake.ServerOptions{Weight: mainWeight})
@@ -146,7 +148,7 @@
 
 // RunLedger serves gateways and other stores until the context ends.
 func RunLedger(ctx context.Context, settings config.Ledger, ledger *Ledger, listeners Listeners, logger *zerolog.Logger) error {
-	limitMemory(settings.Process)
+	limitMemory(settings.Process, mappedMemoryLimitFraction)
 	checkClock(logger)
 	serveMetrics(ledger.intake, listeners.Metrics, logger, ledger.collect, ledger.metrics.collectors())
 	return ledger.Run(ctx, listeners.Internal)
--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -121,7 +121,7 @@
 	d := &probingDirectory{reachable: make(chan bool, 100)}
 	d.server = httptest.NewServer(http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
 		var call directoryCall
-		if !readCBOR(response, request, &call) || call.Quarantine == nil && call.Usage == nil {
+		if !readTestCall(response, request, &call) || call.Quarantine == nil && call.Usage == nil {
 			return
 		}
 		connection, err := net.Dial("tcp", reporter)
--- a/server/watch_test.go
+++ b/server/watch_test.go
@@ -306,7 +306,7 @@
 	unresponsive, reached := startUnresponsiveReplica(t)
 	live := httptest.NewServer(http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
 		var call directoryCall
-		if readCBOR(response, request, &call) {
+		if readTestCall(response, request, &call) {
 			writeCBOR(response, directoryAnswer{Leader: request.Host, Revision: 3})
 		}
 	}))
--- a/transport/frame.go
+++ b/transport/frame.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"io"
+
+	"github.com/dillchute/dillchute/intake"
 )
 
 // lengthPrefixBytes is the size of the length that precedes a frame.
@@ -17,21 +19,28 @@
 	return err
 }
 
-// ReadFrame reads a frame written by WriteFrame. It returns io.EOF if the stream ends or fails, and an
-// ErrMalformed error for a frame of more than maxBytes.
-func ReadFrame(reader io.Reader, maxBytes uint32) ([]byte, error) {
+// freeFrameBytes of each frame need no reservation, so that heartbeats arrive even while the budget is used up.
+const freeFrameBytes = 32 << 10
+
+// ReadFrame reads a frame written by WriteFrame, whose memory comes from the budget. It returns io.EOF if the stream ends or
+// fails, an ErrMalformed error for a frame of more than maxBytes, and an intake.ErrBusy or intake.ErrTooLarge error if the
+// budget has no room.
+func ReadFrame(budget *intake.Budget, reader io.Reader, maxBytes uint32) (intake.Body, error) {
 	var prefix [lengthPrefixBytes]byte
 	if _, err := io.ReadFull(reader, prefix[:]); err != nil {
-		return nil, io.EOF
+		return intake.Body{}, io.EOF
 	}
 	length := binary.BigEndian.Uint32(prefix[:])
 	if length > maxBytes {
-		return nil, ErrMalformed.New("message of %d bytes is too long", length)
+		return intake.Body{}, ErrMalformed.New("message of %d bytes is too long", length)
+	}
+	frame, err := budget.Read(io.LimitReader(reader, int64(length)), int64(length), int64(maxBytes), freeFrameBytes)
+	if intake.IsRefusal(err) {
+		return intake.Body{}, err
 	}
-	// The buffer grows with the received data, not with the claimed length.
-	data, err := io.ReadAll(io.LimitReader(reader, int64(length)))
-	if err != nil || len(data) < int(length) {
-		return nil, io.EOF
+	if err != nil || len(frame.Bytes) < int(length) {
+		frame.Release()
+		return intake.Body{}, io.EOF
 	}
-	return data, nil
+	return frame, nil
 }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -16,8 +16,10 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"github.com/dillchute/dillchute/event"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/protocol"
 )
 
@@ -33,6 +35,10 @@
 	maxBackoff      = time.Second
 	// streamIdleTimeout is the time without messages after which a stream is closed.
 	streamIdleTimeout = 2 * time.Minute
+	// malformedLogInterval is the minimum time between two log lines about malformed streams.
+	malformedLogInterval = time.Second
+	// streamReadTimeout bounds the wait for a message. A sender closes its stream before.
+	streamReadTimeout = streamIdleTimeout + 10*time.Second
 )
 
 var (
@@ -51,13 +57,15 @@
 
 // Counts are the transport's totals.
 type Counts struct {
-	MessagesSent, MessagesDropped, MessagesReceived atomic.Uint64
-	BytesSent, BytesReceived                        atomic.Uint64
+	// MessagesRefused counts the received messages that the budget of memory had no room for.
+	MessagesSent, MessagesDropped, MessagesReceived, MessagesRefused atomic.Uint64
+	BytesSent, BytesReceived                                         atomic.Uint64
 }
 
 // Transport sends messages to peers by address and receives theirs.
 type Transport struct {
 	logger  *zerolog.Logger
+	memory  *intake.Budget
 	receive func(protocol.Message)
 	context context.Context
 	cancel  context.CancelFunc
@@ -66,6 +74,8 @@
 	mutex   sync.Mutex
 	links   map[string]*link
 	running sync.WaitGroup
+	// malformedLog bounds the log lines about malformed streams, which anyone can send.
+	malformedLog rate.Sometimes
 	// start is the origin of now.
 	start time.Time
 
@@ -74,14 +84,14 @@
 }
 
 // New returns a transport that passes received messages to the function, which is called from several
-// goroutines.
-func New(logger *zerolog.Logger, receive func(protocol.Message)) *Transport {
+// goroutines. The memory for messages that are being received comes from the budget.
+func New(logger *zerolog.Logger, memory *intake.Budget, receive func(protocol.Message)) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Transport{
-		logger: logger, receive: receive, context: ctx, cancel: cancel,
+		logger: logger, memory: memory, receive: receive, context: ctx, cancel: cancel,
 		client: &http.Client{Transport: NewInternalTransport()},
-		links:  map[string]*link{},
-		start:  time.Now().Add(-time.Nanosecond),
+		links:  map[string]*link{}, malformedLog: rate.Sometimes{Interval: malformedLogInterval},
+		start: time.Now().Add(-time.Nanosecond),
 	}
 }
 
@@ -256,14 +266,24 @@
 	acknowledge, stop := startAcknowledging(response)
 	defer stop()
 	reader := bufio.NewReaderSize(request.Body, bufferSize)
+	controller := http.NewResponseController(response)
 	for {
-		message, size, err := ReadMessage(reader)
+		// It fails on HTTP/2, where the server closes connections that are not used.
+		_ = controller.SetReadDeadline(time.Now().Add(streamReadTimeout))
+		message, size, err := ReadMessage(t.memory, reader)
 		if errors.Is(err, io.EOF) {
 			return
 		}
+		if intake.IsRefusal(err) {
+			// The sender opens another stream, and its core sends again what still matters.
+			t.Counts.MessagesRefused.Add(1)
+			return
+		}
 		if err != nil {
 			if errorx.IsOfType(err, ErrMalformed) {
-				event.MalformedStream.On(t.logger).Str("peer", request.RemoteAddr).Err(err).Send()
+				t.malformedLog.Do(func() {
+					event.MalformedStream.On(t.logger).Str("peer", request.RemoteAddr).Err(err).Send()
+				})
 				http.Error(response, "malformed message", http.StatusBadRequest)
 			}
 			return
@@ -277,14 +297,20 @@
 
 // ReadMessage reads a length-prefixed message and returns it with its size in bytes. It returns io.EOF
 // at the end of the stream and an ErrMalformed error for data that is not a message.
-func ReadMessage(reader io.Reader) (protocol.Message, int, error) {
+//
+// The memory of the encoded message, and of what it decodes to, comes from the budget while it is read.
+func ReadMessage(budget *intake.Budget, reader io.Reader) (protocol.Message, int, error) {
 	var message protocol.Message
-	data, err := ReadFrame(reader, maxMessageBytes)
+	frame, err := ReadFrame(budget, reader, maxMessageBytes)
 	if err != nil {
 		return message, 0, err
 	}
-	if err := decoder.Unmarshal(data, &message); err != nil {
+	defer frame.Release()
+	if err := frame.Memory.Resize(int64(cap(frame.Bytes)) + intake.CBORMemory(frame.Bytes)); err != nil {
+		return message, 0, err
+	}
+	if err := decoder.Unmarshal(frame.Bytes, &message); err != nil {
 		return message, 0, ErrMalformed.Wrap(err, "decode")
 	}
-	return message, lengthPrefixBytes + len(data), nil
+	return message, lengthPrefixBytes + len(frame.Bytes), nil
 }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -19,7 +19,7 @@
 func newTransport(t *testing.T) (*Transport, string, chan protocol.Message) {
 	logger := zerolog.Nop()
 	received := make(chan protocol.Message, 1024)
-	transport := New(&logger, func(message protocol.Message) { received <- message })
+	transport := New(&logger, testMemory(), func(message protocol.Message) { received <- message })
 	server := httptest.NewUnstartedServer(transport)
 	server.Config.Protocols = new(http.Protocols)
 	server.Config.Protocols.SetHTTP1(true)
@@ -80,9 +80,9 @@
 }
 
 func TestTruncatedMessageEndsTheStream(t *testing.T) {
-	_, _, err := ReadMessage(bytes.NewReader([]byte{0, 0, 1, 0, 0xa1}))
+	_, _, err := ReadMessage(testMemory(), bytes.NewReader([]byte{0, 0, 1, 0, 0xa1}))
 	require.ErrorIs(t, err, io.EOF)
-	_, _, err = ReadMessage(bytes.NewReader([]byte{0, 0}))
+	_, _, err = ReadMessage(testMemory(), bytes.NewReader([]byte{0, 0}))
 	require.ErrorIs(t, err, io.EOF)
 }
 
@@ -93,7 +93,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		reader := bytes.NewReader(data)
 		for {
-			_, _, err := ReadMessage(reader)
+			_, _, err := ReadMessage(testMemory(), reader)
 			if err == nil {
 				continue
 			}
