Registrations of backends are within a part of the directory's memory

What callers saw: a crowd of 40 that registers 4,000 backends with 400 models each took directories to 286 MiB; each gateway would get a copy of them.

Cause: any name that a client makes up became a registration, without a limit.

Change: a replica refuses a heartbeat that would register more than a 32nd of its memory holds, with 503, as for stores' steps. At 280 MiB that is some 15,000 backends, at the 536 MiB of the fleet's core 28,000. What is registered stays, and a heartbeat that changes nothing needs no room.

--- a/server/directory.go
+++ b/server/directory.go
@@ -88,6 +88,7 @@
 	heartbeats *heartbeats
 	// registrations sends heartbeats that change a registration to the leader, in batches.
 	registrations *batcher[Heartbeat]
+	admission     *registrationAdmission
 	feed          *feed
 	usage         *usageAggregator
 	duties        *dutyCoordinator
@@ -140,6 +141,7 @@
 	d.returns, d.outdated = newLivenessTracker(), newLivenessTracker()
 	d.scale = &scaleController{settings: settings, duties: d.duties, client: client, metrics: d.metrics, logger: logger}
 	d.scale.reset()
+	d.admission = newRegistrationAdmission(settings.MemoryLimit)
 	d.registrations = &batcher[Heartbeat]{process: d.registerAll}
 	d.view.Store(directory.NewCatalog())
 	return d, nil
--- a/server/heartbeat.go
+++ b/server/heartbeat.go
@@ -144,7 +144,13 @@
 		d.recordHeartbeat(heartbeat)
 		return d.settings.InternalAddress, nil
 	}
-	err := d.registrations.do(ctx, heartbeat)
+	admitted, err := d.admission.admit(d.view.Load(), registered, heartbeat.Backend)
+	if err != nil {
+		d.intake.CountRefused()
+		return "", err
+	}
+	defer admitted()
+	err = d.registrations.do(ctx, heartbeat)
 	if err == nil && heartbeat.Backend.Draining && !registered.Draining {
 		d.logDeparture(heartbeat.Backend.ID, departureDraining)
 	}
--- a/server/internal_test.go
+++ b/server/internal_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dillchute/dillchute/config"
+	"github.com/dillchute/dillchute/directory"
 	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/ledger"
 )
@@ -76,3 +78,21 @@
 	require.NoError(t, machine.Snapshot()(&snapshot))
 	return &snapshot
 }
+
+// TestRegistrationsAreAdmittedWithinTheLimit checks that new and larger registrations count, and that a heartbeat that
+// changes nothing needs no room.
+func TestRegistrationsAreAdmittedWithinTheLimit(t *testing.T) {
+	admission := newRegistrationAdmission(1)
+	small := directory.Backend{ID: "a", Service: "s"}
+	large := directory.Backend{ID: "a", Service: strings.Repeat("s", 1<<20)}
+	view := directory.NewCatalog()
+	admitted, err := admission.admit(view, directory.Backend{}, small)
+	require.NoError(t, err)
+	admitted()
+	_, err = admission.admit(view, small, large)
+	require.True(t, errorx.IsOfType(err, intake.ErrTooLarge))
+	_, err = admission.admit(view, large, large)
+	require.NoError(t, err, "what is registered stays")
+	_, err = admission.admit(view, large, small)
+	require.NoError(t, err)
+}
--- a/server/state_admission.go
+++ b/server/state_admission.go
@@ -10,6 +10,8 @@
 const (
 	// stepsDivisor is that for the steps of a store, which it keeps for the retention time.
 	stepsDivisor = 6
+	// backendsDivisor is that for the registrations of backends, of which each gateway has a copy.
+	backendsDivisor = 32
 	// defaultStateBytes replaces each part in a process without a memory limit.
 	defaultStateBytes = 1 << 30
 )
