Lines of the log are short whatever texts clients choose

What operators saw, by reading: the queue of 4,096 lines bounds their number, and an ID or an error text of a client may have the size of a head, so the queue could hold 64 MiB and a client decided the volume of the log.

Change: a text of over 512 bytes is shortened and marked, at the start of a character.

--- a/event/event.go
+++ b/event/event.go
@@ -2,7 +2,11 @@
 // events; a test compares the two.
 package event
 
-import "github.com/rs/zerolog"
+import (
+	"unicode/utf8"
+
+	"github.com/rs/zerolog"
+)
 
 // Event is one kind of log event.
 type Event struct {
@@ -174,9 +178,24 @@
 	message string
 }
 
-// Str adds a string field.
+// maxTextBytes bounds the text of a field. Clients choose some texts, such as the IDs of their requests.
+const maxTextBytes = 512
+
+// truncate shortens a text that is longer than maxTextBytes, at the start of a character, and marks it.
+func truncate(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	end := maxTextBytes
+	for end > 0 && !utf8.RuneStart(text[end]) {
+		end--
+	}
+	return text[:end] + "…"
+}
+
+// Str adds a string field. A long text is shortened.
 func (l *Line) Str(key, value string) *Line {
-	l.entry.Str(key, value)
+	l.entry.Str(key, truncate(value))
 	return l
 }
 
@@ -192,9 +211,11 @@
 	return l
 }
 
-// Err adds an error field.
+// Err adds an error field. A long text is shortened.
 func (l *Line) Err(err error) *Line {
-	l.entry.Err(err)
+	if err != nil {
+		l.entry.Str(zerolog.ErrorFieldName, truncate(err.Error()))
+	}
 	return l
 }
 
