Remote procedure calls of control and nodes take the budget, too

Cause: the handlers that connect generates read bodies of up to 64 MiB each themselves, and nothing bounded them together.

Change: what such a handler reads is reserved, four times for what it decodes to, until it returns. The listeners of control and nodes have the limits on heads and connections since they use the same server, and limits on multiplexed connections. These roles have no setting for their memory, so the default of 512 MiB applies.

Evidence: TestBodiesThatHandlersReadTakeTheBudget, which uses the new function. No crowd of real processes of these roles was run.

--- a/intake/server.go
+++ b/intake/server.go
@@ -198,3 +198,34 @@
 		handler.ServeHTTP(response, request)
 	})
 }
+
+// bodyCopies is how often what a handler reads of a body is held, as bytes and decoded.
+const bodyCopies = 4
+
+// LimitBodies wraps a handler that reads and decodes bodies itself. What it reads of a body is reserved until it returns; a
+// read fails with ErrBusy or ErrTooLarge if the budget has no room.
+func (i *Intake) LimitBodies(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+		memory := i.Memory.NewReservation(freeBodyBytes)
+		defer memory.Release()
+		request.Body = &reservedBody{ReadCloser: request.Body, memory: memory}
+		handler.ServeHTTP(response, request)
+	})
+}
+
+// reservedBody is a request body whose content is reserved as it is read.
+type reservedBody struct {
+	io.ReadCloser
+	memory *Reservation
+	read   int64
+}
+
+// Read implements io.Reader.
+func (b *reservedBody) Read(data []byte) (int, error) {
+	count, err := b.ReadCloser.Read(data)
+	b.read += int64(count)
+	if refused := b.memory.Resize(bodyCopies * b.read); refused != nil {
+		return 0, refused
+	}
+	return count, err
+}
--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -200,3 +201,22 @@
 	require.Equal(t, minConnections, NewCapacity(0, 110).Connections)
 	require.Equal(t, maxConnections, NewCapacity(0, 10_000_000).Connections)
 }
+
+// TestBodiesThatHandlersReadTakeTheBudget checks that what a handler reads is reserved until it returns.
+func TestBodiesThatHandlersReadTakeTheBudget(t *testing.T) {
+	budgets := New(testCapacity)
+	read := make(chan error, 1)
+	handler := budgets.LimitBodies(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		data, err := io.ReadAll(request.Body)
+		if err == nil {
+			require.GreaterOrEqual(t, budgets.Memory.Reserved()+freeBodyBytes, int64(bodyCopies*len(data)))
+		}
+		read <- err
+	}))
+	for size, fits := range map[int]bool{0: true, 1000: true, 200 << 10: true, 300 << 10: false} {
+		request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", size)))
+		handler.ServeHTTP(httptest.NewRecorder(), request)
+		require.Equal(t, fits, <-read == nil, size)
+		require.Zero(t, budgets.Memory.Reserved())
+	}
+}
--- a/server/control.go
+++ b/server/control.go
@@ -47,6 +47,7 @@
 	core      *control.Core
 	loop      *eventloop.Loop
 	transport *transport.Transport
+	intake    *intake.Intake
 	start     time.Time
 	// join holds the addresses of members to ask for admission to the group.
 	join []string
@@ -92,11 +93,11 @@
 		return nil, storage.ErrCorrupt.Wrap(err, "restore the snapshot")
 	}
 	c := &Control{
-		settings: settings, logger: logger, store: store, core: core, loop: eventloop.New(),
+		settings: settings, logger: logger, intake: intake.New(intake.NewCapacity(0, 0)), store: store, core: core, loop: eventloop.New(),
 		start: clock.Now(), join: join, leadershipGained: make(chan struct{}, 1), pendingReplies: map[uint64]chan control.Reply{},
 	}
 	c.status.Store(&controlStatus{})
-	c.transport = transport.New(logger, intake.NewBudget(defaultTransportBytes), c.receive)
+	c.transport = transport.New(logger, c.intake.Replication, c.receive)
 	return c, nil
 }
 
@@ -124,7 +125,7 @@
 	event.ControlStarted.On(c.logger).Str("address", c.settings.Address).Uint("replica", uint64(c.core.Raft().ID())).Send()
 	loopContext, stopLoop := context.WithCancel(context.Background())
 	defer stopLoop()
-	httpServer := intake.New(intake.NewCapacity(0, 0)).NewServer(c.routes(), rpcOptions())
+	httpServer := c.intake.NewServer(c.routes(), rpcOptions())
 	serverFailed := serveHTTP(httpServer, listener, c.logger)
 	go c.pollPlatform(ctx)
 	go c.requestJoin(ctx)
--- a/server/http.go
+++ b/server/http.go
@@ -19,9 +19,6 @@
 // rpcOptions are those of a listener for remote procedure calls, whose clients may multiplex them.
 func rpcOptions() intake.ServerOptions { return intake.ServerOptions{Weight: mainWeight, HTTP2: true} }
 
-// defaultTransportBytes is the budget for messages from other processes where no memory limit is set.
-const defaultTransportBytes = 1 << 30
-
 // httpServer serves the connections of a listener.
 type httpServer interface{ Serve(net.Listener) error }
 
--- a/server/node.go
+++ b/server/node.go
@@ -40,6 +40,7 @@
 	core      *node.Core
 	loop      *eventloop.Loop
 	transport *transport.Transport
+	intake    *intake.Intake
 	engines   *engineClient
 	start     time.Time
 	context   context.Context
@@ -62,7 +63,7 @@
 	start := clock.Now()
 	background, stop := context.WithCancel(context.Background())
 	n := &Node{
-		settings: settings, logger: logger, loop: eventloop.New(), start: start,
+		settings: settings, logger: logger, intake: intake.New(intake.NewCapacity(0, 0)), loop: eventloop.New(), start: start,
 		context: background, stop: stop, callers: map[uint64]*eventloop.Mailbox[node.CallerEvent]{},
 		core: node.New(node.Config{
 			ID: settings.ID, Zone: settings.Zone, Region: settings.Region, Address: settings.Address,
@@ -71,7 +72,7 @@
 		}),
 	}
 	n.status.Store(&nodeStatus{})
-	n.transport = transport.New(logger, intake.NewBudget(defaultTransportBytes), func(message protocol.Message) {
+	n.transport = transport.New(logger, n.intake.Replication, func(message protocol.Message) {
 		n.loop.Submit(func() { n.core.Receive(n.now(), message) })
 	})
 	n.engines = newEngineClient(background, func(id string, message protocol.EngineMessage) {
@@ -88,8 +89,7 @@
 	defer n.transport.Close()
 	defer n.stop()
 	event.NodeStarted.On(n.logger).Str("node", n.settings.ID).Str("address", n.settings.Address).Send()
-	limits := intake.New(intake.NewCapacity(0, 0))
-	internalServer, callerServer := limits.NewServer(n.internalRoutes(), rpcOptions()), limits.NewServer(n.callerRoutes(), rpcOptions())
+	internalServer, callerServer := n.intake.NewServer(n.internalRoutes(), rpcOptions()), n.intake.NewServer(n.intake.LimitBodies(n.callerRoutes()), rpcOptions())
 	internalFailed := serveHTTP(internalServer, internal, n.logger)
 	callersFailed := serveHTTP(callerServer, callers, n.logger)
 	loopContext, stopLoop := context.WithCancel(context.Background())
--- a/server/rpc.go
+++ b/server/rpc.go
@@ -40,9 +40,9 @@
 	router.Handle(transport.Path, intake.Streaming(c.transport)).Methods(http.MethodPost)
 	limit := connect.WithReadMaxBytes(maxBodyBytes)
 	path, handler := dillchutev1connect.NewOperationsHandler(operations{c}, limit)
-	router.PathPrefix(path).Handler(handler)
+	router.PathPrefix(path).Handler(c.intake.LimitBodies(handler))
 	path, handler = dillchutev1connect.NewRolloutsHandler(rollouts{c}, limit)
-	router.PathPrefix(path).Handler(handler)
+	router.PathPrefix(path).Handler(c.intake.LimitBodies(handler))
 	addOperationalRoutes(router, func() bool { return c.status.Load().ready }, c.registry(), c.settings.Pprof)
 	return router
 }
