--- a/server/http.go
+++ b/server/http.go
@@ -52,9 +52,30 @@
 			http.Error(response, "not ready", http.StatusServiceUnavailable)
 		}
 	})
-	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	router.Handle("/metrics", atMost(maxScrapes, promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
 	if profiles {
 		router.PathPrefix("/debug/pprof/profile").HandlerFunc(pprof.Profile)
-		router.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
+		router.PathPrefix("/debug/pprof/").Handler(atMost(maxProfiles, http.HandlerFunc(pprof.Index)))
 	}
 }
+
+// Numbers of requests for metrics and for profiles that are answered at a time. Each takes memory for its whole answer.
+const (
+	maxScrapes  = 8
+	maxProfiles = 2
+)
+
+// atMost refuses requests with 503 while that many are being answered.
+func atMost(limit int, handler http.Handler) http.Handler {
+	places := make(chan struct{}, limit)
+	return http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+		select {
+		case places <- struct{}{}:
+			defer func() { <-places }()
+			handler.ServeHTTP(response, request)
+		default:
+			response.Header().Set("Retry-After", "1")
+			http.Error(response, "too many requests at a time", http.StatusServiceUnavailable)
+		}
+	})
+}
