Names that clients make up are within the directory's memory

What callers saw: 4,000 versions of models, and 4,000 departures, under names of 100 KiB took directories to 1,119 MiB.

Cause: each name of a model became an entry of the state for good, and each departure a tombstone with its name; tombstones have a number, not a size.

Change: names of models count with the registrations, 503 beyond; the next version of a known model needs no room.

--- a/server/directory.go
+++ b/server/directory.go
@@ -216,7 +216,13 @@
 
 // NameVersion publishes a version of a model's weights.
 func (d *Directory) NameVersion(ctx context.Context, version directory.ModelVersion) error {
-	_, err := d.call(ctx, directoryCall{Name: &version})
+	admitted, err := d.admission.admitModel(d.view.Load(), version.Model)
+	if err != nil {
+		d.intake.CountRefused()
+		return err
+	}
+	defer admitted()
+	_, err = d.call(ctx, directoryCall{Name: &version})
 	return err
 }
 
--- a/server/internal_test.go
+++ b/server/internal_test.go
@@ -95,4 +95,10 @@
 	require.NoError(t, err, "what is registered stays")
 	_, err = admission.admit(view, large, small)
 	require.NoError(t, err)
+	_, err = admission.admitModel(view, strings.Repeat("m", 1<<20))
+	require.True(t, errorx.IsOfType(err, intake.ErrTooLarge))
+	known := directory.NewCatalog()
+	known.Models = map[string]uint64{large.Service: 2}
+	_, err = admission.admitModel(known, large.Service)
+	require.NoError(t, err, "the next version of a known model")
 }
--- a/server/registration_admission.go
+++ b/server/registration_admission.go
@@ -21,12 +21,13 @@
 	return int64(size)
 }
 
-// registrationAdmission bounds the memory of all registrations: anyone can register backends under any names.
+// registrationAdmission bounds the memory of all registrations and of the models whose versions were named: anyone can send
+// them under any names.
 type registrationAdmission struct {
 	admission *stateAdmission
 
 	mutex sync.Mutex
-	// counted is the newest copy of the state whose registrations were counted, and size their size.
+	// counted is the newest copy of the state whose registrations and models were counted, and size their size.
 	counted *directory.Catalog
 	size    int64
 }
@@ -48,7 +49,15 @@
 	return r.admission.admit(added, r.sizeOf(view))
 }
 
-// sizeOf returns the size of all registrations.
+// admitModel admits a version of a model. It returns what stateAdmission.admit returns.
+func (r *registrationAdmission) admitModel(view *directory.Catalog, model string) (func(), error) {
+	if view.Models[model] != 0 {
+		return func() {}, nil
+	}
+	return r.admission.admit(int64(modelBytes+len(model)), r.sizeOf(view))
+}
+
+// sizeOf returns the size of all registrations and models.
 func (r *registrationAdmission) sizeOf(view *directory.Catalog) int64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -59,5 +68,8 @@
 	for backend := range view.AllBackends() {
 		r.size += backendSize(*backend)
 	}
+	for model := range view.Models {
+		r.size += int64(modelBytes + len(model))
+	}
 	return r.size
 }
