A small body that arrives with its head needs no room in the budget

What callers saw: while a crowd used the budget up, an ordinary request with a body of 4 KB got 503, though small requests are to be served.

Cause: the part of a body that is read together with the head counts as head, four times, which exceeded the 8 KiB that are free.

Change: 24 KiB of a head's memory are free.

Evidence: TestSmallRequestsNeedNoRoom failed before (503).

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -36,8 +36,9 @@
 	// each of its bytes.
 	headLineBytes  = 256
 	headByteFactor = 4
-	// freeHeadBytes of the memory of each head need no reservation.
-	freeHeadBytes = 8 << 10
+	// freeHeadBytes of the memory of each head need no reservation. They cover a usual head, and the part of a body that is read
+	// with it.
+	freeHeadBytes = 24 << 10
 	// headSlackBytes is what the HTTP server may read beyond the end of a head.
 	headSlackBytes = 4 << 10
 	// writePieceBytes is the size of the pieces in which answers are written. Each must be taken within IdleTimeout.
--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -118,7 +118,8 @@
 	s := newTestServer(t, testCapacity, limits, answerOK)
 	large := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 3000)
 	held := s.dial(large)
-	require.Eventually(t, func() bool { return s.intake.Memory.Reserved() > 0 }, testTimeout, time.Millisecond)
+	whole := headMemory(len(large), strings.Count(large, "\n")) - freeHeadBytes
+	require.Eventually(t, func() bool { return s.intake.Memory.Reserved() == whole }, testTimeout, time.Millisecond)
 	refused := s.dial(large)
 	response, err := http.ReadResponse(bufio.NewReader(refused), nil)
 	require.NoError(t, err)
@@ -223,3 +224,20 @@
 		require.Zero(t, budgets.Memory.Reserved())
 	}
 }
+
+// TestSmallRequestsNeedNoRoom checks that a request with a small body, which arrives together with its head, is served while
+// the budget is used up.
+func TestSmallRequestsNeedNoRoom(t *testing.T) {
+	var s *testServer
+	s = newTestServer(t, testCapacity, DefaultLimits(), func(response http.ResponseWriter, request *http.Request) {
+		if _, err := s.intake.ReadRequest(request, 1<<20, time.Time{}); err != nil {
+			AnswerEarly(response, request, http.StatusServiceUnavailable)
+		}
+	})
+	used := s.intake.Memory.NewReservation(0)
+	require.NoError(t, used.Resize(testCapacity.MemoryBytes))
+	const size = 4000
+	head := "POST / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("Some-Field: some value\r\n", 10)
+	request := head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+	require.Equal(t, http.StatusOK, s.status(s.dial(request)))
+}
