A leader proposes only forwarded commands that decode within its budget

What callers saw: 40 commands of 8 MB to /internal/execute of a ledger's leader took its stores to 325 to 433 MiB of 128, though none was a command.

Cause: whatever was posted was proposed, kept in the log of each replica, and unpacked when it was applied: a packed message of 117 KB unpacks to 112 MiB on each of them. The test passed or failed by which store led; it failed in a run of the whole package.

What replicas do with an entry of the log has not changed, since builds run side by side. This is the entrance of point 2 of the issue on what peers send; the proposer's own commands are not checked.

Evidence: TestBodiesOnAllListeners now sends to the leaders, too, and failed before in 3 of 3 runs on the ledger's leader (151 to 433 MiB); now 84 to 104 MiB on all leaders in 2 runs.

--- a/directory/command.go
+++ b/directory/command.go
@@ -9,6 +9,8 @@
 	"github.com/dillchute/dillchute/capacity"
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/duty"
+	"github.com/dillchute/dillchute/intake"
+	"github.com/dillchute/dillchute/internal/pack"
 	"github.com/dillchute/dillchute/quarantine"
 	"github.com/dillchute/dillchute/routing"
 	"github.com/dillchute/dillchute/usage"
@@ -180,6 +182,13 @@
 	return data
 }
 
+// CheckCommand fails if the data is not a command, or if the budget has no room for what it decodes to, which it reserves. The
+// caller must release the reservation.
+func CheckCommand(budget *intake.Budget, data []byte) (*intake.Reservation, error) {
+	var command Command
+	return pack.DecodeWithin(budget, data, len(data), &command)
+}
+
 // DecodeResult decodes the result of Apply.
 func DecodeResult(data []byte) (Result, error) {
 	var result Result
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/dillchute/dillchute/duty"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/internal/pack"
 )
 
@@ -180,6 +181,13 @@
 	return pack.Pack(data)
 }
 
+// CheckCommand fails if the data is not a command, or if the budget has no room for what it decodes to, which it reserves. The
+// caller must release the reservation.
+func CheckCommand(budget *intake.Budget, data []byte) (*intake.Reservation, error) {
+	var command Command
+	return pack.DecodeWithin(budget, data, maxCommandBytes, &command)
+}
+
 // decodeCommand decodes the output of Encode. It returns a pack.ErrCorrupt error or a decoder error.
 func decodeCommand(data []byte) (Command, error) {
 	var command Command
--- a/replica/core.go
+++ b/replica/core.go
@@ -335,6 +335,9 @@
 	}
 }
 
+// LogBytes returns the size of the applied log entries that no snapshot covers yet.
+func (c *Core) LogBytes() int { return c.logBytes }
+
 // TakeSnapshotJob returns a snapshot to be written, or nil. The caller must call FinishSnapshot once it
 // is durable.
 func (c *Core) TakeSnapshotJob() *SnapshotJob {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -78,6 +78,9 @@
 	InitialMembers consensus.Membership
 	// Memory is the budget for messages from other replicas, and Commands that for commands which they forward.
 	Memory, Commands *intake.Budget
+	// CheckCommand fails if a forwarded command is none of the machine's, or if the budget has no room for what it decodes
+	// to, which it reserves. If it is nil, each command is proposed.
+	CheckCommand func(budget *intake.Budget, command []byte) (*intake.Reservation, error)
 	// KnownVersion is the newest version of the machine's commands that this build supports.
 	KnownVersion uint64
 	// Replica is the identity to use if the folder is empty.
@@ -133,6 +136,8 @@
 	// mayHaveUnneededSnapshots is set once a snapshot was received, until the unneeded ones are discarded.
 	mayHaveUnneededSnapshots bool
 	status                   atomic.Pointer[Status]
+	// logBytes is the size of the log that no snapshot covers yet.
+	logBytes atomic.Int64
 	// changed is closed and replaced with each change of the machine.
 	changed atomic.Pointer[chan struct{}]
 }
--- a/replica/request.go
+++ b/replica/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/dillchute/dillchute/consensus"
 	"github.com/dillchute/dillchute/eventloop"
+	"github.com/dillchute/dillchute/intake"
 )
 
 // Do runs the function in the replica's loop, where it may read the machine. It returns false if the
@@ -112,20 +113,66 @@
 	return response, nil
 }
 
-// freeCommandBytes of each forwarded command need no reservation.
-const freeCommandBytes = 16 << 10
+const (
+	// freeCommandBytes of each forwarded command need no reservation.
+	freeCommandBytes = 16 << 10
+	// commandCopies is how often a command is held until it is committed: as received, in the log, and in messages to
+	// other replicas.
+	commandCopies = 3
+	// logDivisor sets the part of the budget for commands, 1/logDivisor, that the log may take before large commands are
+	// refused until a snapshot covers it.
+	logDivisor = 4
+)
+
+// checkCommand checks a forwarded command, and reserves what it decodes to.
+func (r *Replica) checkCommand(command []byte) (*intake.Reservation, error) {
+	if r.settings.CheckCommand == nil {
+		return nil, nil
+	}
+	return r.settings.CheckCommand(r.settings.Commands, command)
+}
+
+// readCommand reads a forwarded command, and reserves what it takes until it is committed. It fails with an intake.ErrBusy
+// or intake.ErrTooLarge error if there is no room for it, or if the log has grown and no snapshot covers it yet.
+func (r *Replica) readCommand(request *http.Request) (intake.Body, error) {
+	budget := r.settings.Commands
+	command, err := budget.Read(request.Body, request.ContentLength, maxCommandBytes, freeCommandBytes)
+	if err != nil {
+		return command, err
+	}
+	size := int64(cap(command.Bytes))
+	if logBytes := r.logBytes.Load(); size > freeCommandBytes && logBytes > budget.Limit()/logDivisor {
+		command.Release()
+		return intake.Body{}, intake.ErrBusy.New("the log has %d bytes that no snapshot covers", logBytes)
+	}
+	if err := command.Memory.Resize(commandCopies * size); err != nil {
+		command.Release()
+		return intake.Body{}, err
+	}
+	return command, nil
+}
 
 func (r *Replica) serveExecute(response http.ResponseWriter, request *http.Request) {
 	if !r.Status().Leading {
 		http.Error(response, "not the leader", http.StatusServiceUnavailable)
 		return
 	}
-	command, err := r.settings.Commands.Read(request.Body, request.ContentLength, maxCommandBytes, freeCommandBytes)
+	command, err := r.readCommand(request)
 	if err != nil {
 		http.Error(response, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
 	defer command.Release()
+	decoded, err := r.checkCommand(command.Bytes)
+	if err != nil {
+		status := http.StatusBadRequest
+		if intake.IsRefusal(err) {
+			status = http.StatusServiceUnavailable
+		}
+		http.Error(response, err.Error(), status)
+		return
+	}
+	defer decoded.Release()
 	reply := r.submitRequest(request.Context(), func(id uint64) { r.core.Propose(id, command.Bytes) })
 	if reply.Outcome != Done {
 		http.Error(response, "not the leader", http.StatusServiceUnavailable)
--- a/replica/status.go
+++ b/replica/status.go
@@ -36,6 +36,7 @@
 
 func (r *Replica) updateStatus() {
 	raft := r.core.Raft()
+	r.logBytes.Store(int64(r.core.LogBytes()))
 	previous := r.status.Load()
 	status := &Status{
 		ID: raft.ID(), Leading: r.core.Leading(), Serving: r.core.Serving(), LeaderKnown: raft.Leader() != consensus.None,
--- a/server/directory.go
+++ b/server/directory.go
@@ -123,7 +123,7 @@
 		Cluster: settings.Cluster + "-directory", Address: settings.InternalAddress, DataFolder: settings.DataFolder,
 		Voters: config.Voters(settings.ToleratedLosses), InitialMembers: members, Replica: identity,
 		Contacts: seeds.Current, KnownVersion: directory.KnownVersion,
-		Memory: limits.Replication, Commands: limits.Memory,
+		Memory: limits.Replication, Commands: limits.Memory, CheckCommand: directory.CheckCommand,
 	}, machine, logger)
 	if err != nil {
 		return nil, err
--- a/server/ledger.go
+++ b/server/ledger.go
@@ -128,7 +128,7 @@
 		Replica: l.identity, Contacts: l.contacts, OtherContacts: l.otherContacts,
 		// A new leader may send orders to engines only after the lease of the previous one has ended.
 		KeepLeader: true,
-		Memory:     l.intake.Replication, Commands: l.intake.Memory,
+		Memory:     l.intake.Replication, Commands: l.intake.Memory, CheckCommand: ledger.CheckCommand,
 	}
 	if !hasData {
 		group, ok := l.awaitGroup(ctx)
