Heartbeats with several models need no room in the budget either

Cause: the buffer of 4 KiB and the estimate for a heartbeat with one model take most of the 8 KiB that are free; one with a few models would need room, which a crowd can use up.

Change: 16 KiB of each body and of what it decodes to are free.

Evidence: by reading. TestHeartbeatsNeedNoRoom, of a heartbeat with one model, passed before, too.

--- a/intake/body.go
+++ b/intake/body.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// freeBodyBytes of each body need no reservation.
-	freeBodyBytes = 8 << 10
+	// freeBodyBytes of each body, and of what it decodes to, need no reservation. They cover a usual heartbeat.
+	freeBodyBytes = 16 << 10
 	// firstReadBytes is the size of the buffer for the first part of a body.
 	firstReadBytes = 4 << 10
 )
