Time limits of bodies are stated as durations; intake's readings of the clock are listed

Change: ReadRequest takes the time that is left. Package intake is among the packages whose readings are listed, which makes the test stricter: all of its readings are deadlines of connections, which the kernel's clock ends.

--- a/clock/usage_test.go
+++ b/clock/usage_test.go
@@ -13,7 +13,7 @@
 
 // checkedPackages are the packages whose correctness depends on elapsed time.
 var checkedPackages = []string{
-	"consensus", "control", "directory", "duty", "forward", "ledger", "node", "platform", "quarantine",
+	"consensus", "control", "directory", "duty", "forward", "intake", "ledger", "node", "platform", "quarantine",
 	"replica", "runner", "scheduler", "server", "state", "usage",
 }
 
@@ -27,6 +27,11 @@
 	"forward/suspects.go":          {2, "how long a backend is avoided, or counts as restarting"},
 	"forward/forward.go":           {2, "backend latency, which must not include suspensions of this machine"},
 	"forward/stream.go":            {2, "backend latency, which must not include suspensions of this machine"},
+	"intake/body.go":               {1, "a connection deadline"},
+	"intake/conn.go":               {5, "connection deadlines"},
+	"intake/early.go":              {1, "a connection deadline"},
+	"intake/listener.go":           {1, "a connection deadline"},
+	"intake/server.go":             {1, "a connection deadline"},
 	"replica/admission.go":         {2, "the wait during a graceful shutdown"},
 	"replica/transfer_progress.go": {2, "deadlines of reads from a connection"},
 	"runner/serverlink.go":         {4, "the interval between reports, and connection deadlines"},
--- a/intake/body.go
+++ b/intake/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"time"
 )
@@ -24,11 +25,14 @@
 // Release ends the reservation. It may be called repeatedly, and on the zero value.
 func (b Body) Release() { b.Memory.Release() }
 
-// ReadRequest reads the whole body of a request of at most maxBytes, until the deadline if that is not the zero time. It
-// fails with ErrTooLarge, ErrBusy or ErrTimeout, or with the error of the connection.
-func (i *Intake) ReadRequest(request *http.Request, maxBytes int64, deadline time.Time) (Body, error) {
-	if timed, ok := request.Body.(*timedBody); ok {
-		timed.deadline = deadline
+// NoTimeout is the timeout of a body whose reading has no bound besides the limits of the client.
+const NoTimeout time.Duration = math.MaxInt64
+
+// ReadRequest reads the whole body of a request of at most maxBytes, which must arrive within the timeout. It fails with
+// ErrTooLarge, ErrBusy or ErrTimeout, or with the error of the connection.
+func (i *Intake) ReadRequest(request *http.Request, maxBytes int64, timeout time.Duration) (Body, error) {
+	if timed, ok := request.Body.(*timedBody); ok && timeout != NoTimeout {
+		timed.deadline = time.Now().Add(timeout)
 	}
 	if request.ContentLength > maxBytes {
 		return Body{}, ErrTooLarge.New("a body of %d bytes exceeds the limit of %d bytes", request.ContentLength, maxBytes)
--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -97,7 +97,7 @@
 	limits := Limits{HeaderBytes: 2000, HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 100 * time.Millisecond}
 	var s *testServer
 	s = newTestServer(t, testCapacity, limits, func(response http.ResponseWriter, request *http.Request) {
-		if _, err := s.intake.ReadRequest(request, 1000, time.Time{}); err != nil {
+		if _, err := s.intake.ReadRequest(request, 1000, NoTimeout); err != nil {
 			AnswerEarly(response, request, http.StatusRequestTimeout)
 		}
 	})
@@ -185,7 +185,7 @@
 	const size = 8 << 20
 	var s *testServer
 	s = newTestServer(t, testCapacity, DefaultLimits(), func(response http.ResponseWriter, request *http.Request) {
-		_, err := s.intake.ReadRequest(request, 1000, time.Time{})
+		_, err := s.intake.ReadRequest(request, 1000, NoTimeout)
 		require.Error(t, err)
 		AnswerEarly(response, request, http.StatusRequestEntityTooLarge)
 	})
@@ -230,7 +230,7 @@
 func TestSmallRequestsNeedNoRoom(t *testing.T) {
 	var s *testServer
 	s = newTestServer(t, testCapacity, DefaultLimits(), func(response http.ResponseWriter, request *http.Request) {
-		if _, err := s.intake.ReadRequest(request, 1<<20, time.Time{}); err != nil {
+		if _, err := s.intake.ReadRequest(request, 1<<20, NoTimeout); err != nil {
 			AnswerEarly(response, request, http.StatusServiceUnavailable)
 		}
 	})
--- a/server/internal.go
+++ b/server/internal.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/internal/pack"
@@ -12,7 +11,7 @@
 // readCBOR decodes the body of an internal call into target, and returns the reservation of its memory, which the caller
 // must release.
 func readCBOR(limits *intake.Intake, request *http.Request, target any) (*intake.Reservation, error) {
-	body, err := limits.ReadRequest(request, maxInternalBytes, time.Time{})
+	body, err := limits.ReadRequest(request, maxInternalBytes, intake.NoTimeout)
 	if err != nil {
 		return nil, err
 	}
