--- a/intake/conn.go
+++ b/intake/conn.go
@@ -32,10 +32,6 @@
 )
 
 const (
-	// headLineBytes is the memory that a line of a head may take when it is decoded and copied, and headByteFactor that of
-	// each of its bytes.
-	headLineBytes  = 256
-	headByteFactor = 4
 	// freeHeadBytes of the memory of each head need no reservation. They cover a usual head, and the part of a body that is read
 	// with it.
 	freeHeadBytes = 24 << 10
@@ -136,17 +132,12 @@
 	if limit := c.listener.limits().HeaderBytes; c.headBytes > limit+headSlackBytes {
 		return 0, c.refuse(refusalHeadTooLarge)
 	}
-	if c.head.Resize(headMemory(c.headBytes, c.headLines)) != nil {
+	if c.head.Resize(HeadMemory(c.headBytes, c.headLines)) != nil {
 		return 0, c.refuse(refusalBusy)
 	}
 	return count, err
 }
 
-// headMemory returns the memory that a head of the size may take.
-func headMemory(bytes, lines int) int64 {
-	return int64(bytes)*headByteFactor + int64(lines)*headLineBytes
-}
-
 // readInTime reads until the deadline of the phase. A limit that was raised meanwhile applies.
 func (c *conn) readInTime(data []byte) (int, error) {
 	for {
--- a/intake/cost.go
+++ b/intake/cost.go
@@ -20,6 +20,18 @@
 	jsonTextFactor = 2
 )
 
+// headLineMemory is the memory that a line of the head of a request or a response may take when it is decoded and copied, and
+// headByteFactor that of each of its bytes.
+const (
+	headLineMemory = 256
+	headByteFactor = 4
+)
+
+// HeadMemory returns an upper bound for the memory that the head of a request or a response of the size takes.
+func HeadMemory(bytes, lines int) int64 {
+	return int64(bytes)*headByteFactor + int64(lines)*headLineMemory
+}
+
 // CBORMemory returns an upper bound for the memory that a message in CBOR takes when it is decoded. The message may be
 // malformed.
 func CBORMemory(data []byte) int64 {
--- a/intake/scope.go
+++ b/intake/scope.go
@@ -9,9 +9,12 @@
 type Scope struct {
 	mutex        sync.Mutex
 	released     bool
-	reservations []*Reservation
+	reservations []Releaser
 }
 
+// Releaser is a reservation that ends. Release may be called repeatedly.
+type Releaser interface{ Release() }
+
 // scopeKey is the context key of a request's scope.
 type scopeKey struct{}
 
@@ -28,7 +31,7 @@
 
 // Add adds a reservation, which must not be resized any more. If the scope has ended or is nil, the reservation ends at
 // once.
-func (s *Scope) Add(reservation *Reservation) {
+func (s *Scope) Add(reservation Releaser) {
 	if s == nil {
 		reservation.Release()
 		return
--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -118,7 +118,7 @@
 	s := newTestServer(t, testCapacity, limits, answerOK)
 	large := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 3000)
 	held := s.dial(large)
-	whole := headMemory(len(large), strings.Count(large, "\n")) - freeHeadBytes
+	whole := HeadMemory(len(large), strings.Count(large, "\n")) - freeHeadBytes
 	require.Eventually(t, func() bool { return s.intake.Memory.Reserved() == whole }, testTimeout, time.Millisecond)
 	refused := s.dial(large)
 	response, err := http.ReadResponse(bufio.NewReader(refused), nil)
