A response needs a status that ends an exchange

What callers saw: a worker in trouble answered with the status 000 or 099, and the caller's connection was closed without an answer. The gateway's handler panicked in WriteHeader (net/http recovered, three log lines for each request). 600 and 999 were passed on as answers, 101 as a success of another protocol.

Cause: net/http takes any three characters that strconv.Atoi reads, also "+20", and the status went to WriteHeader unchecked.

Change: the check of the status line takes 100 to 599 without 101, which no request asks for; those below 200 are interim.

--- a/responsecheck/grammar.go
+++ b/responsecheck/grammar.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strconv"
 )
 
@@ -58,6 +59,9 @@
 	statusDigits    = 3
 	statusStart     = len(versionPrefix) + len("1 ")
 	statusLineStart = statusStart + statusDigits + len(" ")
+	// minStatus and maxStatus bound the statuses (RFC 9110, section 15).
+	minStatus = 100
+	maxStatus = 599
 )
 
 // parseStatusLine returns the minor version of HTTP/1 and the status in a status line, and false if it is none.
@@ -70,7 +74,7 @@
 		return 0, 0, false
 	}
 	status, ok = parseDigits(line[statusStart : statusStart+statusDigits])
-	return minor, status, ok
+	return minor, status, ok && status >= minStatus && status <= maxStatus && status != http.StatusSwitchingProtocols
 }
 
 // parseDigits returns the number that the bytes, all of which must be decimal digits, state.
