An early answer that is cut is not whole

What callers saw: a worker answered a long upload at once with a 200 that had no length, sent a part of its body and reset or closed the connection while the upload was still being written. The caller got that part as a whole answer, framed by the gateway (MIXED).

Cause: the kernel reports a reset once. The goroutine that writes the upload took the report, the one that reads the answer saw a connection that was closed in order, and for an answer without a length the end of the connection is the end of the body. The same holds for a worker that closes its sending side while it has not read the request.

Change: a connection knows how much of its request has been handed to the kernel and whether a write has failed. An answer that ends with its connection is whole only if all of the request was written, no write has failed, and the last write, whose result may come after the end, has returned; a wait for it is bounded. What is not whole is lost, which promises nothing.

TestEndOfConnectionIsNoEnd and TestEndOfConnectionAwaitsTheWrite show the cause without a network.

--- a/responsecheck/conn_test.go
+++ b/responsecheck/conn_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -61,7 +62,7 @@
 // receive returns what a client reads that sends a request with the method and without a body, and receives the pieces.
 func receive(t require.TestingT, method string, pieces ...[]byte) (string, error) {
 	connection := NewConn(&scriptedConn{pieces: pieces, readEnd: io.EOF}, limits(1<<20))
-	require.NotNil(t, connection.Begin(method))
+	require.NotNil(t, connection.Begin(method, 0))
 	_, err := io.WriteString(connection, method+" / HTTP/1.1\r\n\r\n")
 	require.NoError(t, err)
 	read, err := io.ReadAll(connection)
@@ -154,23 +155,89 @@
 	}
 }
 
+// TestEndOfConnectionIsNoEnd checks that a response that ends with its connection is whole only if the whole request was
+// written without an error. A write that takes the report of a reset leaves the read with a connection that was closed in
+// order.
+func TestEndOfConnectionIsNoEnd(t *testing.T) {
+	text := "HTTP/1.1 200 OK\r\n\r\npart"
+	for name, test := range map[string]struct {
+		written    string
+		writeError error
+		end        error
+	}{
+		"whole request":        {written: "POST / HTTP/1.1\r\n\r\n12345", end: io.EOF},
+		"part of the body":     {written: "POST / HTTP/1.1\r\n\r\n1234", end: io.ErrUnexpectedEOF},
+		"part of the head":     {written: "POST / HTTP/1.1\r\n12345", end: io.ErrUnexpectedEOF},
+		"nothing":              {end: io.ErrUnexpectedEOF},
+		"write that was reset": {written: "POST / HTTP/1.1\r\n\r\n12345", writeError: syscall.ECONNRESET, end: io.ErrUnexpectedEOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			connection := NewConn(&scriptedConn{pieces: [][]byte{[]byte(text)}, readEnd: io.EOF, writeError: test.writeError}, limits(1<<20))
+			require.NotNil(t, connection.Begin(http.MethodPost, 5))
+			for _, part := range test.written {
+				_, err := connection.Write([]byte(string(part)))
+				require.ErrorIs(t, err, test.writeError)
+			}
+			buffer := make([]byte, 100)
+			count, err := connection.Read(buffer)
+			require.NoError(t, err)
+			require.Equal(t, text, string(buffer[:count]))
+			_, err = connection.Read(buffer)
+			require.Equal(t, test.end, err)
+			require.Nil(t, connection.Begin(http.MethodGet, 0))
+		})
+	}
+}
+
+// TestEndOfConnectionAwaitsTheWrite checks that a response that ends with its connection waits for the result of the last
+// write, whose error arrives after the end of the connection.
+func TestEndOfConnectionAwaitsTheWrite(t *testing.T) {
+	for _, writeError := range []error{nil, syscall.ECONNRESET} {
+		writing, proceed := make(chan struct{}), make(chan struct{})
+		scripted := &scriptedConn{pieces: [][]byte{[]byte("HTTP/1.1 200 OK\r\n\r\npart")}, readEnd: io.EOF, writeError: writeError}
+		scripted.onWrite = func() {
+			close(writing)
+			<-proceed
+		}
+		connection := NewConn(scripted, limits(1<<20))
+		require.NotNil(t, connection.Begin(http.MethodGet, 0))
+		written, read := make(chan error, 1), make(chan error, 1)
+		go func() {
+			_, err := io.WriteString(connection, "GET / HTTP/1.1\r\n\r\n")
+			written <- err
+		}()
+		<-writing
+		go func() {
+			_, err := io.ReadAll(connection)
+			read <- err
+		}()
+		close(proceed)
+		require.ErrorIs(t, <-written, writeError)
+		if writeError == nil {
+			require.NoError(t, <-read)
+		} else {
+			require.ErrorIs(t, <-read, io.ErrUnexpectedEOF)
+		}
+	}
+}
+
 // TestConnectionCarriesOneRequest checks that a connection carries its next request only once the response is whole, and
 // none after bytes that belong to no response.
 func TestConnectionCarriesOneRequest(t *testing.T) {
 	whole := []byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	connection := NewConn(&scriptedConn{pieces: [][]byte{whole, append(bytes.Clone(whole), 'x')}, readEnd: io.EOF}, limits(1<<20))
-	require.NotNil(t, connection.Begin(http.MethodGet))
-	require.Nil(t, connection.Begin(http.MethodGet), "the response is due")
+	require.NotNil(t, connection.Begin(http.MethodGet, 0))
+	require.Nil(t, connection.Begin(http.MethodGet, 0), "the response is due")
 	buffer := make([]byte, 100)
 	count, err := connection.Read(buffer)
 	require.NoError(t, err)
 	require.Equal(t, whole, buffer[:count])
-	require.NotNil(t, connection.Begin(http.MethodGet))
+	require.NotNil(t, connection.Begin(http.MethodGet, 0))
 	count, err = connection.Read(buffer)
 	require.Equal(t, whole, buffer[:count], "the surplus is not read")
 	reason, _ := ReasonOf(err)
 	require.Equal(t, ReasonSurplus, reason)
-	require.Nil(t, connection.Begin(http.MethodGet))
+	require.Nil(t, connection.Begin(http.MethodGet, 0))
 }
 
 // TestHeadsUseTheBudget checks that heads reserve memory until the holder of the response releases it.
@@ -180,7 +247,7 @@
 	bounds := limits(size)
 	receive := func() (*HeadMemory, error) {
 		connection := NewConn(&scriptedConn{pieces: [][]byte{[]byte(head)}, readEnd: io.EOF}, bounds)
-		memory := connection.Begin(http.MethodGet)
+		memory := connection.Begin(http.MethodGet, 0)
 		require.NotNil(t, memory)
 		_, err := io.ReadAll(connection)
 		return memory, err
