What all backends send together is bounded

What could happen: a faulty worker ends a gateway or a store, and with it the requests of other callers.

Cause: each head and each event was bounded, all of them together were not. A head of 256 KiB of short lines decodes to some 6 MB.

Change: the memory of an event is reserved in the process's budget while it is read and used (forward.EventReader). What finds no room is lost, and goes to another backend if it may.

--- a/forward/events.go
+++ b/forward/events.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"github.com/dillchute/dillchute/intake"
 )
 
 // MaxEventBytes is the maximum size of one event of a stream.
@@ -37,24 +39,42 @@
 	return 0, false
 }
 
-// EventReader splits a stream into events.
+// EventReader splits a stream into events. The memory for an event is reserved until the next one is read.
 type EventReader struct {
 	reader *bufio.Reader
+	memory *intake.Reservation
+}
+
+const (
+	eventBufferBytes = 4 << 10
+	// eventByteFactor is how often the bytes of an event are held while it is read, and eventLineMemory the memory that each of
+	// its lines takes besides.
+	eventByteFactor = 4
+	eventLineMemory = 128
+	// freeEventBytes of the memory of each event need no reservation. They cover a usual event.
+	freeEventBytes = 16 << 10
+)
+
+// NewEventReader returns an EventReader for the stream, which takes the memory for events from the budget.
+func NewEventReader(stream io.Reader, budget *intake.Budget) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(stream, eventBufferBytes), memory: budget.NewReservation(freeEventBytes)}
 }
 
-const eventBufferBytes = 4 << 10
+// Release ends the reservation for the latest event.
+func (r *EventReader) Release() { r.memory.Release() }
 
-// NewEventReader returns an EventReader for the stream.
-func NewEventReader(stream io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(stream, eventBufferBytes)}
+// reserve reserves the memory of an event of the size.
+func (r *EventReader) reserve(bytes, lines int) error {
+	return r.memory.Resize(int64(bytes)*eventByteFactor + int64(lines)*eventLineMemory)
 }
 
-// Next returns the next complete event. It returns io.EOF if the stream ended between events, and
-// ErrTruncated if it ended anywhere else.
+// Next returns the next complete event. It returns io.EOF if the stream ended between events, and ErrTruncated if it ended
+// anywhere else or the budget has no room for the event.
 func (r *EventReader) Next() (Event, error) {
 	var event Event
+	r.memory.Release()
 	for {
-		line, err := r.readLine(MaxEventBytes - len(event.Raw))
+		line, err := r.readLine(event)
 		if err == io.EOF && len(line) == 0 && len(event.Raw) == 0 {
 			return event, io.EOF
 		}
@@ -78,15 +98,19 @@
 // errLineTooLong is returned for a line over the limit.
 var errLineTooLong = errors.New("line too long")
 
-// readLine returns the next line with its line feed. It reads no further than the limit, in bytes: a faulty
+// readLine returns the next line of the event with its line feed. It reads no further than MaxEventBytes of an event: a faulty
 // backend may send bytes without end and without a line feed.
-func (r *EventReader) readLine(limit int) ([]byte, error) {
+func (r *EventReader) readLine(event Event) ([]byte, error) {
 	var line []byte
 	for {
 		part, err := r.reader.ReadSlice('\n')
-		if len(line)+len(part) > limit {
+		size := len(event.Raw) + len(line) + len(part)
+		if size > MaxEventBytes {
 			return nil, errLineTooLong
 		}
+		if refused := r.reserve(size, len(event.Fields)+1); refused != nil {
+			return nil, refused
+		}
 		line = append(line, part...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return line, err
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/intake"
 	"github.com/dillchute/dillchute/routing"
 )
 
@@ -19,10 +20,20 @@
 	Header  http.Header
 	// Body is set if the outcome is Answered, and must be closed.
 	Body io.ReadCloser
+	// Memory is the budget for the events that are read from the body, nil for no limit.
+	Memory *intake.Budget
 	// Broken is set on a lost stream whose connection the other side ended.
 	Broken bool
 }
 
+// budget returns the budget for events.
+func (s OpenedStream) budget() *intake.Budget {
+	if s.Memory == nil {
+		return intake.Unlimited()
+	}
+	return s.Memory
+}
+
 // StreamClient opens streams at backends. A forwarder's client must implement it for Stream to be
 // called.
 type StreamClient interface {
@@ -171,7 +182,8 @@
 		}
 	})
 	defer stallTimer.Stop()
-	reader := NewEventReader(opened.Body)
+	reader := NewEventReader(opened.Body, opened.budget())
+	defer reader.Release()
 	for {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/dillchute/dillchute/directory"
+	"github.com/dillchute/dillchute/intake"
 	_ "github.com/dillchute/dillchute/internal/fixedseed"
 	"github.com/dillchute/dillchute/routing"
 )
@@ -113,7 +114,7 @@
 			text += raw
 		}
 		length := rapid.IntRange(0, len(text)).Draw(t, "length")
-		reader := NewEventReader(strings.NewReader(text[:length]))
+		reader := NewEventReader(strings.NewReader(text[:length]), intake.Unlimited())
 		complete := 0
 		for {
 			event, err := reader.Next()
