The text of a sample is bounded

What could happen: an engine whose stream of valid events has no end. The store that reads it, and the leader, kept all of them; the sample never ended, and the store's memory grew until it was out.

Cause: events are bounded one by one, the text that they make was not.

Change: a run whose text exceeds 1 MiB or 131,072 events is cancelled by its runner. The leader sees it by the text, discards what the run has added and runs the sample again. Runners and leaders of other builds need no new field.

--- a/runner/server.go
+++ b/runner/server.go
@@ -169,7 +169,7 @@
 	text := scheduler.Text{Events: command.Text.Events, Last: uint64(len(command.Text.Events)), Versions: command.Text.Versions}
 	run := &serverRun{
 		step: command.Step, sample: command.Sample.ID, engine: command.Backend.ID,
-		cancel: cancel, owner: owner, text: text, reportedEvents: len(text.Events),
+		cancel: cancel, owner: owner, text: text, textBytes: text.Size(), reportedEvents: len(text.Events),
 	}
 	request := Request{
 		Backend: command.Backend, Step: command.Step, Host: command.Host, Tenant: command.Tenant, Sample: command.Sample, Text: text,
--- a/runner/serverrun.go
+++ b/runner/serverrun.go
@@ -19,16 +19,19 @@
 	owner *serverLink
 	// text is the sample's text so far, including the text that the run continues.
 	text scheduler.Text
+	// textBytes is the size of the text's events.
+	textBytes int
 	// reportedEvents is the number of events that were reported on the owner. unreportedVersions lists
 	// the versions of the weights that generated the others.
 	reportedEvents     int
 	unreportedVersions []uint64
 	end                scheduler.RunEnd
-	// isBroken is set once an event is invalid, or its ID does not follow that of the previous event.
+	// isBroken is set once an event is invalid, its ID does not follow that of the previous event, or the text is too long.
 	isBroken bool
 }
 
-// addEvent appends an event to the text. It cancels the run if the event is invalid or events are missing before it.
+// addEvent appends an event to the text. It cancels the run if the event is invalid, if events are missing before it, or if
+// the text is too long with it, which the leader sees by the text.
 func (r *serverRun) addEvent(event Event) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -37,6 +40,11 @@
 		return
 	}
 	r.text.Events = append(r.text.Events, event.Data)
+	r.textBytes += len(event.Data)
+	if r.textBytes > scheduler.MaxTextBytes || len(r.text.Events) > scheduler.MaxTextEvents {
+		r.isBroken = true
+		r.cancel()
+	}
 	r.text.Last = event.ID
 	r.text.AddVersion(event.Version)
 	if !slices.Contains(r.unreportedVersions, event.Version) {
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -8,6 +8,13 @@
 	"github.com/dillchute/dillchute/quarantine"
 )
 
+const (
+	// MaxTextBytes and MaxTextEvents bound the text of a sample. Callers can be sent no longer one, and an engine's stream may
+	// have no end.
+	MaxTextBytes  = 1 << 20
+	MaxTextEvents = 128 << 10
+)
+
 // Text is the output of a sample so far.
 type Text struct {
 	// Events holds the data of the events in order. Last is the ID of the newest event.
@@ -25,6 +32,20 @@
 	}
 }
 
+// IsTooLong reports whether the text exceeds its limits, so that no result can have it.
+func (t *Text) IsTooLong() bool {
+	return t.Size() > MaxTextBytes || len(t.Events) > MaxTextEvents
+}
+
+// Size returns the size of all events in bytes.
+func (t *Text) Size() int {
+	size := 0
+	for _, event := range t.Events {
+		size += len(event)
+	}
+	return size
+}
+
 // oldest returns the oldest version that produced an event, or 0 if there is none.
 func (t *Text) oldest() uint64 {
 	if len(t.Versions) == 0 {
--- a/server/run.go
+++ b/server/run.go
@@ -84,7 +84,7 @@
 	if task.Run == assignment.Run {
 		delete(l.progress, task)
 	}
-	if task.Run == assignment.Run && !l.scheduler.TrustsRun(task, versions) {
+	if task.Run == assignment.Run && (text.IsTooLong() || !l.scheduler.TrustsRun(task, versions)) {
 		// Nothing of the run is used; the sample continues after the text that it had before.
 		event.RunDiscarded.On(l.logger).Str("sample", task.Sample.ID).Str("engine", assignment.Backend.ID).
 			Uint("oldest", versions.Oldest).Uint("newest", versions.Newest).Send()
