--- a/responsecheck/conn.go
+++ b/responsecheck/conn.go
@@ -1,8 +1,8 @@
 // Package responsecheck checks the bytes of HTTP/1 responses strictly, as they arrive on the connections of a client. The
-// HTTP client of package net/http reads leniently what RFC 9110 and RFC 9112 call invalid, and takes the end of a connection
-// for the end of a response. A connection of this package fails instead, so that only valid responses with an end of their
-// own reach whoever reads them: the status line, the heads of interim responses, the fields, chunks and trailers are checked,
-// and heads are bounded.
+// HTTP client of package net/http reads leniently what RFC 9110 and RFC 9112 call invalid, and may take the end of a
+// connection that has failed for the end of a response. A connection of this package fails instead, so that only valid and
+// whole responses reach whoever reads them. It checks status lines, fields, chunks, trailers and interim responses, and bounds
+// heads.
 package responsecheck
 
 import (
