The client of duties keeps its own transport

The client has its http.Transport again, whose connections check the responses (responsecheck.Check), and sends with responsecheck.RoundTrip. The test is unchanged and passes, three runs; so do those of duties.

--- a/responsecheck/transport.go
+++ b/responsecheck/transport.go
@@ -12,22 +12,22 @@
 // dialFunc opens a connection, like net.Dialer.DialContext.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// transport is a client transport whose connections check the responses.
-type transport struct{ http *http.Transport }
-
-// NewTransport makes the transport, which must not be in use yet, check all responses, and returns it. Its connections are
-// *Conn.
-func NewTransport(base *http.Transport, limits Limits) http.RoundTripper {
+// Check makes the transport, which must not be in use yet, check all responses. Its connections are *Conn, and requests must
+// be sent with RoundTrip.
+func Check(base *http.Transport, limits Limits) {
 	base.DialContext = checkedDial(base.DialContext, limits)
 	base.MaxResponseHeaderBytes = int64(limits.HeadBytes)
-	return &transport{http: base}
 }
 
+// transport is a client transport whose connections check the responses.
+type transport struct{ http *http.Transport }
+
 // NewClient returns an HTTP client that sends requests with the transport and checks all responses. It follows no redirect,
 // which would let a service choose who gets a request.
 func NewClient(base *http.Transport, limits Limits) *http.Client {
+	Check(base, limits)
 	return &http.Client{
-		Transport:     NewTransport(base, limits),
+		Transport:     &transport{http: base},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -45,6 +45,12 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	return RoundTrip(t.http, request)
+}
+
+// RoundTrip sends the request with a transport that checks responses. The memory for the heads of the response is reserved
+// until its body is closed.
+func RoundTrip(checked http.RoundTripper, request *http.Request) (*http.Response, error) {
 	var latest atomic.Pointer[HeadMemory]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		memory := info.Conn.(*Conn).Begin(request.Method, bodyLength(request))
@@ -55,7 +61,7 @@
 		}
 		release(latest.Swap(memory))
 	}}
-	response, err := t.http.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	response, err := checked.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		release(latest.Load())
 		return nil, err
