--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// MaxTextBytes and MaxTextEvents bound the text of a sample. Callers can be sent no longer one, and an engine's stream may
-	// have no end.
+	// MaxTextBytes and MaxTextEvents bound the text of a sample: an engine's stream may have no end. A longer text would not
+	// fit a page of results.
 	MaxTextBytes  = 1 << 20
 	MaxTextEvents = 128 << 10
 )
